--- /dev/null
+++ b/src/adapters/caller_http.cc
@@ -0,0 +1,166 @@
+#include "adapters/caller_http.h"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/json.hpp>
+#include <charconv>
+#include <optional>
+
+#include "adapters/node_loop.h"
+#include "adapters/problem_json.h"
+#include "core/overloaded.h"
+#include "core/reflect.h"
+
+namespace quetzalline {
+namespace {
+
+const char kHealthTarget[] = "/-/healthz";
+const char kCallerHeader[] = "Quetzalline-Caller";
+const char kDeadlineHeader[] = "Quetzalline-Deadline-Ms";
+const char kKeyHeader[] = "Idempotency-Key";
+const char kRequestHeader[] = "Quetzalline-Request";
+const char kOutcomeHeader[] = "Quetzalline-Outcome";
+const char kReasonHeader[] = "Quetzalline-Reason";
+
+// Headers that concern one connection only and are not passed on.
+bool IsHopByHop(std::string_view name) {
+  for (const std::string_view hop :
+       {"connection", "keep-alive", "transfer-encoding", "content-length", "te",
+        "trailer", "upgrade", "proxy-connection"}) {
+    if (boost::beast::iequals(name, hop)) return true;
+  }
+  return false;
+}
+
+std::vector<Header> PassedOn(const std::vector<Header>& headers) {
+  std::vector<Header> passed;
+  for (const Header& header : headers) {
+    if (!IsHopByHop(header.name())) passed.push_back(header);
+  }
+  return passed;
+}
+
+Header MakeHeader(std::string name, std::string value) {
+  return Header::Builder()
+      .name(std::move(name))
+      .value(std::move(value))
+      .Build();
+}
+
+std::string Text(const RequestId& id) {
+  return std::to_string(id.origin()) + "-" + std::to_string(id.sequence());
+}
+
+// A deadline in milliseconds; empty where the header is absent, zero where it
+// is no positive number.
+std::optional<Duration> ReadDeadline(const std::string& text) {
+  if (text.empty()) return std::nullopt;
+  std::int64_t milliseconds = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, milliseconds);
+  if (error != std::errc() || stop != end || milliseconds <= 0) {
+    return Duration::zero();
+  }
+  constexpr std::int64_t kLongestMilliseconds = 3600 * 1000;
+  return std::chrono::milliseconds(
+      std::min(milliseconds, kLongestMilliseconds));
+}
+
+int NotRunStatus(Reason reason) {
+  if (reason == Reason::kUnknownService) return 404;
+  if (reason == Reason::kBodyTooLarge) return 413;
+  if (reason == Reason::kKeyConflict) return 409;
+  if (reason == Reason::kFairShare) return 429;
+  return 503;
+}
+
+std::string RetryAfterSeconds(Duration wait) {
+  const auto seconds = std::chrono::ceil<std::chrono::seconds>(wait).count();
+  return std::to_string(seconds);
+}
+
+HttpResponse WithHeaders(const HttpResponse& response,
+                         const std::vector<Header>& added) {
+  std::vector<Header> headers = PassedOn(response.headers());
+  headers.insert(headers.end(), added.begin(), added.end());
+  return HttpResponse::Builder(response).headers(std::move(headers)).Build();
+}
+
+HttpResponse ToResponse(const AttemptOutcome& outcome) {
+  return std::visit(
+      Overloaded{
+          [](const Done& done) {
+            return WithHeaders(done.response(),
+                               {MakeHeader(kOutcomeHeader, "done")});
+          },
+          [](const NotRun& not_run) {
+            std::vector<Header> headers{
+                MakeHeader(kOutcomeHeader, "not-run"),
+                MakeHeader(kReasonHeader, ToString(not_run.reason()))};
+            if (not_run.retry_after() > Duration::zero()) {
+              headers.push_back(MakeHeader(
+                  "Retry-After", RetryAfterSeconds(not_run.retry_after())));
+            }
+            return WithHeaders(
+                ProblemResponse(NotRunStatus(not_run.reason()),
+                                "not run: " + ToString(not_run.reason())),
+                headers);
+          },
+          [](const Unknown& unknown) {
+            return WithHeaders(
+                ProblemResponse(504, "the outcome is unknown: " +
+                                         ToString(unknown.reason())),
+                {MakeHeader(kOutcomeHeader, "unknown"),
+                 MakeHeader(kReasonHeader, ToString(unknown.reason()))});
+          }},
+      outcome);
+}
+
+HttpResponse HealthResponse(bool healthy) {
+  if (!healthy) return ProblemResponse(503, "leaving");
+  return HttpResponse::Builder().status(200).body(Body("ok\n")).Build();
+}
+
+}  // namespace
+
+void CallerHttp::Take(const HttpExchange& exchange) {
+  const HttpRequest& request = exchange.request();
+  if (request.target() == kHealthTarget) {
+    return exchange.Respond(HealthResponse(events_.healthy_()));
+  }
+  const std::optional<Duration> deadline =
+      ReadDeadline(exchange.Header(kDeadlineHeader));
+  if (deadline && *deadline == Duration::zero()) {
+    return exchange.Respond(ProblemResponse(
+        400, std::string(kDeadlineHeader) + " must be a positive number"));
+  }
+  const RequestId id =
+      RequestId::Builder().origin(origin_).sequence(++last_sequence_).Build();
+  open_.emplace(id, Open{exchange, ReadClock()});
+  exchange.OnGone([this, id] {
+    open_.erase(id);
+    events_.gone_(id);
+  });
+  events_.request_(CallerRequest::Builder()
+                       .id(id)
+                       .caller(CallerName(exchange.Header(kCallerHeader)))
+                       .host(exchange.host())
+                       .request(HttpRequest::Builder(request)
+                                    .headers(PassedOn(request.headers()))
+                                    .Build())
+                       .deadline(deadline)
+                       .key(exchange.Header(kKeyHeader))
+                       .Build());
+}
+
+void CallerHttp::Answer(const AnswerCaller& answer) {
+  const auto found = open_.find(answer.id());
+  if (found == open_.end()) return;
+  const Open open = found->second;
+  open_.erase(found);
+  latency_.Add(ReadClock() - open.arrived_);
+  open.exchange_.Respond(
+      WithHeaders(ToResponse(answer.outcome()),
+                  {MakeHeader(kRequestHeader, Text(answer.id()))}));
+}
+
+}  // namespace quetzalline
--- /dev/null
+++ b/src/adapters/consul_codec.cc
@@ -0,0 +1,146 @@
+#include "adapters/consul_codec.h"
+
+#include <boost/beast/core/detail/base64.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/json.hpp>
+#include <charconv>
+#include <memory>
+
+namespace quetzalline {
+namespace base64 = boost::beast::detail::base64;
+namespace json = boost::json;
+
+namespace {
+
+std::string Encode(const std::string& bytes) {
+  std::string text(base64::encoded_size(bytes.size()), '\0');
+  text.resize(base64::encode(text.data(), bytes.data(), bytes.size()));
+  return text;
+}
+
+std::string Decode(std::string_view text) {
+  std::string bytes(base64::decoded_size(text.size()), '\0');
+  const auto [written, read] =
+      base64::decode(bytes.data(), text.data(), text.size());
+  bytes.resize(written);
+  return bytes;
+}
+
+std::optional<json::value> Parse(const std::string& body) {
+  json::error_code error;
+  json::value value = json::parse(body, error);
+  if (error) return std::nullopt;
+  return value;
+}
+
+const json::object* Member(const json::value* value, std::string_view key) {
+  if (value == nullptr || !value->is_object()) return nullptr;
+  const json::value* member = value->get_object().if_contains(key);
+  return member == nullptr ? nullptr : member->if_object();
+}
+
+// The first element of an array member.
+const json::value* FirstOf(const json::value& value, std::string_view key) {
+  const json::object* object = value.if_object();
+  const json::value* member =
+      object == nullptr ? nullptr : object->if_contains(key);
+  const json::array* array = member == nullptr ? nullptr : member->if_array();
+  return array == nullptr || array->empty() ? nullptr : &array->front();
+}
+
+std::string TextOf(const json::object& object, std::string_view key) {
+  const json::value* member = object.if_contains(key);
+  if (member == nullptr || !member->is_string()) return {};
+  return std::string(member->get_string());
+}
+
+std::int64_t NumberOf(const json::object& object, std::string_view key) {
+  const json::value* member = object.if_contains(key);
+  json::error_code error;
+  if (member == nullptr || !member->is_number()) return 0;
+  return member->to_number<std::int64_t>(error);
+}
+
+}  // namespace
+
+std::string ConsulTransaction(const std::string& key, const std::string& value,
+                              std::int64_t expected) {
+  const json::object operation{{"Verb", "cas"},
+                               {"Key", key},
+                               {"Value", Encode(value)},
+                               {"Index", expected}};
+  return json::serialize(json::array{json::object{{"KV", operation}}});
+}
+
+std::optional<ConsulWrite> ParseConsulTransaction(const std::string& body) {
+  const std::optional<json::value> parsed = Parse(body);
+  if (!parsed || !parsed->is_array() || parsed->get_array().size() != 1) {
+    return std::nullopt;
+  }
+  const json::object* operation = Member(&parsed->get_array().front(), "KV");
+  if (operation == nullptr || TextOf(*operation, "Verb") != "cas") {
+    return std::nullopt;
+  }
+  return ConsulWrite{TextOf(*operation, "Key"),
+                     Decode(TextOf(*operation, "Value")),
+                     NumberOf(*operation, "Index")};
+}
+
+std::string ConsulTransactionAnswer(const std::string& key,
+                                    std::int64_t index) {
+  const json::object written{{"Key", key}, {"ModifyIndex", index}};
+  const json::object answer{
+      {"Results", json::array{json::object{{"KV", written}}}},
+      {"Errors", nullptr}};
+  return json::serialize(answer);
+}
+
+std::optional<std::int64_t> ConsulWrittenIndex(const std::string& body) {
+  const std::optional<json::value> parsed = Parse(body);
+  if (!parsed) return std::nullopt;
+  const json::object* written = Member(FirstOf(*parsed, "Results"), "KV");
+  if (written == nullptr) return std::nullopt;
+  const std::int64_t index = NumberOf(*written, "ModifyIndex");
+  if (index <= 0) return std::nullopt;
+  return index;
+}
+
+std::string ConsulValues(const std::vector<StoredValue>& values) {
+  json::array array;
+  for (const StoredValue& value : values) {
+    array.push_back(json::object{{"Key", value.key()},
+                                 {"Value", Encode(value.value())},
+                                 {"ModifyIndex", value.index()}});
+  }
+  return json::serialize(array);
+}
+
+std::optional<std::vector<StoredValue>> ParseConsulValues(
+    const std::string& body) {
+  const std::optional<json::value> parsed = Parse(body);
+  if (!parsed || !parsed->is_array()) return std::nullopt;
+  std::vector<StoredValue> values;
+  for (const json::value& element : parsed->get_array()) {
+    const json::object* object = element.if_object();
+    if (object == nullptr) return std::nullopt;
+    values.push_back(StoredValue::Builder()
+                         .key(TextOf(*object, "Key"))
+                         .value(Decode(TextOf(*object, "Value")))
+                         .index(NumberOf(*object, "ModifyIndex"))
+                         .Build());
+  }
+  return values;
+}
+
+std::optional<std::int64_t> ConsulIndex(const HttpResponse& response) {
+  for (const Header& header : response.headers()) {
+    if (!boost::beast::iequals(header.name(), "X-Consul-Index")) continue;
+    std::int64_t index = 0;
+    const std::string& text = header.value();
+    const char* end = text.data() + text.size();
+    if (std::from_chars(text.data(), end, index).ptr == end) return index;
+  }
+  return std::nullopt;
+}
+
+}  // namespace quetzalline
--- /dev/null
+++ b/src/adapters/consul_store.cc
@@ -0,0 +1,131 @@
+#include "adapters/consul_store.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "adapters/consul_codec.h"
+#include "adapters/store_items.h"
+#include "core/overloaded.h"
+#include "wire/record_codec.h"
+
+namespace quetzalline {
+namespace {
+
+constexpr std::chrono::seconds kCallTimeout{2};
+constexpr std::chrono::seconds kWatchTime{55};
+constexpr std::chrono::seconds kWatchTimeout{60};
+constexpr int kConflictStatus = 409;
+constexpr int kNotFoundStatus = 404;
+constexpr int kOkStatus = 200;
+
+HttpRequest MakeRequest(const std::string& method, const std::string& target,
+                        std::string body) {
+  return HttpRequest::Builder()
+      .method(method)
+      .target(target)
+      .headers({Header::Builder().name("Host").value("store").Build()})
+      .body(Body(std::move(body)))
+      .Build();
+}
+
+// The answer of the service, if one came whole.
+const HttpResponse* ResponseOf(const CallResult& result) {
+  const auto* completed = std::get_if<CallCompleted>(&result);
+  return completed == nullptr ? nullptr : &completed->response();
+}
+
+std::optional<StoreResult> ReadValues(const HttpResponse& response) {
+  const std::optional<std::int64_t> index = ConsulIndex(response);
+  if (!index) return std::nullopt;
+  StoreValues::Builder builder;
+  builder.index(*index);
+  if (response.status() == kNotFoundStatus) return builder.Build();
+  if (response.status() != kOkStatus) return std::nullopt;
+  const auto values = ParseConsulValues(response.body().bytes());
+  if (!values) return std::nullopt;
+  return builder.items(ToStoreItems(*values)).Build();
+}
+
+StoreResult ReadWritten(const HttpResponse& response) {
+  if (response.status() == kConflictStatus) return StoreConflict();
+  const auto index = ConsulWrittenIndex(response.body().bytes());
+  if (response.status() == kOkStatus && index) {
+    return StoreWritten::Builder().index(*index).Build();
+  }
+  return StoreFailed::Builder().reason(Reason::kStoreFailed).Build();
+}
+
+}  // namespace
+
+ConsulStore::ConsulStore(boost::asio::io_context& io,
+                         const boost::asio::ip::tcp::endpoint& service)
+    : io_(io), client_(std::make_unique<HttpClient>(io, service)) {}
+
+void ConsulStore::Answer(std::uint64_t ticket, const StoreResult& result) {
+  on_answer_(StoreAnswer::Builder().ticket(ticket).result(result).Build());
+}
+
+void ConsulStore::Fail(std::uint64_t ticket) {
+  Answer(ticket, StoreFailed::Builder().reason(Reason::kStoreFailed).Build());
+}
+
+// Whichever comes first, the end of the call or of the time, ends the call.
+void ConsulStore::Call(const HttpRequest& request, std::chrono::seconds timeout,
+                       HttpClient::OnEnd on_end) {
+  auto timer = std::make_shared<boost::asio::steady_timer>(io_, timeout);
+  const std::uint64_t call =
+      client_->Call(request, [timer, on_end](const CallResult& result) {
+        timer->cancel();
+        on_end(result);
+      });
+  timer->async_wait(
+      [this, timer, call, on_end](const boost::system::error_code& error) {
+        if (error) return;
+        client_->Abandon(call);
+        on_end(CallBroken::Builder().reason(Reason::kStoreFailed).Build());
+      });
+}
+
+void ConsulStore::Query(std::uint64_t ticket, const std::string& target,
+                        std::chrono::seconds timeout, const StoreWatch* watch) {
+  const std::optional<StoreWatch> again =
+      watch == nullptr ? std::nullopt : std::optional(*watch);
+  Call(MakeRequest("GET", target, ""), timeout,
+       [this, ticket, again](const CallResult& result) {
+         const HttpResponse* response = ResponseOf(result);
+         const auto values =
+             response == nullptr ? std::nullopt : ReadValues(*response);
+         if (!values) return Fail(ticket);
+         // A blocking query also ends when its time is over.
+         const bool unchanged =
+             again && std::get<StoreValues>(*values).index() <= again->after();
+         if (unchanged) return Perform(*again);
+         Answer(ticket, *values);
+       });
+}
+
+void ConsulStore::Perform(const StoreRead& read) {
+  Query(read.ticket(), "/v1/kv/" + read.prefix() + "?recurse=true",
+        kCallTimeout, nullptr);
+}
+
+void ConsulStore::Perform(const StoreWatch& watch) {
+  const std::string target =
+      "/v1/kv/" + watch.prefix() +
+      "?recurse=true&index=" + std::to_string(watch.after()) +
+      "&wait=" + std::to_string(kWatchTime.count()) + "s";
+  Query(watch.ticket(), target, kWatchTimeout, &watch);
+}
+
+void ConsulStore::Perform(const StoreWrite& write) {
+  const std::string body = ConsulTransaction(
+      write.key(), EncodeRecord(*write.record()), write.expected());
+  const std::uint64_t ticket = write.ticket();
+  Call(MakeRequest("PUT", "/v1/txn", body), kCallTimeout,
+       [this, ticket](const CallResult& result) {
+         const HttpResponse* response = ResponseOf(result);
+         if (response == nullptr) return Fail(ticket);
+         Answer(ticket, ReadWritten(*response));
+       });
+}
+
+}  // namespace quetzalline
--- /dev/null
+++ b/src/adapters/frame_connection.cc
@@ -0,0 +1,82 @@
+#include "adapters/frame_connection.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+#include "wire/frame_header.h"
+
+namespace quetzalline {
+FrameConnection::FrameConnection(boost::asio::ip::tcp::socket socket)
+    : socket_(std::move(socket)) {
+  boost::system::error_code ignored;
+  socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+}
+
+void FrameConnection::Start(OnPayload on_payload, OnClosed on_closed) {
+  on_payload_ = std::move(on_payload);
+  on_closed_ = std::move(on_closed);
+  Read();
+}
+
+void FrameConnection::Send(std::string_view payload) {
+  if (closed_) return;
+  unsent_.push_back(MakeFrame(payload));
+  unsent_bytes_ += unsent_.back().size();
+  if (unsent_bytes_ > kMaxUnsentBytes) return Close();
+  if (sending_.empty()) Write();
+}
+
+void FrameConnection::Close() {
+  if (closed_) return;
+  closed_ = true;
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+  if (on_closed_) on_closed_();
+}
+
+void FrameConnection::Read() {
+  const auto take = [self = shared_from_this()](
+                        const boost::system::error_code& error,
+                        std::size_t bytes) {
+    if (self->closed_) return;
+    if (error) return self->Close();
+    self->received_.append(self->read_buffer_.data(), bytes);
+    if (!self->TakeFrames()) return self->Close();
+    if (!self->closed_) self->Read();
+  };
+  socket_.async_read_some(boost::asio::buffer(read_buffer_), take);
+}
+
+bool FrameConnection::TakeFrames() {
+  std::size_t position = 0;
+  while (received_.size() - position >= kFrameHeaderBytes) {
+    const std::string_view rest = std::string_view(received_).substr(position);
+    const std::optional<std::size_t> length = ParseFrameHeader(rest);
+    if (!length) return false;
+    if (rest.size() < kFrameHeaderBytes + *length) break;
+    on_payload_(rest.substr(kFrameHeaderBytes, *length));
+    if (closed_) return true;
+    position += kFrameHeaderBytes + *length;
+  }
+  received_.erase(0, position);
+  return true;
+}
+
+void FrameConnection::Write() {
+  sending_ = std::exchange(unsent_, {});
+  unsent_bytes_ = 0;
+  std::vector<boost::asio::const_buffer> buffers;
+  for (const std::string& frame : sending_) {
+    buffers.push_back(boost::asio::buffer(frame));
+  }
+  const auto sent = [self = shared_from_this()](
+                        const boost::system::error_code& error, std::size_t) {
+    self->sending_.clear();
+    if (self->closed_) return;
+    if (error) return self->Close();
+    if (!self->unsent_.empty()) self->Write();
+  };
+  boost::asio::async_write(socket_, buffers, sent);
+}
+
+}  // namespace quetzalline
--- /dev/null
+++ b/src/adapters/frame_dialer.h
@@ -0,0 +1,38 @@
+#ifndef QUETZALLINE_ADAPTERS_FRAME_DIALER_H_
+#define QUETZALLINE_ADAPTERS_FRAME_DIALER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "adapters/frame_peers.h"
+#include "core/tick.h"
+
+namespace quetzalline {
+
+/// Keeps one connection of an agent to one entry: dials, and dials again after
+/// a pause of random length when the connection is lost.
+class FrameDialer {
+ public:
+  FrameDialer(boost::asio::io_context& io, FramePeers& peers,
+              const boost::asio::ip::tcp::endpoint& address,
+              std::uint64_t seed);
+
+  void Start() { Dial(); }
+  void Stop();
+
+ private:
+  void Dial();
+  void DialLater();
+
+  boost::asio::ip::tcp::socket socket_;
+  boost::asio::steady_timer timer_;
+  FramePeers& peers_;
+  boost::asio::ip::tcp::endpoint address_;
+  Random random_;
+  bool stopped_ = false;
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_ADAPTERS_FRAME_DIALER_H_
--- /dev/null
+++ b/src/adapters/http_call.cc
@@ -0,0 +1,124 @@
+#include "adapters/http_call.h"
+
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace quetzalline {
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr unsigned kHttp11 = 11;
+constexpr std::chrono::seconds kConnectTimeout{2};
+
+http::request<http::string_body> ToMessage(const HttpRequest& request) {
+  http::request<http::string_body> message;
+  message.version(kHttp11);
+  message.method_string(request.method());
+  message.target(request.target());
+  for (const Header& header : request.headers()) {
+    message.insert(header.name(), header.value());
+  }
+  message.body() = request.body().bytes();
+  message.keep_alive(true);
+  message.prepare_payload();
+  return message;
+}
+
+HttpResponse ToResponse(http::response<http::string_body> message) {
+  std::vector<Header> headers;
+  for (const auto& field : message) {
+    headers.push_back(Header::Builder()
+                          .name(std::string(field.name_string()))
+                          .value(std::string(field.value()))
+                          .Build());
+  }
+  return HttpResponse::Builder()
+      .status(static_cast<std::int32_t>(message.result_int()))
+      .headers(std::move(headers))
+      .body(Body(std::move(message.body())))
+      .Build();
+}
+
+CallBroken Broken(Reason reason) {
+  return CallBroken::Builder().reason(reason).Build();
+}
+
+}  // namespace
+
+HttpCall::HttpCall(HttpClient& client, std::uint64_t id,
+                   const HttpRequest& request, HttpClient::OnEnd on_end)
+    : client_(&client),
+      id_(id),
+      message_(ToMessage(request)),
+      on_end_(std::move(on_end)),
+      stream_(client.io_) {
+  parser_.body_limit(kMaxAnswerBytes);
+  parser_.skip(message_.method() == http::verb::head);
+}
+
+void HttpCall::Start() {
+  if (std::optional<boost::asio::ip::tcp::socket> idle = client_->TakeIdle()) {
+    stream_.socket() = std::move(*idle);
+    return Write();
+  }
+  stream_.expires_after(kConnectTimeout);
+  stream_.async_connect(
+      client_->server_,
+      [self = shared_from_this()](const boost::system::error_code& error) {
+        if (self->ended_) return;
+        if (error) return self->End(CallNotSent());
+        self->stream_.expires_never();
+        boost::system::error_code ignored;
+        self->stream_.socket().set_option(boost::asio::ip::tcp::no_delay(true),
+                                          ignored);
+        self->Write();
+      });
+}
+
+void HttpCall::Abandon() {
+  ended_ = true;
+  boost::system::error_code ignored;
+  stream_.socket().close(ignored);
+}
+
+void HttpCall::Write() {
+  http::async_write(
+      stream_, message_,
+      [self = shared_from_this()](const boost::system::error_code& error,
+                                  std::size_t bytes) {
+        if (self->ended_) return;
+        if (error && bytes == 0) return self->End(CallNotSent());
+        if (error) return self->End(Broken(Reason::kEndpointBroke));
+        self->Read();
+      });
+}
+
+void HttpCall::Read() {
+  http::async_read(stream_, buffer_, parser_,
+                   [self = shared_from_this()](
+                       const boost::system::error_code& error, std::size_t) {
+                     if (!self->ended_) self->AfterRead(error);
+                   });
+}
+
+// An answer whose length only the end of the connection tells may be cut
+// short without a sign, so that it is no whole answer.
+void HttpCall::AfterRead(const boost::system::error_code& error) {
+  if (error) return End(Broken(Reason::kEndpointBroke));
+  if (parser_.need_eof()) return End(Broken(Reason::kEndpointBroke));
+  const bool reusable = parser_.keep_alive() && buffer_.size() == 0;
+  if (reusable) client_->Keep(stream_.release_socket());
+  End(CallCompleted::Builder().response(ToResponse(parser_.release())).Build());
+}
+
+void HttpCall::End(const CallResult& result) {
+  ended_ = true;
+  const std::shared_ptr<HttpCall> keep = shared_from_this();
+  const HttpClient::OnEnd on_end = std::move(on_end_);
+  client_->calls_.erase(id_);
+  on_end(result);
+}
+
+}  // namespace quetzalline
--- /dev/null
+++ b/src/adapters/http_session.h
@@ -0,0 +1,57 @@
+#ifndef QUETZALLINE_ADAPTERS_HTTP_SESSION_H_
+#define QUETZALLINE_ADAPTERS_HTTP_SESSION_H_
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "adapters/http_server.h"
+
+namespace quetzalline {
+
+/// One connection of an HTTP listener: one exchange after another.
+class HttpSession : public std::enable_shared_from_this<HttpSession> {
+ public:
+  HttpSession(boost::asio::ip::tcp::socket socket, HttpServer& server);
+
+  void Start() { Read(); }
+  /// Answers the exchange of this number; any other is over already.
+  void Respond(std::uint64_t number, const HttpResponse& response);
+  void SetOnGone(std::uint64_t number, std::function<void()> on_gone);
+  void Close();
+  /// Closes the connection unless an exchange is under way; then it is closed
+  /// after the answer.
+  void CloseWhenIdle();
+
+ private:
+  using Parser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using Message = boost::beast::http::request<boost::beast::http::string_body>;
+
+  void Read();
+  void AfterRead(const boost::system::error_code& error);
+  void RefuseInput(const boost::system::error_code& error);
+  void HandOver();
+  void WatchForClose();
+  void CheckForClose();
+  void Write(const HttpResponse& response);
+  void AfterWrite(const boost::system::error_code& error, bool keep_alive);
+
+  boost::beast::tcp_stream stream_;
+  boost::beast::flat_buffer buffer_;
+  HttpServer* server_;
+  std::optional<Parser> parser_;
+  std::function<void()> on_gone_;
+  std::uint64_t number_ = 0;
+  bool answering_ = false;
+  bool keep_alive_ = true;
+  bool closed_ = false;
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_ADAPTERS_HTTP_SESSION_H_
--- /dev/null
+++ b/src/adapters/local_worker.h
@@ -0,0 +1,42 @@
+#ifndef QUETZALLINE_ADAPTERS_LOCAL_WORKER_H_
+#define QUETZALLINE_ADAPTERS_LOCAL_WORKER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+
+#include "messages/start_work.h"
+#include "messages/stop_work.h"
+#include "messages/worker_found.h"
+#include "messages/worker_news.h"
+#include "platform/memory_worker.h"
+
+namespace quetzalline {
+
+/// Carries out task effects at an in-memory worker in the same process.
+class LocalWorker {
+ public:
+  using OnNews = std::function<void(const WorkerNews&)>;
+  using OnFound = std::function<void(const WorkerFound&)>;
+
+  LocalWorker(boost::asio::io_context& io, std::shared_ptr<MemoryWorker> worker)
+      : timer_(std::make_unique<boost::asio::steady_timer>(io)),
+        worker_(std::move(worker)) {}
+
+  /// Tells of the tasks the worker runs already, and from then on its news.
+  void Start(const OnFound& on_found, OnNews on_news);
+  void Perform(const StartWork& start);
+  void Perform(const StopWork& stop);
+
+ private:
+  void Arm();
+
+  std::unique_ptr<boost::asio::steady_timer> timer_;
+  std::shared_ptr<MemoryWorker> worker_;
+  OnNews on_news_;
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_ADAPTERS_LOCAL_WORKER_H_
--- /dev/null
+++ b/src/adapters/metrics_text.cc
@@ -0,0 +1,40 @@
+#include "adapters/metrics_text.h"
+
+#include <algorithm>
+
+#include "core/reflect.h"
+
+namespace quetzalline {
+namespace {
+
+std::string MetricName(Counter counter) {
+  std::string name = "quetzalline_" + ToString(counter) + "_total";
+  std::replace(name.begin(), name.end(), '-', '_');
+  return name;
+}
+
+void AppendCounter(Counter counter, const Counters& counters,
+                   std::string& text) {
+  const std::string name = MetricName(counter);
+  text += "# TYPE " + name + " counter\n";
+  boost::mp11::mp_for_each<boost::describe::describe_enumerators<Reason>>(
+      [&](auto reason) {
+        const std::int64_t count = counters.Count(counter, reason.value);
+        const bool plain = reason.value == Reason::kNone;
+        if (count == 0 && !plain) return;
+        text += name;
+        if (!plain) text += "{reason=\"" + ToString(reason.value) + "\"}";
+        text += " " + std::to_string(count) + "\n";
+      });
+}
+
+}  // namespace
+
+std::string MetricsText(const Counters& counters) {
+  std::string text;
+  boost::mp11::mp_for_each<boost::describe::describe_enumerators<Counter>>(
+      [&](auto counter) { AppendCounter(counter.value, counters, text); });
+  return text;
+}
+
+}  // namespace quetzalline
--- /dev/null
+++ b/src/adapters/operator_api.cc
@@ -0,0 +1,87 @@
+#include "adapters/operator_api.h"
+
+#include "adapters/operator_command_codec.h"
+#include "adapters/problem_json.h"
+
+namespace quetzalline {
+namespace {
+
+HttpResponse TextResponse(const std::string& type, std::string body) {
+  return HttpResponse::Builder()
+      .status(200)
+      .headers({Header::Builder().name("Content-Type").value(type).Build()})
+      .body(Body(std::move(body)))
+      .Build();
+}
+
+}  // namespace
+
+bool OperatorApi::IsAuthorized(const HttpExchange& exchange) const {
+  return !token_.empty() &&
+         exchange.Header("Authorization") == "Bearer " + token_;
+}
+
+void OperatorApi::Refuse(const HttpExchange& exchange, int status,
+                         Reason reason, const std::string& detail) {
+  events_.refused_(reason);
+  exchange.Respond(ProblemResponse(status, detail));
+}
+
+void OperatorApi::Take(const HttpExchange& exchange) {
+  if (exchange.request().method() == "GET") return TakeRead(exchange);
+  TakeChange(exchange);
+}
+
+void OperatorApi::TakeRead(const HttpExchange& exchange) {
+  const std::string& target = exchange.request().target();
+  if (target == "/v1/dump") {
+    return exchange.Respond(TextResponse("application/json", events_.dump_()));
+  }
+  if (target == "/metrics") {
+    return exchange.Respond(
+        TextResponse("text/plain; version=0.0.4", events_.metrics_()));
+  }
+  if (target == "/healthz") {
+    if (!events_.healthy_()) {
+      return exchange.Respond(ProblemResponse(503, "leaving"));
+    }
+    return exchange.Respond(TextResponse("text/plain", "ok\n"));
+  }
+  TakeChange(exchange);
+}
+
+void OperatorApi::TakeChange(const HttpExchange& exchange) {
+  const HttpRequest& request = exchange.request();
+  if (request.method() != "GET" && !IsAuthorized(exchange)) {
+    return Refuse(exchange, 401, Reason::kUnauthorized,
+                  "a change needs the bearer token");
+  }
+  const ParsedCommand parsed =
+      ParseCommand(request.method(), request.target(), request.body().bytes());
+  if (!parsed.command_) {
+    return Refuse(exchange, parsed.status_, Reason::kInvalid,
+                  parsed.last_reason_);
+  }
+  if (!events_.command_) {
+    return Refuse(exchange, 404, Reason::kInvalid,
+                  "this process takes no commands");
+  }
+  Start(exchange, *parsed.command_);
+}
+
+void OperatorApi::Start(const HttpExchange& exchange, const Command& command) {
+  const std::uint64_t id = ++last_id_;
+  open_.emplace(id, exchange);
+  exchange.OnGone([this, id] { open_.erase(id); });
+  events_.command_(OperatorCommand::Builder().id(id).command(command).Build());
+}
+
+void OperatorApi::Answer(const AnswerOperator& answer) {
+  const auto found = open_.find(answer.id());
+  if (found == open_.end()) return;
+  const HttpExchange exchange = found->second;
+  open_.erase(found);
+  exchange.Respond(ToResponse(answer.result()));
+}
+
+}  // namespace quetzalline
--- /dev/null
+++ b/src/adapters/store_items.h
@@ -0,0 +1,16 @@
+#ifndef QUETZALLINE_ADAPTERS_STORE_ITEMS_H_
+#define QUETZALLINE_ADAPTERS_STORE_ITEMS_H_
+
+#include <vector>
+
+#include "messages/store_item.h"
+#include "platform/stored_value.h"
+
+namespace quetzalline {
+
+/// The records among stored values. Values that are none of ours are left out.
+std::vector<StoreItem> ToStoreItems(const std::vector<StoredValue>& values);
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_ADAPTERS_STORE_ITEMS_H_
--- /dev/null
+++ b/src/adapters/worker_adapter.h
@@ -0,0 +1,46 @@
+#ifndef QUETZALLINE_ADAPTERS_WORKER_ADAPTER_H_
+#define QUETZALLINE_ADAPTERS_WORKER_ADAPTER_H_
+
+#include <utility>
+#include <variant>
+
+#include "adapters/http_worker.h"
+#include "adapters/local_worker.h"
+
+namespace quetzalline {
+
+/// An instance that runs no tasks; its agent offers no capacity.
+class AbsentWorker {
+ public:
+  void Start(const std::function<void(const WorkerFound&)>&,
+             const std::function<void(const WorkerNews&)>&) {}
+  void Perform(const StartWork&) {}
+  void Perform(const StopWork&) {}
+};
+
+/// The worker that an agent uses, in the same process, over HTTP, or none.
+class WorkerAdapter {
+ public:
+  using OnNews = std::function<void(const WorkerNews&)>;
+  using OnFound = std::function<void(const WorkerFound&)>;
+
+  explicit WorkerAdapter(AbsentWorker worker) : worker_(worker) {}
+  explicit WorkerAdapter(LocalWorker worker) : worker_(std::move(worker)) {}
+  explicit WorkerAdapter(HttpWorker worker) : worker_(std::move(worker)) {}
+
+  void Start(const OnFound& on_found, const OnNews& on_news) {
+    std::visit([&](auto& worker) { worker.Start(on_found, on_news); }, worker_);
+  }
+
+  template <typename Effect>
+  void Perform(const Effect& effect) {
+    std::visit([&](auto& worker) { worker.Perform(effect); }, worker_);
+  }
+
+ private:
+  std::variant<AbsentWorker, LocalWorker, HttpWorker> worker_;
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_ADAPTERS_WORKER_ADAPTER_H_
--- /dev/null
+++ b/src/core/done.h
@@ -0,0 +1,42 @@
+#ifndef QUETZALLINE_CORE_DONE_H_
+#define QUETZALLINE_CORE_DONE_H_
+
+#include <compare>
+#include <string_view>
+#include <utility>
+
+#include "core/http_response.h"
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// The endpoint gave its whole answer.
+class Done {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "done";
+
+  const HttpResponse& response() const { return response_; }
+
+  friend auto operator<=>(const Done&, const Done&) = default;
+
+ private:
+  QUETZALLINE_VALUE(Done, response_)
+
+  HttpResponse response_;
+};
+
+/// Builds one Done; what is not set keeps its default.
+class Done::Builder : public ValueBuilder<Done, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& response(HttpResponse value) {
+    return Set(value_.response_, std::move(value));
+  }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_CORE_DONE_H_
--- /dev/null
+++ b/src/core/task_started.h
@@ -0,0 +1,32 @@
+#ifndef QUETZALLINE_CORE_TASK_STARTED_H_
+#define QUETZALLINE_CORE_TASK_STARTED_H_
+
+#include <compare>
+#include <string_view>
+
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// The worker runs the task.
+class TaskStarted {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "task-started";
+
+  friend auto operator<=>(const TaskStarted&, const TaskStarted&) = default;
+
+ private:
+  QUETZALLINE_VALUE(TaskStarted)
+};
+
+/// Builds one TaskStarted; what is not set keeps its default.
+class TaskStarted::Builder : public ValueBuilder<TaskStarted, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_CORE_TASK_STARTED_H_
--- /dev/null
+++ b/src/core/unknown.h
@@ -0,0 +1,39 @@
+#ifndef QUETZALLINE_CORE_UNKNOWN_H_
+#define QUETZALLINE_CORE_UNKNOWN_H_
+
+#include <compare>
+#include <string_view>
+
+#include "core/reason.h"
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// The request may have run; nobody can tell.
+class Unknown {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "unknown";
+
+  Reason reason() const { return reason_; }
+
+  friend auto operator<=>(const Unknown&, const Unknown&) = default;
+
+ private:
+  QUETZALLINE_VALUE(Unknown, reason_)
+
+  Reason reason_ = Reason{};
+};
+
+/// Builds one Unknown; what is not set keeps its default.
+class Unknown::Builder : public ValueBuilder<Unknown, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& reason(Reason value) { return Set(value_.reason_, value); }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_CORE_UNKNOWN_H_
--- /dev/null
+++ b/src/messages/abandon_call.h
@@ -0,0 +1,42 @@
+#ifndef QUETZALLINE_MESSAGES_ABANDON_CALL_H_
+#define QUETZALLINE_MESSAGES_ABANDON_CALL_H_
+
+#include <compare>
+#include <string_view>
+#include <utility>
+
+#include "core/attempt_id.h"
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// Gives up a call; its connection is closed and never reused.
+class AbandonCall {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "abandon-call";
+
+  const AttemptId& attempt() const { return attempt_; }
+
+  friend auto operator<=>(const AbandonCall&, const AbandonCall&) = default;
+
+ private:
+  QUETZALLINE_VALUE(AbandonCall, attempt_)
+
+  AttemptId attempt_;
+};
+
+/// Builds one AbandonCall; what is not set keeps its default.
+class AbandonCall::Builder : public ValueBuilder<AbandonCall, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& attempt(AttemptId value) {
+    return Set(value_.attempt_, std::move(value));
+  }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_ABANDON_CALL_H_
--- /dev/null
+++ b/src/messages/agent_effect.h
@@ -0,0 +1,24 @@
+#ifndef QUETZALLINE_MESSAGES_AGENT_EFFECT_H_
+#define QUETZALLINE_MESSAGES_AGENT_EFFECT_H_
+
+#include <variant>
+
+#include "messages/abandon_call.h"
+#include "messages/call_endpoint.h"
+#include "messages/close_connection.h"
+#include "messages/log_change.h"
+#include "messages/process_finished.h"
+#include "messages/send_to_entry.h"
+#include "messages/start_work.h"
+#include "messages/stop_work.h"
+
+namespace quetzalline {
+
+/// Everything an agent asks of its adapters.
+using AgentEffect =
+    std::variant<SendToEntry, CloseConnection, CallEndpoint, AbandonCall,
+                 StartWork, StopWork, LogChange, ProcessFinished>;
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_AGENT_EFFECT_H_
--- /dev/null
+++ b/src/messages/agent_input.h
@@ -0,0 +1,23 @@
+#ifndef QUETZALLINE_MESSAGES_AGENT_INPUT_H_
+#define QUETZALLINE_MESSAGES_AGENT_INPUT_H_
+
+#include <variant>
+
+#include "messages/call_ended.h"
+#include "messages/connection_closed.h"
+#include "messages/connection_opened.h"
+#include "messages/entry_message_received.h"
+#include "messages/stop_requested.h"
+#include "messages/worker_found.h"
+#include "messages/worker_news.h"
+
+namespace quetzalline {
+
+/// Everything an agent reacts to, besides the passing of time.
+using AgentInput =
+    std::variant<ConnectionOpened, ConnectionClosed, EntryMessageReceived,
+                 CallEnded, WorkerFound, WorkerNews, StopRequested>;
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_AGENT_INPUT_H_
--- /dev/null
+++ b/src/messages/call_completed.h
@@ -0,0 +1,42 @@
+#ifndef QUETZALLINE_MESSAGES_CALL_COMPLETED_H_
+#define QUETZALLINE_MESSAGES_CALL_COMPLETED_H_
+
+#include <compare>
+#include <string_view>
+#include <utility>
+
+#include "core/http_response.h"
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// The endpoint gave its whole answer.
+class CallCompleted {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "call-completed";
+
+  const HttpResponse& response() const { return response_; }
+
+  friend auto operator<=>(const CallCompleted&, const CallCompleted&) = default;
+
+ private:
+  QUETZALLINE_VALUE(CallCompleted, response_)
+
+  HttpResponse response_;
+};
+
+/// Builds one CallCompleted; what is not set keeps its default.
+class CallCompleted::Builder : public ValueBuilder<CallCompleted, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& response(HttpResponse value) {
+    return Set(value_.response_, std::move(value));
+  }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_CALL_COMPLETED_H_
--- /dev/null
+++ b/src/messages/caller_gone.h
@@ -0,0 +1,40 @@
+#ifndef QUETZALLINE_MESSAGES_CALLER_GONE_H_
+#define QUETZALLINE_MESSAGES_CALLER_GONE_H_
+
+#include <compare>
+#include <string_view>
+#include <utility>
+
+#include "core/request_id.h"
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// The caller closed its connection.
+class CallerGone {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "caller-gone";
+
+  const RequestId& id() const { return id_; }
+
+  friend auto operator<=>(const CallerGone&, const CallerGone&) = default;
+
+ private:
+  QUETZALLINE_VALUE(CallerGone, id_)
+
+  RequestId id_;
+};
+
+/// Builds one CallerGone; what is not set keeps its default.
+class CallerGone::Builder : public ValueBuilder<CallerGone, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& id(RequestId value) { return Set(value_.id_, std::move(value)); }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_CALLER_GONE_H_
--- /dev/null
+++ b/src/messages/close_connection.h
@@ -0,0 +1,42 @@
+#ifndef QUETZALLINE_MESSAGES_CLOSE_CONNECTION_H_
+#define QUETZALLINE_MESSAGES_CLOSE_CONNECTION_H_
+
+#include <compare>
+#include <string_view>
+
+#include "core/ids.h"
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// Gives up a connection to a peer process.
+class CloseConnection {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "close-connection";
+
+  ConnectionId connection() const { return connection_; }
+
+  friend auto operator<=>(const CloseConnection&,
+                          const CloseConnection&) = default;
+
+ private:
+  QUETZALLINE_VALUE(CloseConnection, connection_)
+
+  ConnectionId connection_ = ConnectionId{};
+};
+
+/// Builds one CloseConnection; what is not set keeps its default.
+class CloseConnection::Builder : public ValueBuilder<CloseConnection, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& connection(ConnectionId value) {
+    return Set(value_.connection_, value);
+  }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_CLOSE_CONNECTION_H_
--- /dev/null
+++ b/src/messages/command.h
@@ -0,0 +1,20 @@
+#ifndef QUETZALLINE_MESSAGES_COMMAND_H_
+#define QUETZALLINE_MESSAGES_COMMAND_H_
+
+#include <variant>
+
+#include "messages/cancel_job.h"
+#include "messages/drain_command.h"
+#include "messages/publish_service.h"
+#include "messages/read_status.h"
+#include "messages/submit_job.h"
+
+namespace quetzalline {
+
+/// Everything an operator can ask of an entry.
+using Command = std::variant<PublishService, SubmitJob, CancelJob, DrainCommand,
+                             ReadStatus>;
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_COMMAND_H_
--- /dev/null
+++ b/src/messages/entry_message.h
@@ -0,0 +1,28 @@
+#ifndef QUETZALLINE_MESSAGES_ENTRY_MESSAGE_H_
+#define QUETZALLINE_MESSAGES_ENTRY_MESSAGE_H_
+
+#include <variant>
+
+#include "messages/acknowledge.h"
+#include "messages/acknowledge_task.h"
+#include "messages/configuration_update.h"
+#include "messages/drain_endpoint.h"
+#include "messages/fetch.h"
+#include "messages/forget_key.h"
+#include "messages/remember_key.h"
+#include "messages/start_task.h"
+#include "messages/stop_task.h"
+#include "messages/submit.h"
+#include "messages/welcome.h"
+
+namespace quetzalline {
+
+/// Every message from an entry to an agent.
+using EntryMessage =
+    std::variant<Submit, RememberKey, ForgetKey, Fetch, Acknowledge, Welcome,
+                 ConfigurationUpdate, StartTask, StopTask, AcknowledgeTask,
+                 DrainEndpoint>;
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_ENTRY_MESSAGE_H_
--- /dev/null
+++ b/src/messages/fetch.h
@@ -0,0 +1,46 @@
+#ifndef QUETZALLINE_MESSAGES_FETCH_H_
+#define QUETZALLINE_MESSAGES_FETCH_H_
+
+#include <compare>
+#include <string_view>
+#include <utility>
+
+#include "core/attempt_id.h"
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// Asks for the outcome of an attempt whose connection was lost.
+class Fetch {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "fetch";
+
+  const AttemptId& attempt() const { return attempt_; }
+  /// Also asks that the attempt not start if it has not.
+  bool cancel() const { return cancel_; }
+
+  friend auto operator<=>(const Fetch&, const Fetch&) = default;
+
+ private:
+  QUETZALLINE_VALUE(Fetch, attempt_, cancel_)
+
+  AttemptId attempt_;
+  bool cancel_ = false;
+};
+
+/// Builds one Fetch; what is not set keeps its default.
+class Fetch::Builder : public ValueBuilder<Fetch, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& attempt(AttemptId value) {
+    return Set(value_.attempt_, std::move(value));
+  }
+  Builder& cancel(bool value) { return Set(value_.cancel_, value); }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_FETCH_H_
--- /dev/null
+++ b/src/messages/publish_conflict.h
@@ -0,0 +1,43 @@
+#ifndef QUETZALLINE_MESSAGES_PUBLISH_CONFLICT_H_
+#define QUETZALLINE_MESSAGES_PUBLISH_CONFLICT_H_
+
+#include <compare>
+#include <string_view>
+#include <utility>
+
+#include "core/published_service.h"
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// Another publication came first.
+class PublishConflict {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "publish-conflict";
+
+  const PublishedService& winner() const { return winner_; }
+
+  friend auto operator<=>(const PublishConflict&,
+                          const PublishConflict&) = default;
+
+ private:
+  QUETZALLINE_VALUE(PublishConflict, winner_)
+
+  PublishedService winner_;
+};
+
+/// Builds one PublishConflict; what is not set keeps its default.
+class PublishConflict::Builder : public ValueBuilder<PublishConflict, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& winner(PublishedService value) {
+    return Set(value_.winner_, std::move(value));
+  }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_PUBLISH_CONFLICT_H_
--- /dev/null
+++ b/src/messages/stop_requested.h
@@ -0,0 +1,32 @@
+#ifndef QUETZALLINE_MESSAGES_STOP_REQUESTED_H_
+#define QUETZALLINE_MESSAGES_STOP_REQUESTED_H_
+
+#include <compare>
+#include <string_view>
+
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// The platform asks the process to stop gracefully.
+class StopRequested {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "stop-requested";
+
+  friend auto operator<=>(const StopRequested&, const StopRequested&) = default;
+
+ private:
+  QUETZALLINE_VALUE(StopRequested)
+};
+
+/// Builds one StopRequested; what is not set keeps its default.
+class StopRequested::Builder : public ValueBuilder<StopRequested, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_STOP_REQUESTED_H_
--- /dev/null
+++ b/src/messages/store_failed.h
@@ -0,0 +1,39 @@
+#ifndef QUETZALLINE_MESSAGES_STORE_FAILED_H_
+#define QUETZALLINE_MESSAGES_STORE_FAILED_H_
+
+#include <compare>
+#include <string_view>
+
+#include "core/reason.h"
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// No usable answer came; a write may have taken effect.
+class StoreFailed {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "store-failed";
+
+  Reason reason() const { return reason_; }
+
+  friend auto operator<=>(const StoreFailed&, const StoreFailed&) = default;
+
+ private:
+  QUETZALLINE_VALUE(StoreFailed, reason_)
+
+  Reason reason_ = Reason{};
+};
+
+/// Builds one StoreFailed; what is not set keeps its default.
+class StoreFailed::Builder : public ValueBuilder<StoreFailed, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& reason(Reason value) { return Set(value_.reason_, value); }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_STORE_FAILED_H_
--- /dev/null
+++ b/src/messages/store_read.h
@@ -0,0 +1,46 @@
+#ifndef QUETZALLINE_MESSAGES_STORE_READ_H_
+#define QUETZALLINE_MESSAGES_STORE_READ_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// Reads every key under a prefix.
+class StoreRead {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "store-read";
+
+  std::uint64_t ticket() const { return ticket_; }
+  const std::string& prefix() const { return prefix_; }
+
+  friend auto operator<=>(const StoreRead&, const StoreRead&) = default;
+
+ private:
+  QUETZALLINE_VALUE(StoreRead, ticket_, prefix_)
+
+  std::uint64_t ticket_ = 0;
+  std::string prefix_;
+};
+
+/// Builds one StoreRead; what is not set keeps its default.
+class StoreRead::Builder : public ValueBuilder<StoreRead, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& ticket(std::uint64_t value) { return Set(value_.ticket_, value); }
+  Builder& prefix(std::string value) {
+    return Set(value_.prefix_, std::move(value));
+  }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_STORE_READ_H_
--- /dev/null
+++ b/src/messages/task_report.h
@@ -0,0 +1,46 @@
+#ifndef QUETZALLINE_MESSAGES_TASK_REPORT_H_
+#define QUETZALLINE_MESSAGES_TASK_REPORT_H_
+
+#include <compare>
+#include <string_view>
+#include <utility>
+
+#include "core/task_attempt_id.h"
+#include "core/task_news.h"
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// How a task attempt fares; terminal news is repeated until acknowledged.
+class TaskReport {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "task-report";
+
+  const TaskAttemptId& task() const { return task_; }
+  const TaskNews& news() const { return news_; }
+
+  friend auto operator<=>(const TaskReport&, const TaskReport&) = default;
+
+ private:
+  QUETZALLINE_VALUE(TaskReport, task_, news_)
+
+  TaskAttemptId task_;
+  TaskNews news_;
+};
+
+/// Builds one TaskReport; what is not set keeps its default.
+class TaskReport::Builder : public ValueBuilder<TaskReport, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& task(TaskAttemptId value) {
+    return Set(value_.task_, std::move(value));
+  }
+  Builder& news(TaskNews value) { return Set(value_.news_, std::move(value)); }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_TASK_REPORT_H_
--- /dev/null
+++ b/src/messages/welcome.h
@@ -0,0 +1,65 @@
+#ifndef QUETZALLINE_MESSAGES_WELCOME_H_
+#define QUETZALLINE_MESSAGES_WELCOME_H_
+
+#include <compare>
+#include <cstdint>
+#include <string_view>
+#include <utility>
+
+#include "core/ids.h"
+#include "core/time.h"
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// The entry's reply to a heartbeat.
+class Welcome {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "welcome";
+
+  const EntryId& entry() const { return entry_; }
+  std::uint64_t incarnation() const { return incarnation_; }
+  /// Sequence of the heartbeat it replies to.
+  std::uint64_t echo() const { return echo_; }
+  /// The entry takes no new callers.
+  bool leaving() const { return leaving_; }
+  /// Epoch of the cell the entry holds; zero where it holds none.
+  std::uint64_t epoch() const { return epoch_; }
+  /// Time the agent may keep tasks running, counted from the sending of
+  /// that heartbeat.
+  Duration task_lease() const { return task_lease_; }
+
+  friend auto operator<=>(const Welcome&, const Welcome&) = default;
+
+ private:
+  QUETZALLINE_VALUE(Welcome, entry_, incarnation_, echo_, leaving_, epoch_,
+                    task_lease_)
+
+  EntryId entry_;
+  std::uint64_t incarnation_ = 0;
+  std::uint64_t echo_ = 0;
+  bool leaving_ = false;
+  std::uint64_t epoch_ = 0;
+  Duration task_lease_ = Duration{};
+};
+
+/// Builds one Welcome; what is not set keeps its default.
+class Welcome::Builder : public ValueBuilder<Welcome, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& entry(EntryId value) { return Set(value_.entry_, std::move(value)); }
+  Builder& incarnation(std::uint64_t value) {
+    return Set(value_.incarnation_, value);
+  }
+  Builder& echo(std::uint64_t value) { return Set(value_.echo_, value); }
+  Builder& leaving(bool value) { return Set(value_.leaving_, value); }
+  Builder& epoch(std::uint64_t value) { return Set(value_.epoch_, value); }
+  Builder& task_lease(Duration value) { return Set(value_.task_lease_, value); }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_WELCOME_H_
--- /dev/null
+++ b/src/messages/worker_found.h
@@ -0,0 +1,48 @@
+#ifndef QUETZALLINE_MESSAGES_WORKER_FOUND_H_
+#define QUETZALLINE_MESSAGES_WORKER_FOUND_H_
+
+#include <compare>
+#include <string_view>
+#include <utility>
+
+#include "core/task_attempt_id.h"
+#include "core/task_template.h"
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// The worker already ran a task attempt when the agent started.
+class WorkerFound {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "worker-found";
+
+  const TaskAttemptId& task() const { return task_; }
+  const TaskTemplate& work() const { return work_; }
+
+  friend auto operator<=>(const WorkerFound&, const WorkerFound&) = default;
+
+ private:
+  QUETZALLINE_VALUE(WorkerFound, task_, work_)
+
+  TaskAttemptId task_;
+  TaskTemplate work_;
+};
+
+/// Builds one WorkerFound; what is not set keeps its default.
+class WorkerFound::Builder : public ValueBuilder<WorkerFound, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& task(TaskAttemptId value) {
+    return Set(value_.task_, std::move(value));
+  }
+  Builder& work(TaskTemplate value) {
+    return Set(value_.work_, std::move(value));
+  }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_WORKER_FOUND_H_
--- /dev/null
+++ b/src/messages/worker_news.h
@@ -0,0 +1,46 @@
+#ifndef QUETZALLINE_MESSAGES_WORKER_NEWS_H_
+#define QUETZALLINE_MESSAGES_WORKER_NEWS_H_
+
+#include <compare>
+#include <string_view>
+#include <utility>
+
+#include "core/task_attempt_id.h"
+#include "core/task_news.h"
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// The worker reports about a task attempt.
+class WorkerNews {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "worker-news";
+
+  const TaskAttemptId& task() const { return task_; }
+  const TaskNews& news() const { return news_; }
+
+  friend auto operator<=>(const WorkerNews&, const WorkerNews&) = default;
+
+ private:
+  QUETZALLINE_VALUE(WorkerNews, task_, news_)
+
+  TaskAttemptId task_;
+  TaskNews news_;
+};
+
+/// Builds one WorkerNews; what is not set keeps its default.
+class WorkerNews::Builder : public ValueBuilder<WorkerNews, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& task(TaskAttemptId value) {
+    return Set(value_.task_, std::move(value));
+  }
+  Builder& news(TaskNews value) { return Set(value_.news_, std::move(value)); }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_WORKER_NEWS_H_
--- /dev/null
+++ b/src/platform/memory_worker.cc
@@ -0,0 +1,109 @@
+#include "platform/memory_worker.h"
+
+#include <algorithm>
+#include <charconv>
+#include <string>
+
+#include "core/overloaded.h"
+
+namespace quetzalline {
+namespace {
+
+// A checkpoint names the work done in microseconds behind the last colon.
+Duration DoneBy(const std::string& checkpoint) {
+  const std::size_t colon = checkpoint.rfind(':');
+  if (colon == std::string::npos) return Duration::zero();
+  std::int64_t done = 0;
+  const char* first = checkpoint.data() + colon + 1;
+  std::from_chars(first, checkpoint.data() + checkpoint.size(), done);
+  return Duration(done);
+}
+
+std::string NameCheckpoint(const TaskAttemptId& task, Duration done) {
+  return task.task().value() + "@" + std::to_string(task.number()) + ":" +
+         std::to_string(done.count());
+}
+
+// When the task ends by itself; empty where it runs on.
+std::optional<Instant> EndOf(const Workload& workload, Duration done,
+                             std::int64_t speed, Instant now) {
+  using Result = std::optional<Instant>;
+  return std::visit(
+      Overloaded{[](const ServiceWorkload&) { return Result(); },
+                 [&](const BatchWorkload& batch) {
+                   const Duration left = batch.run_time() - done;
+                   return Result(now + std::max(left, Duration::zero()) / speed);
+                 },
+                 [](const WatcherWorkload&) { return Result(); }},
+      workload);
+}
+
+// The work that survives a stop: whole checkpoint intervals only.
+Duration KeptWork(const WorkerTask& task, std::int64_t speed, Instant now) {
+  return std::visit(
+      Overloaded{[](const ServiceWorkload&) { return Duration::zero(); },
+                 [&](const BatchWorkload& batch) {
+                   const Duration interval = batch.checkpoint_interval();
+                   if (interval <= Duration::zero()) return task.resumed_from();
+                   const Duration ran = (now - task.started()) * speed;
+                   return task.resumed_from() + (ran / interval) * interval;
+                 },
+                 [](const WatcherWorkload&) { return Duration::zero(); }},
+      task.work().workload());
+}
+
+}  // namespace
+
+void MemoryWorker::Report(const TaskAttemptId& task, const TaskNews& news) {
+  reports_.push_back(WorkerNews::Builder().task(task).news(news).Build());
+}
+
+void MemoryWorker::Start(const StartWork& start, Instant now) {
+  if (tasks_.contains(start.task())) return;
+  if (faults_.fail_every_task()) {
+    return Report(start.task(),
+                  TaskFailed::Builder().reason(Reason::kWorkerFailed).Build());
+  }
+  const Duration done = DoneBy(start.checkpoint());
+  tasks_.emplace(start.task(),
+                 WorkerTask::Builder()
+                     .task(start.task())
+                     .work(start.work())
+                     .started(now)
+                     .resumed_from(done)
+                     .ends(EndOf(start.work().workload(), done, speed_, now))
+                     .Build());
+  Report(start.task(), TaskStarted());
+}
+
+void MemoryWorker::Stop(const TaskAttemptId& task, Instant now) {
+  const auto found = tasks_.find(task);
+  if (found == tasks_.end()) return;
+  const Duration kept = KeptWork(found->second, speed_, now);
+  TaskStopped::Builder stopped;
+  if (kept > Duration::zero()) stopped.checkpoint(NameCheckpoint(task, kept));
+  tasks_.erase(found);
+  Report(task, stopped.Build());
+}
+
+std::vector<WorkerNews> MemoryWorker::TakeNews(Instant now) {
+  std::vector<TaskAttemptId> ended;
+  for (const auto& [id, task] : tasks_) {
+    if (task.ends() && *task.ends() <= now) ended.push_back(id);
+  }
+  for (const TaskAttemptId& id : ended) {
+    tasks_.erase(id);
+    Report(id, TaskFinished());
+  }
+  return std::exchange(reports_, {});
+}
+
+std::optional<Instant> MemoryWorker::NextNews() const {
+  std::optional<Instant> next;
+  for (const auto& [id, task] : tasks_) {
+    if (task.ends() && (!next || *task.ends() < *next)) next = task.ends();
+  }
+  return next;
+}
+
+}  // namespace quetzalline
--- /dev/null
+++ b/src/platform/memory_worker.h
@@ -0,0 +1,47 @@
+#ifndef QUETZALLINE_PLATFORM_MEMORY_WORKER_H_
+#define QUETZALLINE_PLATFORM_MEMORY_WORKER_H_
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "core/task_attempt_id.h"
+#include "core/time.h"
+#include "messages/start_work.h"
+#include "messages/worker_news.h"
+#include "platform/worker_faults.h"
+#include "platform/worker_task.h"
+
+namespace quetzalline {
+
+/// A worker of the platform in memory: it runs task attempts by letting their
+/// declared time pass, and names a checkpoint when it stops one.
+class MemoryWorker {
+ public:
+  /// Work passes this many times faster than the declared time.
+  explicit MemoryWorker(std::int64_t speed = 1) : speed_(speed) {}
+
+  void Start(const StartWork& start, Instant now);
+  void Stop(const TaskAttemptId& task, Instant now);
+  void SetFaults(const WorkerFaults& faults) { faults_ = faults; }
+
+  /// What there is to report by now, in order.
+  std::vector<WorkerNews> TakeNews(Instant now);
+  /// When there will be something to report next.
+  std::optional<Instant> NextNews() const;
+
+  /// The task attempts that run now.
+  const std::map<TaskAttemptId, WorkerTask>& tasks() const { return tasks_; }
+
+ private:
+  void Report(const TaskAttemptId& task, const TaskNews& news);
+
+  std::map<TaskAttemptId, WorkerTask> tasks_;
+  std::vector<WorkerNews> reports_;
+  WorkerFaults faults_;
+  std::int64_t speed_;
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_PLATFORM_MEMORY_WORKER_H_
--- /dev/null
+++ b/src/platform/store_faults.h
@@ -0,0 +1,48 @@
+#ifndef QUETZALLINE_PLATFORM_STORE_FAULTS_H_
+#define QUETZALLINE_PLATFORM_STORE_FAULTS_H_
+
+#include <compare>
+#include <string_view>
+
+#include "core/time.h"
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// Faults that an in-memory store shows on request.
+class StoreFaults {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "store-faults";
+
+  /// Every call fails and nothing is written.
+  bool down() const { return down_; }
+  /// Writes take effect, but their answers are lost.
+  bool lose_answers() const { return lose_answers_; }
+  /// Time before a call takes effect.
+  Duration delay() const { return delay_; }
+
+  friend auto operator<=>(const StoreFaults&, const StoreFaults&) = default;
+
+ private:
+  QUETZALLINE_VALUE(StoreFaults, down_, lose_answers_, delay_)
+
+  bool down_ = false;
+  bool lose_answers_ = false;
+  Duration delay_ = Duration{};
+};
+
+/// Builds one StoreFaults; what is not set keeps its default.
+class StoreFaults::Builder : public ValueBuilder<StoreFaults, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& down(bool value) { return Set(value_.down_, value); }
+  Builder& lose_answers(bool value) { return Set(value_.lose_answers_, value); }
+  Builder& delay(Duration value) { return Set(value_.delay_, value); }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_PLATFORM_STORE_FAULTS_H_
--- /dev/null
+++ b/src/programs/example_endpoint.h
@@ -0,0 +1,40 @@
+#ifndef QUETZALLINE_PROGRAMS_EXAMPLE_ENDPOINT_H_
+#define QUETZALLINE_PROGRAMS_EXAMPLE_ENDPOINT_H_
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <string>
+
+#include "adapters/http_server.h"
+#include "core/time.h"
+
+namespace quetzalline {
+
+/// The behaviour of an example endpoint.
+struct ExampleBehaviour {
+  Duration service_time_ = std::chrono::milliseconds(5);
+  std::string name_;
+};
+
+/// A small HTTP service that stands in for a quotes service in the embedded
+/// run and in tests: it answers each request after a fixed time.
+class ExampleEndpoint {
+ public:
+  ExampleEndpoint(boost::asio::io_context& io, ExampleBehaviour behaviour);
+
+  /// Starts to listen; false where the address cannot be had.
+  bool Start(const boost::asio::ip::tcp::endpoint& address);
+  std::uint16_t port() const { return server_.port(); }
+
+ private:
+  void Take(const HttpExchange& exchange);
+
+  boost::asio::io_context& io_;
+  ExampleBehaviour behaviour_;
+  HttpServer server_;
+  std::int64_t answered_ = 0;
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_PROGRAMS_EXAMPLE_ENDPOINT_H_
--- /dev/null
+++ b/src/programs/local_tour.cc
@@ -0,0 +1,191 @@
+#include "programs/local_tour.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <iostream>
+
+#include "programs/publish_directory.h"
+#include "programs/status_text.h"
+
+namespace quetzalline {
+namespace {
+
+constexpr std::chrono::milliseconds kPollPause{50};
+constexpr int kPolls = 400;
+
+// Repeats a look at the system until it shows what is awaited.
+bool WaitUntil(const std::function<bool()>& holds) {
+  boost::asio::io_context io;
+  for (int i = 0; i < kPolls; ++i) {
+    if (holds()) return true;
+    boost::asio::steady_timer timer(io, kPollPause);
+    timer.wait();
+  }
+  return false;
+}
+
+class Tour {
+ public:
+  Tour(const LocalSystem& system, const LocalLayout& layout, std::ostream& out)
+      : system_(system),
+        layout_(layout),
+        plan_(ExamplePlan(layout.example_)),
+        out_(out),
+        operators_{system.OperatorUrl(0), layout.token_} {}
+
+  bool Run(const std::string& directory) {
+    return Step("every endpoint announced itself", [&] { return Joined(); }) &&
+           Step("the service files are published",
+                [&] { return Publish(directory); }) &&
+           Step("every process has them in force", [&] { return InForce(); }) &&
+           Step("a quote is answered", [&] { return AskQuote(); }) &&
+           Step("a reservation runs once, however often it is sent",
+                [&] { return Reserve(); }) &&
+           Step("a batch job finishes", [&] { return RunBatch(); }) &&
+           Step("a watcher runs", [&] { return RunWatcher(); }) &&
+           Step("the process dumps its tables", [&] { return Dump(); });
+  }
+
+ private:
+  bool Step(const std::string& name, const std::function<bool()>& step) {
+    const bool held = step();
+    out_ << (held ? "ok      " : "FAILED  ") << name << "\n";
+    return held;
+  }
+
+  std::optional<StatusReport> Status() const {
+    return ReadStatusReport(operators_).report_;
+  }
+
+  bool Joined() const {
+    return WaitUntil([&] {
+      const auto status = Status();
+      return status && !status->holder().empty() &&
+             status->endpoints().size() == layout_.instances_.size();
+    });
+  }
+
+  bool Publish(const std::string& directory) {
+    std::vector<FileFault> faults;
+    const auto files = CollectServiceFiles(directory, faults);
+    for (const FileFault& fault : faults) out_ << Text(fault) << "\n";
+    if (!faults.empty()) return false;
+    bool all = true;
+    for (const PublishedFile& file :
+         PublishFiles(files, operators_, layout_.example_)) {
+      out_ << "        " << file.service_ << ": " << file.text_ << "\n";
+      all = all && file.in_force_;
+    }
+    return all;
+  }
+
+  bool InForce() const {
+    return WaitUntil([&] {
+      const auto status = Status();
+      if (!status || status->configuration() == 0) return false;
+      for (const EndpointStatus& row : status->endpoints()) {
+        if (row.configuration() < status->configuration()) return false;
+      }
+      return true;
+    });
+  }
+
+  OperatorAnswer Call(std::size_t entry, const std::string& method,
+                      const std::string& target) const {
+    return CallOperatorApi({system_.CallerUrl(entry), ""}, method, target, "");
+  }
+
+  bool AskQuote() {
+    const OperatorAnswer answer = Call(0, "GET", plan_.quote_target_);
+    if (!answer.response_) return false;
+    out_ << "        GET " << plan_.quote_target_ << " -> "
+         << answer.response_->status() << " "
+         << answer.response_->body().bytes();
+    return answer.response_->status() == 200;
+  }
+
+  bool Reserve() {
+    const std::string& target = plan_.reservation_target_;
+    const OperatorAnswer first = CallWithKey(0, target);
+    const OperatorAnswer second = CallWithKey(1, target);
+    if (!first.response_ || !second.response_) return false;
+    out_ << "        POST " << target << " -> "
+         << first.response_->body().bytes() << "        the same again -> "
+         << second.response_->body().bytes();
+    return first.response_->status() == 200 &&
+           first.response_->body() == second.response_->body();
+  }
+
+  OperatorAnswer CallWithKey(std::size_t entry, const std::string& target) {
+    return CallCaller({system_.CallerUrl(entry), ""}, target, "tour-key");
+  }
+
+  std::string TaskState(const std::string& job) const {
+    const auto status = ReadStatusReport({HolderUrl(), layout_.token_}).report_;
+    if (!status) return "";
+    for (const JobStatus& row : status->jobs()) {
+      if (row.job().value() == job) return row.state();
+    }
+    return "";
+  }
+
+  std::string HolderUrl() const {
+    const auto status = Status();
+    if (!status || status->holder_address().empty()) return operators_.url_;
+    return status->holder_address();
+  }
+
+  bool HandIn(const std::string& job, const std::string& task) const {
+    const std::string body = R"({"service":")" + layout_.service_.value() +
+                             R"(","task":")" + task + R"("})";
+    const OperatorAnswer answer =
+        CallOperatorApi(operators_, "PUT", "/v1/jobs/" + job, body);
+    return answer.response_ && answer.response_->status() == 200;
+  }
+
+  bool RunBatch() const {
+    return HandIn("tour-batch", plan_.batch_task_) &&
+           WaitUntil([&] { return TaskState("tour-batch") == "finished"; });
+  }
+
+  bool RunWatcher() const {
+    return HandIn("tour-watcher", plan_.watcher_task_) &&
+           WaitUntil([&] { return TaskState("tour-watcher") == "running"; });
+  }
+
+  bool Dump() {
+    const OperatorAnswer answer =
+        CallOperatorApi(operators_, "GET", "/v1/dump", "");
+    if (!answer.response_) return false;
+    out_ << "        " << answer.response_->body().size()
+         << " bytes of JSON from " << operators_.url_ << "/v1/dump\n";
+    const auto status = ReadStatusReport({HolderUrl(), layout_.token_}).report_;
+    if (status) out_ << StatusText(*status);
+    return status && answer.response_->status() == 200;
+  }
+
+  const LocalSystem& system_;
+  const LocalLayout& layout_;
+  TourPlan plan_;
+  std::ostream& out_;
+  OperatorTarget operators_;
+};
+
+}  // namespace
+
+TourPlan ExamplePlan(const std::string& example) {
+  if (example == "brunner") {
+    return {"/werkstatt/quotes/seal-profile-17", "/werkstatt/visits",
+            "overnight-profile-matching", "warranty-pane-4711"};
+  }
+  return {"/listings/quotes/fryer-204", "/listings/reservations",
+          "weekly-catalogue", "reserved-lot-31"};
+}
+
+bool RunTour(const LocalSystem& system, const LocalLayout& layout,
+             const std::string& directory, std::ostream& out) {
+  return Tour(system, layout, out).Run(directory);
+}
+
+}  // namespace quetzalline
--- /dev/null
+++ b/src/programs/main.cc
@@ -0,0 +1,66 @@
+#include <glog/logging.h>
+
+#include <iostream>
+#include <map>
+#include <string>
+
+#include "programs/subcommand.h"
+
+namespace quetzalline {
+namespace {
+
+struct Subcommand {
+  ExitStatus (*run_)(const Arguments&);
+  const char* summary_;
+};
+
+const std::map<std::string, Subcommand>& Subcommands() {
+  static const std::map<std::string, Subcommand> kSubcommands{
+      {"entry", {RunEntry, "run an entry instance"}},
+      {"agent", {RunAgent, "run the agent beside an endpoint"}},
+      {"local", {RunLocal, "run a whole example system in one process"}},
+      {"publish", {RunPublish, "hand in the service files of a directory"}},
+      {"check", {RunCheck, "check settings and service files offline"}},
+      {"job", {RunJob, "hand in a job"}},
+      {"cancel", {RunCancel, "cancel a job"}},
+      {"drain", {RunDrain, "take an endpoint out of use, or put it back"}},
+      {"status", {RunStatus, "print the state of the system"}},
+      {"dump", {RunDump, "print every table of a process as JSON"}},
+      {"version", {RunVersion, "print the version"}},
+  };
+  return kSubcommands;
+}
+
+void PrintHelp(std::ostream& out) {
+  out << "Usage: quetzalline SUBCOMMAND [options]\n\n";
+  for (const auto& [name, subcommand] : Subcommands()) {
+    out << "  " << name << std::string(10 - name.size(), ' ')
+        << subcommand.summary_ << "\n";
+  }
+  out << "\nExit status: 0 done, 1 refused by the system, 2 wrong usage or "
+         "settings.\n";
+}
+
+ExitStatus RunSubcommand(int argc, char** argv) {
+  const std::string name = argc > 1 ? argv[1] : "";
+  if (name == "--help" || name == "-h" || name == "help") {
+    PrintHelp(std::cout);
+    return ExitStatus::kDone;
+  }
+  const auto found = Subcommands().find(name);
+  if (found == Subcommands().end()) {
+    std::cerr << "unknown subcommand \"" << name << "\"\n";
+    PrintHelp(std::cerr);
+    return ExitStatus::kWrongUsage;
+  }
+  return found->second.run_(Arguments(argv + 2, argv + argc));
+}
+
+}  // namespace
+}  // namespace quetzalline
+
+int main(int argc, char** argv) {
+  FLAGS_logtostderr = true;
+  google::InitGoogleLogging(argv[0]);
+  return static_cast<int>(quetzalline::RunSubcommand(argc, argv));
+}
--- /dev/null
+++ b/src/programs/no_store.h
@@ -0,0 +1,32 @@
+#ifndef QUETZALLINE_PROGRAMS_NO_STORE_H_
+#define QUETZALLINE_PROGRAMS_NO_STORE_H_
+
+#include <compare>
+#include <string_view>
+
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// The embedded run brings its own store.
+class NoStore {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "no-store";
+
+  friend auto operator<=>(const NoStore&, const NoStore&) = default;
+
+ private:
+  QUETZALLINE_VALUE(NoStore)
+};
+
+/// Builds one NoStore; what is not set keeps its default.
+class NoStore::Builder : public ValueBuilder<NoStore, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_PROGRAMS_NO_STORE_H_
--- /dev/null
+++ b/src/programs/run_agent.cc
@@ -0,0 +1,64 @@
+#include "programs/subcommand.h"
+
+#include <iostream>
+
+#include "adapters/socket_address.h"
+#include "core/overloaded.h"
+#include "programs/agent_process.h"
+#include "programs/command_line.h"
+#include "programs/process_identity.h"
+#include "programs/run_until_stopped.h"
+#include "programs/settings.h"
+
+namespace quetzalline {
+namespace {
+
+WorkerAdapter MakeWorker(boost::asio::io_context& io,
+                         const WorkerSettings& settings) {
+  return std::visit(
+      Overloaded{[](const NoWorker&) { return WorkerAdapter(AbsentWorker()); },
+                 [&](const HttpWorkerSettings& http) {
+                   return WorkerAdapter(
+                       HttpWorker(io, *ParseSocketAddress(http.address())));
+                 }},
+      settings);
+}
+
+AgentSettings WithIncarnation(const AgentSettings& settings) {
+  return AgentSettings::Builder(settings)
+      .policy(AgentPolicy::Builder(settings.policy())
+                  .incarnation(DrawIncarnation())
+                  .Build())
+      .Build();
+}
+
+}  // namespace
+
+ExitStatus RunAgent(const Arguments& arguments) {
+  cxxopts::Options options("quetzalline agent",
+                           "Runs the agent beside an endpoint.");
+  options.add_options()("settings", "settings file",
+                        cxxopts::value<std::string>());
+  options.parse_positional({"settings"});
+  options.positional_help("SETTINGS");
+  const ParsedLine line = ParseLine(options, arguments);
+  if (!line.options_) return line.status_;
+  if (line.options_->count("settings") == 0) {
+    std::cerr << "name the settings file; see --help\n";
+    return ExitStatus::kWrongUsage;
+  }
+  std::vector<FileFault> faults;
+  const auto settings =
+      ReadAgentSettings((*line.options_)["settings"].as<std::string>(), faults);
+  for (const FileFault& fault : faults) std::cerr << Text(fault) << "\n";
+  if (!settings) return ExitStatus::kWrongUsage;
+  boost::asio::io_context io(1);
+  AgentProcess process(io, WithIncarnation(*settings),
+                       MakeWorker(io, settings->worker()), DrawSeed());
+  process.SetOnFinished([&] { io.stop(); });
+  if (!process.Start()) return ExitStatus::kRefused;
+  RunUntilStopped(io, [&] { process.Stop(); });
+  return ExitStatus::kDone;
+}
+
+}  // namespace quetzalline
--- /dev/null
+++ b/src/programs/run_operator_commands.cc
@@ -0,0 +1,140 @@
+#include "programs/subcommand.h"
+
+#include <boost/json.hpp>
+#include <iostream>
+
+#include "adapters/operator_command_codec.h"
+#include "core/reflect.h"
+#include "programs/command_line.h"
+#include "programs/operator_options.h"
+#include "programs/status_text.h"
+#include "wire/json_encoding.h"
+
+namespace quetzalline {
+namespace {
+
+// A call of the operators' API whose answer is printed as it is.
+ExitStatus CallAndPrint(const OperatorTarget& target, const std::string& method,
+                        const std::string& path, const std::string& body) {
+  const OperatorAnswer answer = CallOperatorApi(target, method, path, body);
+  if (!answer.response_) {
+    std::cerr << answer.last_reason_ << "\n";
+    return ExitStatus::kRefused;
+  }
+  const bool good = answer.response_->status() < 300;
+  (good ? std::cout : std::cerr) << answer.response_->body().bytes();
+  return good ? ExitStatus::kDone : ExitStatus::kRefused;
+}
+
+ExitStatus MissingArgument(const std::string& name) {
+  std::cerr << "name the " << name << "; see --help\n";
+  return ExitStatus::kWrongUsage;
+}
+
+}  // namespace
+
+ExitStatus RunJob(const Arguments& arguments) {
+  cxxopts::Options options("quetzalline job", "Hands in a job.");
+  AddOperatorOptions(options);
+  options.add_options()("job", "name of the job, chosen by you",
+                        cxxopts::value<std::string>())(
+      "service", "service whose file declares the work",
+      cxxopts::value<std::string>())("task", "name of the task in that file",
+                                     cxxopts::value<std::string>());
+  options.parse_positional({"job", "service", "task"});
+  options.positional_help("JOB SERVICE TASK");
+  const ParsedLine line = ParseLine(options, arguments);
+  if (!line.options_) return line.status_;
+  if (line.options_->count("task") == 0) {
+    return MissingArgument("job, the service and the task");
+  }
+  const auto target = ReadOperatorOptions(*line.options_);
+  if (!target) return ExitStatus::kWrongUsage;
+  const boost::json::object body{
+      {"service", (*line.options_)["service"].as<std::string>()},
+      {"task", (*line.options_)["task"].as<std::string>()}};
+  return CallAndPrint(*target, "PUT",
+                      "/v1/jobs/" + (*line.options_)["job"].as<std::string>(),
+                      boost::json::serialize(body));
+}
+
+ExitStatus RunCancel(const Arguments& arguments) {
+  cxxopts::Options options("quetzalline cancel", "Cancels a job.");
+  AddOperatorOptions(options);
+  options.add_options()("job", "name of the job",
+                        cxxopts::value<std::string>());
+  options.parse_positional({"job"});
+  options.positional_help("JOB");
+  const ParsedLine line = ParseLine(options, arguments);
+  if (!line.options_) return line.status_;
+  if (line.options_->count("job") == 0) return MissingArgument("job");
+  const auto target = ReadOperatorOptions(*line.options_);
+  if (!target) return ExitStatus::kWrongUsage;
+  return CallAndPrint(*target, "DELETE",
+                      "/v1/jobs/" + (*line.options_)["job"].as<std::string>(),
+                      "");
+}
+
+ExitStatus RunDrain(const Arguments& arguments) {
+  cxxopts::Options options("quetzalline drain",
+                           "Takes an endpoint out of use, or puts it back.");
+  AddOperatorOptions(options);
+  options.add_options()("endpoint", "name of the endpoint",
+                        cxxopts::value<std::string>())(
+      "undo", "put the endpoint back into use");
+  options.parse_positional({"endpoint"});
+  options.positional_help("ENDPOINT");
+  const ParsedLine line = ParseLine(options, arguments);
+  if (!line.options_) return line.status_;
+  if (line.options_->count("endpoint") == 0) return MissingArgument("endpoint");
+  const auto target = ReadOperatorOptions(*line.options_);
+  if (!target) return ExitStatus::kWrongUsage;
+  const bool undo = line.options_->count("undo") > 0;
+  return CallAndPrint(*target, undo ? "DELETE" : "PUT",
+                      "/v1/endpoints/" +
+                          (*line.options_)["endpoint"].as<std::string>() +
+                          "/drain",
+                      "");
+}
+
+ExitStatus RunStatus(const Arguments& arguments) {
+  cxxopts::Options options("quetzalline status",
+                           "Prints the state of the system.");
+  AddOperatorOptions(options);
+  options.add_options()("json", "print the report as JSON");
+  const ParsedLine line = ParseLine(options, arguments);
+  if (!line.options_) return line.status_;
+  const auto target = ReadOperatorOptions(*line.options_);
+  if (!target) return ExitStatus::kWrongUsage;
+  if (line.options_->count("json") > 0) {
+    return CallAndPrint(*target, "GET", "/v1/status", "");
+  }
+  const ReadReport read = ReadStatusReport(*target);
+  if (!read.report_) {
+    std::cerr << read.last_reason_ << "\n";
+    return ExitStatus::kRefused;
+  }
+  std::cout << StatusText(*read.report_);
+  return ExitStatus::kDone;
+}
+
+ExitStatus RunDump(const Arguments& arguments) {
+  cxxopts::Options options("quetzalline dump",
+                           "Prints every table of a process as JSON.");
+  AddOperatorOptions(options);
+  const ParsedLine line = ParseLine(options, arguments);
+  if (!line.options_) return line.status_;
+  const auto target = ReadOperatorOptions(*line.options_);
+  if (!target) return ExitStatus::kWrongUsage;
+  return CallAndPrint(*target, "GET", "/v1/dump", "");
+}
+
+ExitStatus RunVersion(const Arguments& arguments) {
+  cxxopts::Options options("quetzalline version", "Prints the version.");
+  const ParsedLine line = ParseLine(options, arguments);
+  if (!line.options_) return line.status_;
+  std::cout << "quetzalline " << QUETZALLINE_VERSION << "\n";
+  return ExitStatus::kDone;
+}
+
+}  // namespace quetzalline
--- /dev/null
+++ b/src/programs/run_publish.cc
@@ -0,0 +1,50 @@
+#include "programs/subcommand.h"
+
+#include <algorithm>
+#include <iostream>
+
+#include "programs/command_line.h"
+#include "programs/operator_options.h"
+#include "programs/publish_directory.h"
+
+namespace quetzalline {
+ExitStatus RunPublish(const Arguments& arguments) {
+  cxxopts::Options options("quetzalline publish",
+                           "Hands in the service files of a directory.");
+  AddOperatorOptions(options);
+  options.add_options()("directory", "directory of the services' code",
+                        cxxopts::value<std::string>())(
+      "author", "who publishes",
+      cxxopts::value<std::string>()->default_value("operator"))(
+      "dry-run", "check the files and hand in nothing");
+  options.parse_positional({"directory"});
+  options.positional_help("DIRECTORY");
+  const ParsedLine line = ParseLine(options, arguments);
+  if (!line.options_) return line.status_;
+  if (line.options_->count("directory") == 0) {
+    std::cerr << "name the directory; see --help\n";
+    return ExitStatus::kWrongUsage;
+  }
+  const auto target = ReadOperatorOptions(*line.options_);
+  if (!target) return ExitStatus::kWrongUsage;
+  std::vector<FileFault> faults;
+  const std::vector<FoundServiceFile> files = CollectServiceFiles(
+      (*line.options_)["directory"].as<std::string>(), faults);
+  for (const FileFault& fault : faults) std::cerr << Text(fault) << "\n";
+  if (!faults.empty()) return ExitStatus::kWrongUsage;
+  if (line.options_->count("dry-run") > 0) {
+    std::cout << files.size() << " service files are well formed\n";
+    return ExitStatus::kDone;
+  }
+  const std::vector<PublishedFile> results = PublishFiles(
+      files, *target, (*line.options_)["author"].as<std::string>());
+  for (const PublishedFile& result : results) {
+    std::cout << result.service_ << ": " << result.text_ << "\n";
+  }
+  const bool all =
+      std::all_of(results.begin(), results.end(),
+                  [](const PublishedFile& file) { return file.in_force_; });
+  return all ? ExitStatus::kDone : ExitStatus::kRefused;
+}
+
+}  // namespace quetzalline
--- /dev/null
+++ b/src/programs/store_settings.h
@@ -0,0 +1,16 @@
+#ifndef QUETZALLINE_PROGRAMS_STORE_SETTINGS_H_
+#define QUETZALLINE_PROGRAMS_STORE_SETTINGS_H_
+
+#include <variant>
+
+#include "programs/consul_settings.h"
+#include "programs/no_store.h"
+
+namespace quetzalline {
+
+/// Which store an entry uses.
+using StoreSettings = std::variant<NoStore, ConsulSettings>;
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_PROGRAMS_STORE_SETTINGS_H_
--- /dev/null
+++ b/src/records/finished.h
@@ -0,0 +1,39 @@
+#ifndef QUETZALLINE_RECORDS_FINISHED_H_
+#define QUETZALLINE_RECORDS_FINISHED_H_
+
+#include <compare>
+#include <string_view>
+
+#include "core/time.h"
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// The task reached its goal.
+class Finished {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "finished";
+
+  Instant at() const { return at_; }
+
+  friend auto operator<=>(const Finished&, const Finished&) = default;
+
+ private:
+  QUETZALLINE_VALUE(Finished, at_)
+
+  Instant at_ = Instant{};
+};
+
+/// Builds one Finished; what is not set keeps its default.
+class Finished::Builder : public ValueBuilder<Finished, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& at(Instant value) { return Set(value_.at_, value); }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_RECORDS_FINISHED_H_
--- /dev/null
+++ b/src/records/journal_record.h
@@ -0,0 +1,20 @@
+#ifndef QUETZALLINE_RECORDS_JOURNAL_RECORD_H_
+#define QUETZALLINE_RECORDS_JOURNAL_RECORD_H_
+
+#include <variant>
+
+#include "records/cell_sealed.h"
+#include "records/job_cancellation.h"
+#include "records/task_accepted.h"
+#include "records/task_assigned.h"
+#include "records/task_ended.h"
+
+namespace quetzalline {
+
+/// Everything a cell's journal can say.
+using JournalRecord = std::variant<CellSealed, TaskAccepted, TaskAssigned,
+                                   TaskEnded, JobCancellation>;
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_RECORDS_JOURNAL_RECORD_H_
--- /dev/null
+++ b/src/systems/agent/admit_attempts.cc
@@ -0,0 +1,185 @@
+#include "systems/agent/admit_attempts.h"
+
+#include <algorithm>
+#include <optional>
+
+#include "systems/agent/conclude_execution.h"
+#include "systems/agent/report_load.h"
+
+namespace quetzalline {
+namespace {
+
+using Queues = ExecutionTable::Queues;
+
+// The time until the endpoint would have answered a newly queued attempt. A
+// caller waits behind its own queue, and behind others' only up to their fair
+// share.
+Duration ExpectedTime(const AgentTables& tables, const Execution& row) {
+  const ExecutionTable& executions = tables.executions_;
+  const Duration service = ExpectedServiceTime(tables.policy_, tables.limit_);
+  const auto slots = static_cast<std::int64_t>(tables.limit_.slots());
+  if (executions.running() + executions.queued() < slots) return service;
+  const Queues& queues = executions.queues(row.urgent());
+  const auto own = queues.find(row.caller());
+  const std::size_t own_length = own == queues.end() ? 0 : own->second.size();
+  std::size_t ahead = 0;
+  for (const auto& [caller, queue] : queues) {
+    ahead += std::min(queue.size(), own_length + 1);
+  }
+  if (!row.urgent()) {
+    for (const auto& [caller, queue] : executions.queues(true)) {
+      ahead += queue.size();
+    }
+  }
+  return service + service * static_cast<std::int64_t>(ahead + 1) / slots;
+}
+
+const Queues::value_type* LongestQueue(const Queues& queues) {
+  const Queues::value_type* longest = nullptr;
+  for (const Queues::value_type& entry : queues) {
+    if (longest == nullptr || entry.second.size() > longest->second.size()) {
+      longest = &entry;
+    }
+  }
+  return longest;
+}
+
+// The queued attempt that gives way to this one, if any does: one that is not
+// urgent where this one is, or else the newest of a caller that has at least
+// two more queued than this caller.
+std::optional<AttemptId> Victim(const ExecutionTable& executions,
+                                const Execution& row) {
+  const auto newest = [](const Queues::value_type& entry) {
+    return entry.second.rbegin()->second;
+  };
+  const Queues::value_type* relaxed = LongestQueue(executions.queues(false));
+  if (row.urgent() && relaxed != nullptr) return newest(*relaxed);
+  const Queues& queues = executions.queues(row.urgent());
+  const Queues::value_type* longest = LongestQueue(queues);
+  if (longest == nullptr) return std::nullopt;
+  const auto own = queues.find(row.caller());
+  const std::size_t own_length = own == queues.end() ? 0 : own->second.size();
+  if (longest->second.size() < own_length + 2) return std::nullopt;
+  return newest(*longest);
+}
+
+NotRun Refusal(Reason reason, Duration retry_after) {
+  return NotRun::Builder().reason(reason).retry_after(retry_after).Build();
+}
+
+// The outcome that an earlier request with the same idempotency key calls for;
+// empty where this one may run.
+std::optional<AttemptOutcome> KeyOutcome(const KeyTable& keys,
+                                         const AgentPolicy& policy,
+                                         const Submit& submit) {
+  if (submit.key().empty()) return std::nullopt;
+  const KeyId id =
+      KeyId::Builder().caller(submit.caller()).key(submit.key()).Build();
+  const RememberedKey* known = keys.Find(id);
+  if (known != nullptr && known->outcome()) return *known->outcome();
+  const bool same_request =
+      known != nullptr && known->request() == submit.attempt().request();
+  if (same_request && !submit.repeated()) return std::nullopt;
+  if (known != nullptr || submit.repeated()) {
+    return Refusal(Reason::kKeyConflict, Duration::zero());
+  }
+  if (static_cast<std::int64_t>(keys.size()) >= policy.max_keys()) {
+    return Refusal(Reason::kTableFull, policy.heartbeat_interval());
+  }
+  return std::nullopt;
+}
+
+void RememberKeyOf(const Submit& submit, KeyTable& keys, Instant now) {
+  if (submit.key().empty()) return;
+  keys.Put(KeyId::Builder().caller(submit.caller()).key(submit.key()).Build(),
+           RememberedKey::Builder()
+               .request(submit.attempt().request())
+               .seen(now)
+               .Build());
+}
+
+Execution MakeExecution(const Received<Submit>& received, Instant now) {
+  const Submit& submit = received.message_;
+  return Execution::Builder()
+      .id(submit.attempt())
+      .caller(submit.caller())
+      .urgent(submit.urgent())
+      .request(submit.request())
+      .lease_end(now + submit.lease())
+      .key(submit.key())
+      .connection(received.connection_)
+      .state(Queued::Builder().since(now).Build())
+      .Build();
+}
+
+// The reason to refuse an attempt before it is queued, if there is one.
+std::optional<NotRun> RefuseByLoad(const AgentTables& tables,
+                                   const Execution& row, Instant now) {
+  if (tables.stage_.state() != EndpointState::kActive) {
+    return Refusal(Reason::kLeaving, Duration::zero());
+  }
+  if (tables.executions_.answer_bytes() > tables.policy_.max_answer_bytes()) {
+    return Refusal(Reason::kTableFull, tables.policy_.heartbeat_interval());
+  }
+  const Duration expected = ExpectedTime(tables, row);
+  if (now + expected <= row.lease_end()) return std::nullopt;
+  const Duration service = ExpectedServiceTime(tables.policy_, tables.limit_);
+  return Refusal(Reason::kDeadlineTooShort, expected - service);
+}
+
+void ShedFor(const Execution& row, AgentTables& tables, AgentTick& tick) {
+  const Duration wait = ExpectedTime(tables, row);
+  const std::optional<AttemptId> victim = Victim(tables.executions_, row);
+  if (!victim) {
+    ConcludeExecution(row, Refusal(Reason::kQueueFull, wait), tables, tick);
+    return;
+  }
+  const Execution displaced = *tables.executions_.Find(*victim);
+  ConcludeExecution(displaced, Refusal(Reason::kFairShare, wait), tables, tick);
+  tables.executions_.Put(row);
+  tick.counters().Add(Counter::kAttemptsAdmitted);
+}
+
+// A frame that arrives twice changes nothing; an answer is sent again.
+void RepeatAnswer(const Execution& known, AgentTables& tables,
+                  AgentTick& tick) {
+  tick.counters().Add(Counter::kAttemptsRepeated);
+  if (const auto* answered = std::get_if<Answered>(&known.state())) {
+    SendAnswer(tables, known, answered->outcome(), tick);
+  }
+}
+
+void AdmitAttempt(const Received<Submit>& received, AgentTables& tables,
+                  AgentTick& tick) {
+  const Submit& submit = received.message_;
+  const Execution* known = tables.executions_.Find(submit.attempt());
+  if (known != nullptr) return RepeatAnswer(*known, tables, tick);
+  const Execution row = MakeExecution(received, tick.now());
+  const std::optional<AttemptOutcome> by_key =
+      KeyOutcome(tables.keys_, tables.policy_, submit);
+  if (by_key) {
+    tick.counters().Add(Counter::kKeysRepeated);
+    const Execution keyless = Execution::Builder(row).key("").Build();
+    ConcludeExecution(keyless, *by_key, tables, tick);
+    return;
+  }
+  const std::optional<NotRun> refusal = RefuseByLoad(tables, row, tick.now());
+  if (refusal) return ConcludeExecution(row, *refusal, tables, tick);
+  RememberKeyOf(submit, tables.keys_, tick.now());
+  if (tables.executions_.queued() >= tables.policy_.queue_limit()) {
+    return ShedFor(row, tables, tick);
+  }
+  tables.executions_.Put(row);
+  tick.counters().Add(Counter::kAttemptsAdmitted);
+}
+
+}  // namespace
+
+void AdmitAttempts(const AgentInbox& inbox, AgentTables& tables,
+                   AgentTick& tick) {
+  for (const Received<Submit>& received : inbox.submits_) {
+    AdmitAttempt(received, tables, tick);
+  }
+}
+
+}  // namespace quetzalline
--- /dev/null
+++ b/src/systems/agent/agent_inbox.h
@@ -0,0 +1,38 @@
+#ifndef QUETZALLINE_SYSTEMS_AGENT_AGENT_INBOX_H_
+#define QUETZALLINE_SYSTEMS_AGENT_AGENT_INBOX_H_
+
+#include <span>
+#include <vector>
+
+#include "core/ids.h"
+#include "messages/agent_input.h"
+#include "systems/received.h"
+
+namespace quetzalline {
+
+/// The inputs of one tick, sorted by kind.
+struct AgentInbox {
+  std::vector<ConnectionId> opened_;
+  std::vector<ConnectionId> closed_;
+  std::vector<Received<Submit>> submits_;
+  std::vector<Received<RememberKey>> remember_keys_;
+  std::vector<Received<ForgetKey>> forget_keys_;
+  std::vector<Received<Fetch>> fetches_;
+  std::vector<Received<Acknowledge>> acknowledges_;
+  std::vector<Received<Welcome>> welcomes_;
+  std::vector<Received<ConfigurationUpdate>> updates_;
+  std::vector<Received<StartTask>> start_tasks_;
+  std::vector<Received<StopTask>> stop_tasks_;
+  std::vector<Received<AcknowledgeTask>> acknowledge_tasks_;
+  std::vector<Received<DrainEndpoint>> drains_;
+  std::vector<CallEnded> calls_ended_;
+  std::vector<WorkerFound> worker_found_;
+  std::vector<WorkerNews> worker_news_;
+  bool stop_requested_ = false;
+};
+
+AgentInbox SortAgentInputs(std::span<const AgentInput> inputs);
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_SYSTEMS_AGENT_AGENT_INBOX_H_
--- /dev/null
+++ b/src/systems/entry/announce_record.h
@@ -0,0 +1,17 @@
+#ifndef QUETZALLINE_SYSTEMS_ENTRY_ANNOUNCE_RECORD_H_
+#define QUETZALLINE_SYSTEMS_ENTRY_ANNOUNCE_RECORD_H_
+
+#include "records/journal_record.h"
+#include "systems/entry/entry_tick.h"
+#include "tables/entry_tables.h"
+
+namespace quetzalline {
+
+/// Tells those concerned that a record is durable: operators get their answers,
+/// agents may forget what they reported.
+void AnnounceRecord(const JournalRecord& record, EntryTables& tables,
+                    EntryTick& tick);
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_SYSTEMS_ENTRY_ANNOUNCE_RECORD_H_
--- /dev/null
+++ b/src/systems/entry/choose_endpoint.h
@@ -0,0 +1,27 @@
+#ifndef QUETZALLINE_SYSTEMS_ENTRY_CHOOSE_ENDPOINT_H_
+#define QUETZALLINE_SYSTEMS_ENTRY_CHOOSE_ENDPOINT_H_
+
+#include <optional>
+
+#include "core/ids.h"
+#include "core/tick.h"
+#include "tables/entry_tables.h"
+
+namespace quetzalline {
+
+/// The endpoint at which a request is expected to be answered soonest among a
+/// few drawn at random; empty where no endpoint can take it. Another region is
+/// chosen only where the local one has none, or where the expected wait saved
+/// exceeds the round trip and the link's budget has room for the request.
+std::optional<EndpointId> ChooseEndpoint(const Request& request,
+                                         const EntryTables& tables, Instant now,
+                                         Random& random);
+
+/// The expected time from sending an attempt to its answer, the network
+/// included.
+Duration ExpectedAnswerTime(const Endpoint& row, const EntryPolicy& policy,
+                            Instant now);
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_SYSTEMS_ENTRY_CHOOSE_ENDPOINT_H_
--- /dev/null
+++ b/src/systems/entry/commit_journal.cc
@@ -0,0 +1,141 @@
+#include "systems/entry/commit_journal.h"
+
+#include <vector>
+
+#include "core/overloaded.h"
+#include "systems/entry/announce_record.h"
+#include "systems/entry/append_journal.h"
+#include "systems/entry/apply_record.h"
+#include "systems/entry/hold_cell.h"
+#include "systems/entry/journal_slots.h"
+#include "systems/entry/store_keys.h"
+
+namespace quetzalline {
+namespace {
+
+void Commit(std::int64_t index, EntryTables& tables, EntryTick& tick) {
+  const JournalEntry entry = *tables.journal_.in_flight();
+  tables.journal_.ClearInFlight();
+  std::vector<std::int64_t> indexes = tables.cell_.slot_indexes();
+  indexes[SlotOf(entry, tables)] = index;
+  CellHolding::Builder builder(tables.cell_);
+  builder.sequence(entry.sequence()).slot_indexes(std::move(indexes));
+  if (IsSealing(tables)) {
+    builder.stage(Holding::Builder().since(tick.now()).Build());
+    tick.counters().Add(Counter::kCellTakeovers);
+    tick.Emit(LogChange::Builder()
+                  .event("cell-taken")
+                  .subject(tables.policy_.cell())
+                  .Build());
+  }
+  tables.cell_ = std::move(builder).Build();
+  tick.counters().Add(Counter::kJournalRecords,
+                      static_cast<std::int64_t>(entry.records().size()));
+  for (const JournalRecord& record : entry.records()) {
+    ApplyRecord(record, tables.tasks_, tick.now());
+    AnnounceRecord(record, tables, tick);
+  }
+}
+
+void AfterWrite(const StoreResult& result, EntryTables& tables,
+                EntryTick& tick) {
+  if (!IsActive(tables) || !tables.journal_.in_flight()) return;
+  const Overloaded take{
+      [&](const StoreWritten& written) {
+        Commit(written.index(), tables, tick);
+      },
+      // Another write took the slot, or this one did and its answer was lost.
+      [&](const StoreConflict&) { ReadBack(tables, tick); },
+      [&](const StoreFailed&) {
+        tick.counters().Add(Counter::kStoreFailures);
+        ReadBack(tables, tick);
+      },
+      [](const StoreValues&) {},
+  };
+  std::visit(take, result);
+}
+
+void Judge(const StoreValues& values, EntryTables& tables, EntryTick& tick) {
+  const JournalEntry& sent = *tables.journal_.in_flight();
+  const std::size_t slot = SlotOf(sent, tables);
+  const std::string key = JournalSlotKey(tables.policy_.cell(), slot);
+  std::int64_t found = 0;
+  bool own = false;
+  for (const StoreItem& item : values.items()) {
+    if (item.key() != key) continue;
+    found = item.index();
+    const auto* entry = std::get_if<JournalEntry>(&*item.record());
+    own = entry != nullptr && *entry == sent;
+  }
+  if (own) return Commit(found, tables, tick);
+  const bool untouched = found == tables.cell_.slot_indexes()[slot];
+  if (untouched) return WriteInFlight(tables, tick);
+  StepDown(Reason::kStaleEpoch, tables, tick);
+}
+
+void AfterCheck(const StoreResult& result, EntryTables& tables,
+                EntryTick& tick) {
+  if (!IsActive(tables) || !tables.journal_.in_flight()) return;
+  const Overloaded take{
+      [&](const StoreValues& values) { Judge(values, tables, tick); },
+      [&](const StoreFailed&) {
+        tick.counters().Add(Counter::kStoreFailures);
+        const Instant again = tick.now() + tables.policy_.store_retry();
+        tables.cell_ =
+            CellHolding::Builder(tables.cell_).check_at(again).Build();
+      },
+      [](const StoreWritten&) {},
+      [](const StoreConflict&) {},
+  };
+  std::visit(take, result);
+}
+
+void AfterSnapshot(const SnapshotWrite& write, const StoreResult& result,
+                   EntryTables& tables, EntryTick& tick) {
+  if (!IsActive(tables) || !tables.cell_.snapshot_pending()) return;
+  const Overloaded take{
+      [&](const StoreWritten& written) {
+        tables.cell_ = CellHolding::Builder(tables.cell_)
+                           .snapshot_index(written.index())
+                           .snapshot_sequence(write.sequence())
+                           .snapshot_pending(false)
+                           .Build();
+      },
+      [&](const StoreConflict&) { StepDown(Reason::kConflict, tables, tick); },
+      // Whether it took effect is read together with the whole journal.
+      [&](const StoreFailed&) {
+        tick.counters().Add(Counter::kStoreFailures);
+        tables.cell_ =
+            CellHolding::Builder(tables.cell_)
+                .snapshot_pending(false)
+                .next_write(tick.now() + tables.policy_.store_retry())
+                .Build();
+      },
+      [](const StoreValues&) {},
+  };
+  std::visit(take, result);
+}
+
+void TakeStoreNews(const StoreNews& news, EntryTables& tables,
+                   EntryTick& tick) {
+  if (std::holds_alternative<JournalWrite>(news.purpose_)) {
+    AfterWrite(news.result_, tables, tick);
+  }
+  if (std::holds_alternative<JournalCheck>(news.purpose_)) {
+    AfterCheck(news.result_, tables, tick);
+  }
+  if (const auto* write = std::get_if<SnapshotWrite>(&news.purpose_)) {
+    AfterSnapshot(*write, news.result_, tables, tick);
+  }
+}
+
+}  // namespace
+
+void CommitJournal(const EntryInbox& inbox, EntryTables& tables,
+                   EntryTick& tick) {
+  for (const StoreNews& news : inbox.store_news_) {
+    TakeStoreNews(news, tables, tick);
+  }
+}
+
+}  // namespace quetzalline
--- /dev/null
+++ b/src/systems/entry/conclude_request.cc
@@ -0,0 +1,117 @@
+#include "systems/entry/conclude_request.h"
+
+#include <algorithm>
+#include <optional>
+
+#include "core/overloaded.h"
+#include "systems/entry/plan_retry.h"
+#include "systems/entry/send_message.h"
+
+namespace quetzalline {
+namespace {
+
+constexpr std::int32_t kFailuresBeforeRest = 3;
+constexpr std::int32_t kLongestRestShift = 5;
+constexpr Duration kFirstRest = std::chrono::milliseconds(500);
+
+void CountOutcome(const AttemptOutcome& outcome, Counters& counters) {
+  std::visit(
+      Overloaded{[&](const Done&) { counters.Add(Counter::kRequestsDone); },
+                 [&](const NotRun& not_run) {
+                   counters.Add(Counter::kRequestsNotRun, not_run.reason());
+                 },
+                 [&](const Unknown& unknown) {
+                   counters.Add(Counter::kRequestsUnknown, unknown.reason());
+                 }},
+      outcome);
+}
+
+void ReleaseKey(const Request& request, EntryTables& tables, EntryTick& tick) {
+  const CallerRequest& arrival = *request.arrival();
+  if (arrival.key().empty() || request.witness().empty()) return;
+  const Endpoint* witness = tables.endpoints_.Find(request.witness());
+  if (witness == nullptr) return;
+  SendMessage(witness->connection(),
+              ForgetKey::Builder()
+                  .request(arrival.id())
+                  .caller(arrival.caller())
+                  .key(arrival.key())
+                  .Build(),
+              tick);
+}
+
+bool IsEndpointFault(const AttemptOutcome& outcome) {
+  const auto is_fault = [](Reason reason) {
+    return reason == Reason::kEndpointUnreachable ||
+           reason == Reason::kEndpointBroke ||
+           reason == Reason::kEndpointSilent || reason == Reason::kLeaseLapsed;
+  };
+  return std::visit(
+      Overloaded{[](const Done&) { return false; },
+                 [&](const NotRun& n) { return is_fault(n.reason()); },
+                 [&](const Unknown& u) { return is_fault(u.reason()); }},
+      outcome);
+}
+
+// An endpoint that fails several attempts in a row is rested, each time for
+// twice as long; the first attempt after the rest is its probe.
+void NoteResult(const Endpoint& row, const AttemptOutcome& outcome,
+                EntryTables& tables, EntryTick& tick) {
+  Endpoint::Builder builder(row);
+  builder.outstanding(std::max(0, row.outstanding() - 1));
+  if (IsEndpointFault(outcome)) {
+    const std::int32_t failures = row.failures() + 1;
+    builder.failures(failures);
+    if (failures >= kFailuresBeforeRest) {
+      const std::int32_t shift =
+          std::min(failures - kFailuresBeforeRest, kLongestRestShift);
+      builder.rested_until(tick.now() + kFirstRest * (1 << shift));
+      tick.counters().Add(Counter::kEndpointsRested);
+    }
+  } else if (std::holds_alternative<Done>(outcome)) {
+    builder.failures(0);
+  }
+  tables.endpoints_.Put(std::move(builder).Build());
+}
+
+}  // namespace
+
+void ConcludeRequest(const Request& request, const AttemptOutcome& outcome,
+                     EntryTables& tables, EntryTick& tick) {
+  CountOutcome(outcome, tick.counters());
+  if (std::holds_alternative<NotRun>(outcome)) {
+    ReleaseKey(request, tables, tick);
+  }
+  if (!request.abandoned()) {
+    tick.Emit(AnswerCaller::Builder()
+                  .id(request.arrival()->id())
+                  .outcome(outcome)
+                  .attempts(request.attempts())
+                  .Build());
+  }
+  const RequestId id = request.arrival()->id();
+  tables.requests_.Erase(id);
+}
+
+void ConcludeAttempt(const Attempt& attempt, const AttemptOutcome& outcome,
+                     EntryTables& tables, EntryTick& tick) {
+  const RequestId id = attempt.id().request();
+  const Endpoint* endpoint = tables.endpoints_.Find(attempt.endpoint());
+  if (endpoint != nullptr &&
+      endpoint->announced()->incarnation() == attempt.incarnation()) {
+    NoteResult(*endpoint, outcome, tables, tick);
+  }
+  const AttemptId ended = attempt.id();
+  tables.attempts_.Erase(ended);
+  const Request* row = tables.requests_.Find(id);
+  if (row == nullptr) return;
+  const Request request = *row;
+  const std::optional<Instant> retry =
+      PlanRetry(request, outcome, tables, tick);
+  if (!retry) return ConcludeRequest(request, outcome, tables, tick);
+  tables.requests_.Put(Request::Builder(request)
+                           .state(ToTry::Builder().not_before(*retry).Build())
+                           .Build());
+}
+
+}  // namespace quetzalline
--- /dev/null
+++ b/src/systems/entry/entry_inbox.h
@@ -0,0 +1,41 @@
+#ifndef QUETZALLINE_SYSTEMS_ENTRY_ENTRY_INBOX_H_
+#define QUETZALLINE_SYSTEMS_ENTRY_ENTRY_INBOX_H_
+
+#include <span>
+#include <vector>
+
+#include "core/ids.h"
+#include "messages/entry_input.h"
+#include "messages/store_result.h"
+#include "systems/received.h"
+#include "tables/store_call_table.h"
+
+namespace quetzalline {
+
+/// The answer to a store call together with what the call was for.
+struct StoreNews {
+  StorePurpose purpose_;
+  StoreResult result_;
+};
+
+/// The inputs of one tick, sorted by kind.
+struct EntryInbox {
+  std::vector<CallerRequest> requests_;
+  std::vector<RequestId> callers_gone_;
+  std::vector<OperatorCommand> commands_;
+  std::vector<ConnectionId> closed_;
+  std::vector<Received<Announce>> announces_;
+  std::vector<Received<Answer>> answers_;
+  std::vector<Received<KeyRemembered>> keys_remembered_;
+  std::vector<Received<TaskReport>> task_reports_;
+  std::vector<StoreNews> store_news_;
+  bool stop_requested_ = false;
+};
+
+/// Sorts the inputs and pairs each answer of the store with its open call.
+EntryInbox SortEntryInputs(std::span<const EntryInput> inputs,
+                           StoreCallTable& calls);
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_SYSTEMS_ENTRY_ENTRY_INBOX_H_
--- /dev/null
+++ b/src/systems/entry/entry_node.cc
@@ -0,0 +1,70 @@
+#include "systems/entry/entry_node.h"
+
+#include "systems/entry/accept_requests.h"
+#include "systems/entry/append_journal.h"
+#include "systems/entry/check_keys.h"
+#include "systems/entry/commit_journal.h"
+#include "systems/entry/entry_inbox.h"
+#include "systems/entry/expire_requests.h"
+#include "systems/entry/hold_cell.h"
+#include "systems/entry/leave_entry.h"
+#include "systems/entry/place_tasks.h"
+#include "systems/entry/publish_services.h"
+#include "systems/entry/route_requests.h"
+#include "systems/entry/run_commands.h"
+#include "systems/entry/spread_configuration.h"
+#include "systems/entry/take_answers.h"
+#include "systems/entry/track_endpoints.h"
+#include "systems/entry/track_tasks.h"
+#include "systems/entry/watch_configuration.h"
+
+namespace quetzalline {
+namespace {
+
+// The first tick reads the configuration without waiting for a change of it.
+void Start(EntryTables& tables, Instant now) {
+  tables.next_configuration_read_ = now;
+  tables.link_budget_ = LinkBudget::Builder()
+                            .bytes(tables.policy_.region_bytes_per_second())
+                            .refilled(now)
+                            .Build();
+  tables.retry_budget_ =
+      RetryBudget::Builder()
+          .hundredths(tables.policy_.retry_burst() * std::int64_t{100})
+          .Build();
+}
+
+}  // namespace
+
+EntryNode::EntryNode(const EntryPolicy& policy, std::uint64_t seed)
+    : random_(seed) {
+  tables_.policy_ = policy;
+}
+
+std::vector<EntryEffect> EntryNode::RunTick(
+    Instant now, std::span<const EntryInput> inputs) {
+  if (!started_) Start(tables_, now);
+  started_ = true;
+  const EntryInbox inbox = SortEntryInputs(inputs, tables_.store_calls_);
+  EntryTick tick(now, random_, tables_.counters_);
+  TrackEndpoints(inbox, tables_, tick);
+  WatchConfiguration(inbox, tables_, tick);
+  PublishServices(inbox, tables_, tick);
+  CommitJournal(inbox, tables_, tick);
+  HoldCell(inbox, tables_, tick);
+  RunCommands(inbox, tables_, tick);
+  TrackTasks(inbox, tables_, tick);
+  PlaceTasks(tables_, tick);
+  AppendJournal(tables_, tick);
+  SpreadConfiguration(tables_, tick);
+  TakeAnswers(inbox, tables_, tick);
+  CheckKeys(inbox, tables_, tick);
+  AcceptRequests(inbox, tables_, tick);
+  ExpireRequests(tables_, tick);
+  RouteRequests(tables_, tick);
+  LeaveEntry(inbox, tables_, tick);
+  wake_at_ = tick.wake_at();
+  return tick.TakeEffects();
+}
+
+}  // namespace quetzalline
--- /dev/null
+++ b/src/systems/entry/hold_cell.cc
@@ -0,0 +1,307 @@
+#include "systems/entry/hold_cell.h"
+
+#include <optional>
+#include <vector>
+
+#include "core/overloaded.h"
+#include "systems/entry/append_journal.h"
+#include "systems/entry/call_store.h"
+#include "systems/entry/replay_journal.h"
+#include "systems/entry/run_commands.h"
+#include "systems/entry/store_keys.h"
+
+namespace quetzalline {
+namespace {
+
+// A lease is renewed this many times within its length.
+constexpr int kRenewalsPerLease = 3;
+
+CellHolding::Builder Change(const EntryTables& tables) {
+  return CellHolding::Builder(tables.cell_);
+}
+
+bool Holds(const EntryTables& tables) {
+  return std::holds_alternative<Holding>(tables.cell_.stage());
+}
+
+bool IsIdle(const EntryTables& tables) {
+  return std::holds_alternative<NotHolding>(tables.cell_.stage());
+}
+
+bool IsOwn(const CellLease& lease, const EntryPolicy& policy) {
+  return lease.holder() == policy.entry() &&
+         lease.incarnation() == policy.incarnation();
+}
+
+void ReadLease(EntryTables& tables, EntryTick& tick) {
+  tables.cell_ = Change(tables).watching(true).Build();
+  ReadStore(LeaseKey(tables.policy_.cell()), LeaseWatch(), tables, tick);
+}
+
+void WatchLease(std::int64_t after, EntryTables& tables, EntryTick& tick) {
+  tables.cell_ = Change(tables).watching(true).Build();
+  WatchStore(LeaseKey(tables.policy_.cell()), after, LeaseWatch(), tables,
+             tick);
+}
+
+void WriteLease(bool released, EntryTables& tables, EntryTick& tick) {
+  const EntryPolicy& policy = tables.policy_;
+  const std::optional<CellLease>& old = tables.cell_.lease();
+  const std::uint64_t renewal = old ? old->renewal() + 1 : 1;
+  const StoreRecord record = CellLease::Builder()
+                                 .holder(policy.entry())
+                                 .incarnation(policy.incarnation())
+                                 .address(policy.operator_url())
+                                 .renewal(renewal)
+                                 .released(released)
+                                 .Build();
+  WriteStore(LeaseKey(policy.cell()), record, tables.cell_.lease_index(),
+             LeaseWrite::Builder()
+                 .asked(tick.now())
+                 .renewal(renewal)
+                 .released(released)
+                 .Build(),
+             tables, tick);
+  tables.cell_ =
+      Change(tables)
+          .next_renewal(tick.now() + policy.cell_lease() / kRenewalsPerLease)
+          .Build();
+}
+
+std::optional<CellLease> FindLease(const StoreValues& values,
+                                   std::int64_t& index) {
+  for (const StoreItem& item : values.items()) {
+    const auto* lease = std::get_if<CellLease>(&*item.record());
+    if (lease == nullptr) continue;
+    index = item.index();
+    return *lease;
+  }
+  return std::nullopt;
+}
+
+void TakeLeaseValues(const StoreValues& values, EntryTables& tables,
+                     EntryTick& tick) {
+  std::int64_t index = 0;
+  const std::optional<CellLease> lease = FindLease(values, index);
+  if (index < tables.cell_.lease_index()) return;
+  const bool changed =
+      !tables.cell_.lease_read() || index != tables.cell_.lease_index();
+  CellHolding::Builder builder = Change(tables);
+  builder.lease(lease).lease_read(true).lease_index(index);
+  if (changed) builder.lease_changed(tick.now());
+  tables.cell_ = std::move(builder).Build();
+  const bool lost = Holds(tables) && lease && !IsOwn(*lease, tables.policy_);
+  if (lost) StepDown(Reason::kNotHolder, tables, tick);
+}
+
+// While the store cannot be read, nobody can tell that a holder is silent.
+void RestartSilence(EntryTables& tables, EntryTick& tick) {
+  tick.counters().Add(Counter::kStoreFailures);
+  tables.cell_ = Change(tables)
+                     .lease_changed(tick.now())
+                     .next_renewal(tick.now() + tables.policy_.store_retry())
+                     .Build();
+}
+
+void AfterLeaseWatch(const StoreResult& result, EntryTables& tables,
+                     EntryTick& tick) {
+  tables.cell_ = Change(tables).watching(false).Build();
+  const Overloaded take{
+      [&](const StoreValues& values) {
+        TakeLeaseValues(values, tables, tick);
+        if (IsIdle(tables)) WatchLease(values.index(), tables, tick);
+      },
+      [&](const StoreFailed&) { RestartSilence(tables, tick); },
+      [](const StoreWritten&) {},
+      [](const StoreConflict&) {},
+  };
+  std::visit(take, result);
+}
+
+CellLease OwnLease(const LeaseWrite& write, const EntryPolicy& policy) {
+  return CellLease::Builder()
+      .holder(policy.entry())
+      .incarnation(policy.incarnation())
+      .address(policy.operator_url())
+      .renewal(write.renewal())
+      .released(write.released())
+      .Build();
+}
+
+void AfterLeaseWritten(const LeaseWrite& write, std::int64_t index,
+                       EntryTables& tables, EntryTick& tick) {
+  tables.cell_ = Change(tables)
+                     .lease(OwnLease(write, tables.policy_))
+                     .lease_index(index)
+                     .lease_changed(tick.now())
+                     .valid_until(write.asked() + tables.policy_.cell_lease())
+                     .Build();
+  if (!std::holds_alternative<TakingLease>(tables.cell_.stage())) return;
+  tables.cell_ = Change(tables).stage(Replaying()).Build();
+  ReadStore(JournalPrefix(tables.policy_.cell()), JournalRead(), tables, tick);
+}
+
+// The write may have taken effect or not; reading the lease back tells.
+void AfterLeaseDoubt(EntryTables& tables, EntryTick& tick) {
+  if (std::holds_alternative<TakingLease>(tables.cell_.stage())) {
+    tables.cell_ = Change(tables).stage(NotHolding()).Build();
+  }
+  if (!tables.cell_.watching()) ReadLease(tables, tick);
+}
+
+void AfterLeaseWrite(const LeaseWrite& write, const StoreResult& result,
+                     EntryTables& tables, EntryTick& tick) {
+  const Overloaded take{
+      [&](const StoreWritten& written) {
+        AfterLeaseWritten(write, written.index(), tables, tick);
+      },
+      [&](const StoreConflict&) { AfterLeaseDoubt(tables, tick); },
+      [&](const StoreFailed&) {
+        RestartSilence(tables, tick);
+        AfterLeaseDoubt(tables, tick);
+      },
+      [](const StoreValues&) {},
+  };
+  std::visit(take, result);
+}
+
+void AfterJournalRead(const StoreResult& result, EntryTables& tables,
+                      EntryTick& tick) {
+  if (!std::holds_alternative<Replaying>(tables.cell_.stage())) return;
+  const Overloaded take{
+      [&](const StoreValues& values) {
+        ReplayJournal(values, tables, tick.now());
+        SealJournal(tables, tick);
+      },
+      [&](const StoreFailed&) { StepDown(Reason::kStoreFailed, tables, tick); },
+      [](const StoreWritten&) {},
+      [](const StoreConflict&) {},
+  };
+  std::visit(take, result);
+}
+
+void TakeStoreNews(const StoreNews& news, EntryTables& tables,
+                   EntryTick& tick) {
+  if (std::holds_alternative<LeaseWatch>(news.purpose_)) {
+    AfterLeaseWatch(news.result_, tables, tick);
+  }
+  if (const auto* write = std::get_if<LeaseWrite>(&news.purpose_)) {
+    AfterLeaseWrite(*write, news.result_, tables, tick);
+  }
+  if (std::holds_alternative<JournalRead>(news.purpose_)) {
+    AfterJournalRead(news.result_, tables, tick);
+  }
+}
+
+// When the cell is free to be taken, as far as this process can tell.
+Instant FreeAt(const EntryTables& tables) {
+  const CellHolding& cell = tables.cell_;
+  const bool free = !cell.lease() || cell.lease()->released() ||
+                    IsOwn(*cell.lease(), tables.policy_);
+  if (free) return cell.next_renewal();
+  return cell.lease_changed() + tables.policy_.cell_lease();
+}
+
+void TryToTake(EntryTables& tables, EntryTick& tick) {
+  if (!tables.cell_.lease_read()) {
+    if (tables.cell_.watching()) return;
+    if (tick.now() >= tables.cell_.next_renewal()) {
+      return ReadLease(tables, tick);
+    }
+    return tick.WakeAt(tables.cell_.next_renewal());
+  }
+  if (!tables.cell_.watching()) {
+    WatchLease(tables.cell_.lease_index(), tables, tick);
+  }
+  const Instant free_at = FreeAt(tables);
+  if (tick.now() < free_at) return tick.WakeAt(free_at);
+  tables.cell_ = Change(tables).stage(TakingLease()).Build();
+  WriteLease(false, tables, tick);
+}
+
+void Renew(EntryTables& tables, EntryTick& tick) {
+  if (tick.now() >= tables.cell_.next_renewal()) {
+    WriteLease(false, tables, tick);
+  }
+  tick.WakeAt(tables.cell_.next_renewal());
+}
+
+bool IsCellCall(const StorePurpose& purpose) {
+  return std::visit(
+      Overloaded{[](const ConfigurationWatch&) { return false; },
+                 [](const PublicationWrite&) { return false; },
+                 [](const PublicationCheck&) { return false; },
+                 [](const LeaseWatch&) { return false; },
+                 [](const LeaseWrite&) { return true; },
+                 [](const JournalRead&) { return true; },
+                 [](const JournalWrite&) { return true; },
+                 [](const JournalCheck&) { return true; },
+                 [](const SnapshotWrite&) { return true; }},
+      purpose);
+}
+
+// Answers to calls of an earlier time as holder must not be taken for answers
+// to later ones.
+void ForgetCellCalls(StoreCallTable& calls) {
+  std::vector<std::uint64_t> tickets;
+  for (const auto& [ticket, call] : calls) {
+    if (IsCellCall(call.purpose())) tickets.push_back(ticket);
+  }
+  for (const std::uint64_t ticket : tickets) calls.Erase(ticket);
+}
+
+bool StoreIsSilent(const EntryTables& tables, Instant now) {
+  return now >= tables.cell_.valid_until() + tables.policy_.outage_lease();
+}
+
+}  // namespace
+
+void StepDown(Reason reason, EntryTables& tables, EntryTick& tick) {
+  tick.counters().Add(Counter::kCellLosses, reason);
+  tick.Emit(LogChange::Builder()
+                .event("cell-given-up")
+                .subject(tables.policy_.cell())
+                .reason(reason)
+                .Build());
+  std::vector<std::uint64_t> waiting;
+  for (const auto& [id, row] : tables.commands_.rows()) {
+    if (!std::holds_alternative<PublishService>(row.command())) {
+      waiting.push_back(id);
+    }
+  }
+  const CommandUnknown unknown =
+      CommandUnknown::Builder().reason(reason).Build();
+  for (const std::uint64_t id : waiting) {
+    AnswerCommand(id, unknown, tables, tick);
+  }
+  ForgetCellCalls(tables.store_calls_);
+  tables.journal_.Clear();
+  tables.tasks_.Clear();
+  tables.cell_ = Change(tables)
+                     .stage(NotHolding())
+                     .snapshot_pending(false)
+                     .check_at(std::nullopt)
+                     .next_renewal(tick.now() + tables.policy_.store_retry())
+                     .Build();
+}
+
+void ReleaseCell(EntryTables& tables, EntryTick& tick) {
+  if (!Holds(tables)) return;
+  WriteLease(true, tables, tick);
+  StepDown(Reason::kLeaving, tables, tick);
+}
+
+void HoldCell(const EntryInbox& inbox, EntryTables& tables, EntryTick& tick) {
+  for (const StoreNews& news : inbox.store_news_) {
+    TakeStoreNews(news, tables, tick);
+  }
+  if (tables.stage_.leaving() || tables.policy_.cell().empty()) return;
+  if (IsIdle(tables)) TryToTake(tables, tick);
+  if (!Holds(tables)) return;
+  if (StoreIsSilent(tables, tick.now())) {
+    return StepDown(Reason::kStoreFailed, tables, tick);
+  }
+  Renew(tables, tick);
+}
+
+}  // namespace quetzalline
--- /dev/null
+++ b/src/systems/entry/place_tasks.cc
@@ -0,0 +1,152 @@
+#include "systems/entry/place_tasks.h"
+
+#include <algorithm>
+#include <optional>
+#include <vector>
+
+#include "core/resources_arithmetic.h"
+
+namespace quetzalline {
+namespace {
+
+constexpr Duration kPlacementInterval = std::chrono::milliseconds(20);
+constexpr Duration kPassOver = std::chrono::seconds(1);
+constexpr std::size_t kTasksPerPass = 256;
+constexpr int kSamples = 8;
+
+struct Choice {
+  EndpointId id_;
+  Resources free_;
+};
+
+Resources FreeAt(const Endpoint& row, const TaskTable& tasks) {
+  return Difference(row.announced()->capacity(),
+                    tasks.CommittedTo(row.announced()->endpoint()));
+}
+
+bool IsRested(const EndpointId& id, const EntryTables& tables, Instant now) {
+  const WorkerHealth* health = tables.worker_health_.Find(id);
+  return health != nullptr && health->rested_until() > now;
+}
+
+bool HasFailedOn(const Task& task, const EndpointId& id) {
+  return std::find(task.failed_on().begin(), task.failed_on().end(), id) !=
+         task.failed_on().end();
+}
+
+std::optional<Choice> Consider(const EndpointId& id, const Task& task,
+                               const EntryTables& tables, Instant now) {
+  if (HasFailedOn(task, id) || IsRested(id, tables, now)) return std::nullopt;
+  const Resources free = FreeAt(*tables.endpoints_.Find(id), tables.tasks_);
+  if (!Fits(task.work()->needs(), free)) return std::nullopt;
+  return Choice{id, free};
+}
+
+void KeepRoomier(const std::optional<Choice>& candidate,
+                 std::optional<Choice>& best) {
+  if (!candidate) return;
+  if (!best || candidate->free_ > best->free_) best = candidate;
+}
+
+// The roomiest of a few instances drawn at random, or else the first with room
+// among all.
+std::optional<Choice> ChooseInstance(const Task& task,
+                                     const EntryTables& tables, Instant now,
+                                     Random& random) {
+  const EndpointTable::Group& active = tables.endpoints_.Active();
+  if (active.empty()) return std::nullopt;
+  const auto last = static_cast<std::int64_t>(active.size()) - 1;
+  std::optional<Choice> best;
+  for (int i = 0; i < kSamples; ++i) {
+    const auto index = static_cast<std::size_t>(Draw(random, last));
+    KeepRoomier(Consider(active[index], task, tables, now), best);
+  }
+  if (best) return best;
+  for (const EndpointId& id : active) {
+    const std::optional<Choice> choice = Consider(id, task, tables, now);
+    if (choice) return choice;
+  }
+  return std::nullopt;
+}
+
+bool FitsSomeCapacity(const Task& task, const EntryTables& tables) {
+  for (const auto& [id, row] : tables.endpoints_.rows()) {
+    if (Fits(task.work()->needs(), row.announced()->capacity())) return true;
+  }
+  return false;
+}
+
+void PassOver(const Task& task, EntryTables& tables, Instant now) {
+  const Reason reason = FitsSomeCapacity(task, tables) ? Reason::kNoEndpoint
+                                                       : Reason::kDoesNotFit;
+  const auto& waiting = std::get<Waiting>(task.state());
+  tables.tasks_.Put(
+      Task::Builder(task)
+          .last_reason(reason)
+          .state(Waiting::Builder(waiting).not_before(now + kPassOver).Build())
+          .Build());
+}
+
+void AssignTo(const EndpointId& endpoint, const Task& task,
+              EntryTables& tables) {
+  const std::int32_t number = task.attempts() + 1;
+  const auto& waiting = std::get<Waiting>(task.state());
+  tables.tasks_.Put(Task::Builder(task)
+                        .state(Assigning::Builder()
+                                   .attempt(number)
+                                   .endpoint(endpoint)
+                                   .checkpoint(waiting.checkpoint())
+                                   .Build())
+                        .Build());
+  const TaskAttemptId attempt =
+      TaskAttemptId::Builder().task(task.id()).number(number).Build();
+  tables.journal_.Push(
+      TaskAssigned::Builder().task(attempt).endpoint(endpoint).Build());
+}
+
+void MakeReadyAgain(TaskTable& tasks, Instant now) {
+  for (const TaskId& id : tasks.DueAgain(now)) {
+    const Task task = *tasks.Find(id);
+    const auto& waiting = std::get<Waiting>(task.state());
+    tasks.Put(
+        Task::Builder(task)
+            .state(Waiting::Builder(waiting).not_before(Instant()).Build())
+            .Build());
+  }
+}
+
+std::vector<TaskId> FirstReady(const TaskTable& tasks) {
+  std::vector<TaskId> first;
+  for (const auto& [relaxed, since, id] : tasks.ready()) {
+    if (first.size() == kTasksPerPass) break;
+    first.push_back(id);
+  }
+  return first;
+}
+
+}  // namespace
+
+void PlaceTasks(EntryTables& tables, EntryTick& tick) {
+  if (!std::holds_alternative<Holding>(tables.cell_.stage())) return;
+  MakeReadyAgain(tables.tasks_, tick.now());
+  tick.WakeAt(tables.tasks_.NextAgain());
+  if (tables.tasks_.ready().empty()) return;
+  if (tick.now() < tables.next_placement_) {
+    return tick.WakeAt(tables.next_placement_);
+  }
+  tables.next_placement_ = tick.now() + kPlacementInterval;
+  for (const TaskId& id : FirstReady(tables.tasks_)) {
+    const Task task = *tables.tasks_.Find(id);
+    const std::optional<Choice> choice =
+        ChooseInstance(task, tables, tick.now(), tick.random());
+    if (choice) {
+      AssignTo(choice->id_, task, tables);
+    } else {
+      PassOver(task, tables, tick.now());
+    }
+  }
+  if (!tables.tasks_.ready().empty()) tick.WakeAt(tables.next_placement_);
+  tick.WakeAt(tables.tasks_.NextAgain());
+}
+
+}  // namespace quetzalline
--- /dev/null
+++ b/src/systems/entry/route_requests.cc
@@ -0,0 +1,163 @@
+#include "systems/entry/route_requests.h"
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "systems/entry/choose_endpoint.h"
+#include "systems/entry/conclude_request.h"
+#include "systems/entry/send_message.h"
+
+namespace quetzalline {
+namespace {
+
+constexpr Duration kNoEndpointRetryAfter = std::chrono::seconds(1);
+// The home of an idempotency key and the agents that may witness it.
+constexpr std::size_t kKeyCandidates = 3;
+
+void RefuseNoEndpoint(const Request& request, EntryTables& tables,
+                      EntryTick& tick) {
+  const NotRun refusal = NotRun::Builder()
+                             .reason(Reason::kNoEndpoint)
+                             .retry_after(kNoEndpointRetryAfter)
+                             .Build();
+  ConcludeRequest(request, refusal, tables, tick);
+}
+
+bool IsUsable(const Endpoint* row) {
+  return row != nullptr && row->reachable() &&
+         row->announced()->state() == EndpointState::kActive;
+}
+
+void RefillLink(const EntryPolicy& policy, LinkBudget& budget, Instant now) {
+  const Duration passed = now - budget.refilled();
+  const std::int64_t rate = policy.region_bytes_per_second();
+  const std::int64_t earned =
+      std::min(passed, Duration(std::chrono::seconds(1))).count() * rate /
+      Duration(std::chrono::seconds(1)).count();
+  budget = LinkBudget::Builder()
+               .bytes(std::min(rate, budget.bytes() + earned))
+               .refilled(now)
+               .Build();
+}
+
+void CountCrossing(const Request& request, const Endpoint& row,
+                   EntryTables& tables, EntryTick& tick) {
+  const Region& region = row.announced()->location().region();
+  if (region == tables.policy_.location().region()) return;
+  const auto bytes =
+      static_cast<std::int64_t>(request.arrival()->request().body().size());
+  tick.counters().Add(Counter::kCrossRegionAttempts);
+  tick.counters().Add(Counter::kCrossRegionBytes, bytes);
+  tables.link_budget_ = LinkBudget::Builder(tables.link_budget_)
+                            .bytes(tables.link_budget_.bytes() - bytes)
+                            .Build();
+}
+
+Submit MakeSubmit(const Request& request, const AttemptId& id, Instant now) {
+  const CallerRequest& arrival = *request.arrival();
+  return Submit::Builder()
+      .attempt(id)
+      .service(request.service())
+      .caller(arrival.caller())
+      .request(arrival.request())
+      .lease(request.deadline() - now)
+      .urgent(request.urgent())
+      .key(arrival.key())
+      .repeated(request.repeated())
+      .Build();
+}
+
+void SendAttempt(const Request& request, const EndpointId& endpoint,
+                 EntryTables& tables, EntryTick& tick) {
+  const Endpoint row = *tables.endpoints_.Find(endpoint);
+  const std::int32_t number = request.attempts() + 1;
+  const AttemptId id = AttemptId::Builder()
+                           .request(request.arrival()->id())
+                           .number(number)
+                           .Build();
+  tables.attempts_.Put(Attempt::Builder()
+                           .id(id)
+                           .endpoint(endpoint)
+                           .incarnation(row.announced()->incarnation())
+                           .sent(tick.now())
+                           .lease_end(request.deadline())
+                           .Build());
+  tables.requests_.Put(Request::Builder(request)
+                           .attempts(number)
+                           .last_endpoint(endpoint)
+                           .state(Trying::Builder().attempt(number).Build())
+                           .Build());
+  tables.endpoints_.Put(Endpoint::Builder(row)
+                            .outstanding(row.outstanding() + 1)
+                            .sent_since_report(row.sent_since_report() + 1)
+                            .Build());
+  CountCrossing(request, row, tables, tick);
+  tick.counters().Add(Counter::kAttemptsSent);
+  SendMessage(row.connection(), MakeSubmit(request, id, tick.now()), tick);
+}
+
+std::string RingKey(const CallerRequest& arrival) {
+  return arrival.caller().value() + "/" + arrival.key();
+}
+
+void AskWitness(const Request& request, const Endpoint& witness,
+                EntryTables& tables, EntryTick& tick) {
+  const CallerRequest& arrival = *request.arrival();
+  const EndpointId& id = witness.announced()->endpoint();
+  tables.requests_.Put(
+      Request::Builder(request)
+          .witness(id)
+          .state(CheckingKey::Builder().witness(id).asked(tick.now()).Build())
+          .Build());
+  SendMessage(witness.connection(),
+              RememberKey::Builder()
+                  .request(arrival.id())
+                  .caller(arrival.caller())
+                  .key(arrival.key())
+                  .Build(),
+              tick);
+}
+
+void RouteKeyed(const Request& request, EntryTables& tables, EntryTick& tick) {
+  const std::vector<EndpointId> candidates = tables.key_ring_.Successors(
+      request.service(), RingKey(*request.arrival()), kKeyCandidates);
+  const bool has_home =
+      !candidates.empty() && IsUsable(tables.endpoints_.Find(candidates[0]));
+  if (!has_home) return RefuseNoEndpoint(request, tables, tick);
+  if (request.witnessed() || candidates.size() == 1) {
+    return SendAttempt(request, candidates[0], tables, tick);
+  }
+  for (std::size_t i = 1; i < candidates.size(); ++i) {
+    const Endpoint* witness = tables.endpoints_.Find(candidates[i]);
+    if (witness == nullptr || !witness->reachable()) continue;
+    const Endpoint chosen = *witness;
+    return AskWitness(request, chosen, tables, tick);
+  }
+  RefuseNoEndpoint(request, tables, tick);
+}
+
+void RouteRequest(const Request& request, EntryTables& tables,
+                  EntryTick& tick) {
+  if (!request.arrival()->key().empty()) {
+    return RouteKeyed(request, tables, tick);
+  }
+  const std::optional<EndpointId> choice =
+      ChooseEndpoint(request, tables, tick.now(), tick.random());
+  if (!choice) return RefuseNoEndpoint(request, tables, tick);
+  SendAttempt(request, *choice, tables, tick);
+}
+
+}  // namespace
+
+void RouteRequests(EntryTables& tables, EntryTick& tick) {
+  RefillLink(tables.policy_, tables.link_budget_, tick.now());
+  for (const RequestId& id : tables.requests_.Ready(tick.now())) {
+    const Request request = *tables.requests_.Find(id);
+    RouteRequest(request, tables, tick);
+  }
+  tick.WakeAt(tables.requests_.NextTry());
+}
+
+}  // namespace quetzalline
--- /dev/null
+++ b/src/systems/entry/route_requests.h
@@ -0,0 +1,16 @@
+#ifndef QUETZALLINE_SYSTEMS_ENTRY_ROUTE_REQUESTS_H_
+#define QUETZALLINE_SYSTEMS_ENTRY_ROUTE_REQUESTS_H_
+
+#include "systems/entry/entry_tick.h"
+#include "tables/entry_tables.h"
+
+namespace quetzalline {
+
+/// Sends an attempt for each request that may be tried now. A request with an
+/// idempotency key goes to the agent that the key leads to, after a second
+/// agent has remembered the key.
+void RouteRequests(EntryTables& tables, EntryTick& tick);
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_SYSTEMS_ENTRY_ROUTE_REQUESTS_H_
--- /dev/null
+++ b/src/systems/entry/take_answers.cc
@@ -0,0 +1,70 @@
+#include "systems/entry/take_answers.h"
+
+#include "core/overloaded.h"
+#include "systems/entry/conclude_request.h"
+#include "systems/entry/send_message.h"
+
+namespace quetzalline {
+namespace {
+
+std::int64_t AnswerBytes(const AttemptOutcome& outcome) {
+  return std::visit(Overloaded{[](const Done& done) {
+                                 return static_cast<std::int64_t>(
+                                     done.response().body().size());
+                               },
+                               [](const NotRun&) { return std::int64_t{0}; },
+                               [](const Unknown&) { return std::int64_t{0}; }},
+                    outcome);
+}
+
+// The paid link counts answers too, once they have crossed it.
+void ChargeLink(const Endpoint& row, const AttemptOutcome& outcome,
+                EntryTables& tables, EntryTick& tick) {
+  const Region& region = row.announced()->location().region();
+  if (region == tables.policy_.location().region()) return;
+  const std::int64_t bytes = AnswerBytes(outcome);
+  tick.counters().Add(Counter::kCrossRegionBytes, bytes);
+  tables.link_budget_ = LinkBudget::Builder(tables.link_budget_)
+                            .bytes(tables.link_budget_.bytes() - bytes)
+                            .Build();
+}
+
+void TakeLoad(const Attempt& attempt, const Answer& answer, EntryTables& tables,
+              EntryTick& tick) {
+  const Endpoint* row = tables.endpoints_.Find(attempt.endpoint());
+  if (row == nullptr) return;
+  if (row->announced()->incarnation() != attempt.incarnation()) return;
+  const Endpoint updated = Endpoint::Builder(*row)
+                               .load(answer.load())
+                               .load_at(tick.now())
+                               .sent_since_report(0)
+                               .Build();
+  tables.endpoints_.Put(updated);
+  ChargeLink(updated, answer.outcome(), tables, tick);
+}
+
+void TakeAnswer(const Received<Answer>& received, EntryTables& tables,
+                EntryTick& tick) {
+  const Answer& answer = received.message_;
+  SendMessage(received.connection_,
+              Acknowledge::Builder().attempt(answer.attempt()).Build(), tick);
+  const Attempt* row = tables.attempts_.Find(answer.attempt());
+  if (row == nullptr) {
+    tick.counters().Add(Counter::kAnswersUnexpected);
+    return;
+  }
+  const Attempt attempt = *row;
+  TakeLoad(attempt, answer, tables, tick);
+  ConcludeAttempt(attempt, answer.outcome(), tables, tick);
+}
+
+}  // namespace
+
+void TakeAnswers(const EntryInbox& inbox, EntryTables& tables,
+                 EntryTick& tick) {
+  for (const Received<Answer>& received : inbox.answers_) {
+    TakeAnswer(received, tables, tick);
+  }
+}
+
+}  // namespace quetzalline
--- /dev/null
+++ b/src/systems/entry/track_endpoints.cc
@@ -0,0 +1,200 @@
+#include "systems/entry/track_endpoints.h"
+
+#include "core/reflect.h"
+#include "systems/entry/conclude_request.h"
+#include "systems/entry/grant_task_lease.h"
+#include "systems/entry/send_message.h"
+
+namespace quetzalline {
+namespace {
+
+void LogEndpoint(std::string event, const EndpointId& id, Reason reason,
+                 EntryTick& tick) {
+  tick.Emit(LogChange::Builder()
+                .event(std::move(event))
+                .subject(id.value())
+                .reason(reason)
+                .Build());
+}
+
+void CloseEndpoints(const EntryInbox& inbox, EndpointTable& endpoints,
+                    EntryTick& tick) {
+  for (const ConnectionId closed : inbox.closed_) {
+    const Endpoint* row = endpoints.FindByConnection(closed);
+    if (row == nullptr || !row->reachable()) continue;
+    const EndpointId id = row->announced()->endpoint();
+    endpoints.Put(Endpoint::Builder(*row).reachable(false).Build());
+    LogEndpoint("endpoint-unreachable", id, Reason::kConnectionLost, tick);
+  }
+}
+
+bool IsStale(const Endpoint& row, const Announce& announce) {
+  const Announce& known = *row.announced();
+  if (announce.incarnation() != known.incarnation()) {
+    return announce.incarnation() < known.incarnation();
+  }
+  return announce.sequence() <= known.sequence();
+}
+
+// What ran at the earlier incarnation can no longer be asked for.
+void LoseAttempts(const Announce& announce, EntryTables& tables,
+                  EntryTick& tick) {
+  const Unknown lost =
+      Unknown::Builder().reason(Reason::kAgentReplaced).Build();
+  for (const AttemptId& id : tables.attempts_.OfEndpoint(announce.endpoint())) {
+    const Attempt attempt = *tables.attempts_.Find(id);
+    if (attempt.incarnation() == announce.incarnation()) continue;
+    ConcludeAttempt(attempt, lost, tables, tick);
+  }
+}
+
+// After a change of connection the open attempts are asked for by their ids.
+void FetchAttempts(const Announce& announce, ConnectionId connection,
+                   const AttemptTable& attempts, EntryTick& tick) {
+  for (const AttemptId& id : attempts.OfEndpoint(announce.endpoint())) {
+    const bool cancel = attempts.Find(id)->cancelling();
+    tick.counters().Add(Counter::kFetchesSent);
+    SendMessage(connection, Fetch::Builder().attempt(id).cancel(cancel).Build(),
+                tick);
+  }
+}
+
+Endpoint FirstRow(const Received<Announce>& received, Instant now) {
+  return Endpoint::Builder()
+      .announced(received.message_)
+      .load(received.message_.load())
+      .load_at(now)
+      .connection(received.connection_)
+      .reachable(true)
+      .first_seen(now)
+      .last_seen(now)
+      .Build();
+}
+
+Endpoint NextRow(const Endpoint& old, const Received<Announce>& received,
+                 Instant now) {
+  return Endpoint::Builder(old)
+      .announced(received.message_)
+      .load(received.message_.load())
+      .load_at(now)
+      .connection(received.connection_)
+      .reachable(true)
+      .last_seen(now)
+      .sent_since_report(0)
+      .Build();
+}
+
+void Join(const Received<Announce>& received, EntryTables& tables,
+          EntryTick& tick) {
+  const Announce& announce = received.message_;
+  tables.endpoints_.Put(FirstRow(received, tick.now()));
+  tables.key_ring_.Add(announce.service(), announce.endpoint());
+  tick.counters().Add(Counter::kEndpointsJoined);
+  LogEndpoint("endpoint-joined", announce.endpoint(), Reason::kNone, tick);
+}
+
+void Replace(const Received<Announce>& received, EntryTables& tables,
+             EntryTick& tick) {
+  const Announce& announce = received.message_;
+  LoseAttempts(announce, tables, tick);
+  const Endpoint* old = tables.endpoints_.Find(announce.endpoint());
+  if (old->announced()->service() != announce.service()) {
+    tables.key_ring_.Remove(old->announced()->service(), announce.endpoint());
+    tables.key_ring_.Add(announce.service(), announce.endpoint());
+  }
+  tables.endpoints_.Put(Endpoint::Builder(FirstRow(received, tick.now()))
+                            .task_lease_end(old->task_lease_end())
+                            .Build());
+  tick.counters().Add(Counter::kEndpointsReplaced);
+  LogEndpoint("endpoint-replaced", announce.endpoint(), Reason::kNone, tick);
+}
+
+void Refresh(const Received<Announce>& received, const Endpoint& old,
+             EntryTables& tables, EntryTick& tick) {
+  const Announce& announce = received.message_;
+  const bool reconnected =
+      old.connection() != received.connection_ || !old.reachable();
+  const EndpointState state = old.announced()->state();
+  tables.endpoints_.Put(NextRow(old, received, tick.now()));
+  if (reconnected) {
+    FetchAttempts(announce, received.connection_, tables.attempts_, tick);
+    LogEndpoint("endpoint-reachable", announce.endpoint(), Reason::kNone, tick);
+  }
+  if (state == announce.state()) return;
+  LogEndpoint("endpoint-" + ToString(announce.state()), announce.endpoint(),
+              Reason::kNone, tick);
+}
+
+void TakeAnnounce(const Received<Announce>& received, EntryTables& tables,
+                  EntryTick& tick) {
+  const Announce& announce = received.message_;
+  tick.counters().Add(Counter::kAnnouncesReceived);
+  const Endpoint* old = tables.endpoints_.Find(announce.endpoint());
+  if (old != nullptr && IsStale(*old, announce)) {
+    tick.counters().Add(Counter::kAnnouncesStale);
+    return;
+  }
+  if (old == nullptr) {
+    Join(received, tables, tick);
+  } else if (old->announced()->incarnation() != announce.incarnation()) {
+    Replace(received, tables, tick);
+  } else {
+    const Endpoint before = *old;
+    Refresh(received, before, tables, tick);
+  }
+  tables.endpoints_.CheckAt(announce.endpoint(),
+                            tick.now() + tables.policy_.endpoint_lapse());
+  SendMessage(
+      received.connection_,
+      Welcome::Builder()
+          .entry(tables.policy_.entry())
+          .incarnation(tables.policy_.incarnation())
+          .echo(announce.sequence())
+          .leaving(tables.stage_.leaving())
+          .epoch(GrantTaskLease(announce.endpoint(), tables, tick.now()))
+          .task_lease(tables.policy_.task_lease())
+          .Build(),
+      tick);
+}
+
+void Forget(const EndpointId& id, EntryTables& tables) {
+  const Endpoint* row = tables.endpoints_.Find(id);
+  tables.key_ring_.Remove(row->announced()->service(), id);
+  tables.endpoints_.Erase(id);
+}
+
+void CheckSilence(const EndpointId& id, EntryTables& tables, EntryTick& tick) {
+  const Endpoint row = *tables.endpoints_.Find(id);
+  const EntryPolicy& policy = tables.policy_;
+  if (row.reachable()) {
+    tables.endpoints_.Put(Endpoint::Builder(row).reachable(false).Build());
+    tick.counters().Add(Counter::kEndpointsLapsed);
+    tick.Emit(CloseConnection::Builder().connection(row.connection()).Build());
+    LogEndpoint("endpoint-lapsed", id, Reason::kHeartbeatMissed, tick);
+  }
+  const Instant forget_at = row.last_seen() + policy.endpoint_forget();
+  if (tick.now() < forget_at) {
+    tables.endpoints_.CheckAt(id, forget_at);
+    return;
+  }
+  const bool in_use = !tables.attempts_.OfEndpoint(id).empty() ||
+                      !tables.tasks_.AssignedTo(id).empty();
+  if (!in_use) return Forget(id, tables);
+  tables.endpoints_.CheckAt(id, tick.now() + policy.endpoint_forget());
+}
+
+}  // namespace
+
+void TrackEndpoints(const EntryInbox& inbox, EntryTables& tables,
+                    EntryTick& tick) {
+  CloseEndpoints(inbox, tables.endpoints_, tick);
+  for (const Received<Announce>& received : inbox.announces_) {
+    TakeAnnounce(received, tables, tick);
+  }
+  for (const EndpointId& id : tables.endpoints_.DueForCheck(tick.now())) {
+    CheckSilence(id, tables, tick);
+  }
+  tick.WakeAt(tables.endpoints_.NextCheck());
+}
+
+}  // namespace quetzalline
--- /dev/null
+++ b/src/systems/entry/watch_configuration.cc
@@ -0,0 +1,69 @@
+#include "systems/entry/watch_configuration.h"
+
+#include "core/overloaded.h"
+#include "systems/entry/call_store.h"
+#include "systems/entry/store_keys.h"
+
+namespace quetzalline {
+namespace {
+
+void ApplyItem(const StoreItem& item, ServiceTable& services, EntryTick& tick) {
+  const auto* service = std::get_if<PublishedService>(&*item.record());
+  if (service == nullptr) return;
+  const PublishedService published =
+      PublishedService::Builder(*service).revision(item.index()).Build();
+  if (!services.Apply(published)) return;
+  tick.Emit(LogChange::Builder()
+                .event("configuration-in-force")
+                .subject(published.file().name().value())
+                .Build());
+}
+
+void TakeValues(const StoreValues& values, EntryTables& tables,
+                EntryTick& tick) {
+  for (const StoreItem& item : values.items()) {
+    ApplyItem(item, tables.services_, tick);
+  }
+  tables.services_.RaiseRevision(values.index());
+}
+
+void Watch(EntryTables& tables, EntryTick& tick) {
+  tables.next_configuration_read_.reset();
+  WatchStore(ConfigurationPrefix(), tables.services_.revision(),
+             ConfigurationWatch(), tables, tick);
+}
+
+void RetryLater(EntryTables& tables, EntryTick& tick) {
+  tick.counters().Add(Counter::kStoreFailures);
+  tables.next_configuration_read_ = tick.now() + tables.policy_.store_retry();
+}
+
+void TakeResult(const StoreResult& result, EntryTables& tables,
+                EntryTick& tick) {
+  const Overloaded take{
+      [&](const StoreValues& values) {
+        TakeValues(values, tables, tick);
+        Watch(tables, tick);
+      },
+      [&](const StoreFailed&) { RetryLater(tables, tick); },
+      [](const StoreWritten&) {},
+      [](const StoreConflict&) {},
+  };
+  std::visit(take, result);
+}
+
+}  // namespace
+
+void WatchConfiguration(const EntryInbox& inbox, EntryTables& tables,
+                        EntryTick& tick) {
+  for (const StoreNews& news : inbox.store_news_) {
+    if (!std::holds_alternative<ConfigurationWatch>(news.purpose_)) continue;
+    TakeResult(news.result_, tables, tick);
+  }
+  const bool due = tables.next_configuration_read_ &&
+                   *tables.next_configuration_read_ <= tick.now();
+  if (due) Watch(tables, tick);
+  tick.WakeAt(tables.next_configuration_read_);
+}
+
+}  // namespace quetzalline
--- /dev/null
+++ b/src/systems/received.h
@@ -0,0 +1,17 @@
+#ifndef QUETZALLINE_SYSTEMS_RECEIVED_H_
+#define QUETZALLINE_SYSTEMS_RECEIVED_H_
+
+#include "core/ids.h"
+
+namespace quetzalline {
+
+/// A message together with the connection it came by.
+template <typename Message>
+struct Received {
+  ConnectionId connection_;
+  Message message_;
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_SYSTEMS_RECEIVED_H_
--- /dev/null
+++ b/src/tables/agent_stage.h
@@ -0,0 +1,67 @@
+#ifndef QUETZALLINE_TABLES_AGENT_STAGE_H_
+#define QUETZALLINE_TABLES_AGENT_STAGE_H_
+
+#include <compare>
+#include <cstdint>
+#include <string_view>
+
+#include "core/endpoint_state.h"
+#include "core/time.h"
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// How far the agent is on its way out.
+class AgentStage {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "agent-stage";
+
+  EndpointState state() const { return state_; }
+  bool finished() const { return finished_; }
+  /// Sequence of the last heartbeat.
+  std::uint64_t sequence() const { return sequence_; }
+  /// Highest configuration revision in force.
+  std::int64_t configuration() const { return configuration_; }
+  /// Highest cell epoch seen.
+  std::uint64_t epoch() const { return epoch_; }
+  /// Tasks are stopped after this time.
+  Instant task_lease_end() const { return task_lease_end_; }
+
+  friend auto operator<=>(const AgentStage&, const AgentStage&) = default;
+
+ private:
+  QUETZALLINE_VALUE(AgentStage, state_, finished_, sequence_, configuration_,
+                    epoch_, task_lease_end_)
+
+  EndpointState state_ = EndpointState{};
+  bool finished_ = false;
+  std::uint64_t sequence_ = 0;
+  std::int64_t configuration_ = 0;
+  std::uint64_t epoch_ = 0;
+  Instant task_lease_end_ = Instant{};
+};
+
+/// Builds one AgentStage; what is not set keeps its default.
+class AgentStage::Builder : public ValueBuilder<AgentStage, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& state(EndpointState value) { return Set(value_.state_, value); }
+  Builder& finished(bool value) { return Set(value_.finished_, value); }
+  Builder& sequence(std::uint64_t value) {
+    return Set(value_.sequence_, value);
+  }
+  Builder& configuration(std::int64_t value) {
+    return Set(value_.configuration_, value);
+  }
+  Builder& epoch(std::uint64_t value) { return Set(value_.epoch_, value); }
+  Builder& task_lease_end(Instant value) {
+    return Set(value_.task_lease_end_, value);
+  }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TABLES_AGENT_STAGE_H_
--- /dev/null
+++ b/src/tables/agent_tables.h
@@ -0,0 +1,31 @@
+#ifndef QUETZALLINE_TABLES_AGENT_TABLES_H_
+#define QUETZALLINE_TABLES_AGENT_TABLES_H_
+
+#include "core/counters.h"
+#include "tables/agent_policy.h"
+#include "tables/agent_stage.h"
+#include "tables/entry_link_table.h"
+#include "tables/execution_table.h"
+#include "tables/held_task_table.h"
+#include "tables/key_table.h"
+#include "tables/limit.h"
+#include "tables/service_table.h"
+
+namespace quetzalline {
+
+/// Everything an agent knows.
+struct AgentTables {
+  AgentPolicy policy_;
+  AgentStage stage_;
+  Limit limit_;
+  EntryLinkTable links_;
+  ExecutionTable executions_;
+  KeyTable keys_;
+  HeldTaskTable tasks_;
+  ServiceTable services_;
+  Counters counters_;
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TABLES_AGENT_TABLES_H_
--- /dev/null
+++ b/src/tables/command_table.h
@@ -0,0 +1,38 @@
+#ifndef QUETZALLINE_TABLES_COMMAND_TABLE_H_
+#define QUETZALLINE_TABLES_COMMAND_TABLE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "core/ids.h"
+#include "core/table.h"
+#include "tables/pending_command.h"
+
+namespace quetzalline {
+
+/// The operators' commands that wait for the store, by number and by the job
+/// they concern.
+class CommandTable {
+ public:
+  using Rows = Table<std::uint64_t, PendingCommand>;
+
+  const PendingCommand* Find(std::uint64_t id) const { return rows_.Find(id); }
+  void Put(std::uint64_t id, const PendingCommand& row);
+  void Erase(std::uint64_t id);
+
+  std::vector<std::uint64_t> OfJob(const JobId& job) const;
+
+  std::size_t size() const { return rows_.size(); }
+  const Rows& rows() const { return rows_; }
+
+ private:
+  Rows rows_;
+  std::map<JobId, std::set<std::uint64_t>> by_job_;
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TABLES_COMMAND_TABLE_H_
--- /dev/null
+++ b/src/tables/configuration_watch.h
@@ -0,0 +1,34 @@
+#ifndef QUETZALLINE_TABLES_CONFIGURATION_WATCH_H_
+#define QUETZALLINE_TABLES_CONFIGURATION_WATCH_H_
+
+#include <compare>
+#include <string_view>
+
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// The call waits for changes of the configuration.
+class ConfigurationWatch {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "configuration-watch";
+
+  friend auto operator<=>(const ConfigurationWatch&,
+                          const ConfigurationWatch&) = default;
+
+ private:
+  QUETZALLINE_VALUE(ConfigurationWatch)
+};
+
+/// Builds one ConfigurationWatch; what is not set keeps its default.
+class ConfigurationWatch::Builder
+    : public ValueBuilder<ConfigurationWatch, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TABLES_CONFIGURATION_WATCH_H_
--- /dev/null
+++ b/src/tables/entry_policy.h
@@ -0,0 +1,242 @@
+#ifndef QUETZALLINE_TABLES_ENTRY_POLICY_H_
+#define QUETZALLINE_TABLES_ENTRY_POLICY_H_
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "core/ids.h"
+#include "core/location.h"
+#include "core/time.h"
+#include "core/value.h"
+#include "tables/jitter.h"
+
+namespace quetzalline {
+
+/// The settings that an entry's decisions depend on.
+class EntryPolicy {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "entry-policy";
+
+  const EntryId& entry() const { return entry_; }
+  std::uint64_t incarnation() const { return incarnation_; }
+  /// Where this entry's operators' API is reached.
+  const std::string& operator_url() const { return operator_url_; }
+  const Location& location() const { return location_; }
+  /// Silence after which an endpoint gets no new work.
+  Duration endpoint_lapse() const { return endpoint_lapse_; }
+  /// Silence after which an endpoint's row is removed.
+  Duration endpoint_forget() const { return endpoint_forget_; }
+  /// Time past a deadline in which a proof of not-run is awaited.
+  Duration answer_grace() const { return answer_grace_; }
+  /// Endpoints compared for each choice.
+  std::int32_t sample_size() const { return sample_size_; }
+  /// Round trip to another availability zone.
+  Duration zone_cost() const { return zone_cost_; }
+  /// Round trip to another region.
+  Duration region_cost() const { return region_cost_; }
+  /// Request bytes a second that may cross regions.
+  std::int64_t region_bytes_per_second() const {
+    return region_bytes_per_second_;
+  }
+  /// Assumed until an endpoint has reported.
+  Duration expected_service_time() const { return expected_service_time_; }
+  /// Age at which a load report counts half.
+  Duration report_half_life() const { return report_half_life_; }
+  /// Time in which a new endpoint gets a growing share.
+  Duration slow_start() const { return slow_start_; }
+  /// Attempts for one request.
+  std::int32_t max_attempts() const { return max_attempts_; }
+  /// Ceiling of the wait before the first retry.
+  Duration retry_base() const { return retry_base_; }
+  /// Largest ceiling of a wait.
+  Duration retry_cap() const { return retry_cap_; }
+  /// How much of a wait is random.
+  const Jitter& jitter() const { return jitter_; }
+  /// Retries allowed per hundred first attempts.
+  std::int32_t retry_percent() const { return retry_percent_; }
+  /// Retries allowed at once.
+  std::int32_t retry_burst() const { return retry_burst_; }
+  /// Open requests held at most.
+  std::int64_t max_requests() const { return max_requests_; }
+  /// Bytes of open requests held at most.
+  std::int64_t max_request_bytes() const { return max_request_bytes_; }
+  /// Time between failing the health check and refusing callers.
+  Duration leave_delay() const { return leave_delay_; }
+  /// Least time between two updates to one agent.
+  Duration configuration_resend() const { return configuration_resend_; }
+  /// Cell this entry may hold.
+  const std::string& cell() const { return cell_; }
+  /// Silence of a holder after which another takes over.
+  Duration cell_lease() const { return cell_lease_; }
+  /// Time a heartbeat reply lets an agent keep its tasks.
+  Duration task_lease() const { return task_lease_; }
+  /// Longest time a holder without the store extends task leases.
+  Duration outage_lease() const { return outage_lease_; }
+  /// Allowance for clocks of different speed.
+  Duration drift_margin() const { return drift_margin_; }
+  /// Journal entries kept behind the snapshot.
+  std::int32_t journal_slots() const { return journal_slots_; }
+  /// Least time between two journal writes.
+  Duration journal_interval() const { return journal_interval_; }
+  /// Time after which an unconfirmed start or stop is sent again.
+  Duration start_resend() const { return start_resend_; }
+  /// Wait after a failed store call.
+  Duration store_retry() const { return store_retry_; }
+  /// Time an ended task is kept for status.
+  Duration finished_retention() const { return finished_retention_; }
+
+  friend auto operator<=>(const EntryPolicy&, const EntryPolicy&) = default;
+
+ private:
+  QUETZALLINE_VALUE(EntryPolicy, entry_, incarnation_, operator_url_, location_,
+                    endpoint_lapse_, endpoint_forget_, answer_grace_,
+                    sample_size_, zone_cost_, region_cost_,
+                    region_bytes_per_second_, expected_service_time_,
+                    report_half_life_, slow_start_, max_attempts_, retry_base_,
+                    retry_cap_, jitter_, retry_percent_, retry_burst_,
+                    max_requests_, max_request_bytes_, leave_delay_,
+                    configuration_resend_, cell_, cell_lease_, task_lease_,
+                    outage_lease_, drift_margin_, journal_slots_,
+                    journal_interval_, start_resend_, store_retry_,
+                    finished_retention_)
+
+  EntryId entry_;
+  std::uint64_t incarnation_ = 0;
+  std::string operator_url_;
+  Location location_;
+  Duration endpoint_lapse_ = std::chrono::seconds(3);
+  Duration endpoint_forget_ = std::chrono::minutes(5);
+  Duration answer_grace_ = std::chrono::milliseconds(100);
+  std::int32_t sample_size_ = 3;
+  Duration zone_cost_ = std::chrono::microseconds(2000);
+  Duration region_cost_ = std::chrono::milliseconds(60);
+  std::int64_t region_bytes_per_second_ = 1000000;
+  Duration expected_service_time_ = std::chrono::milliseconds(20);
+  Duration report_half_life_ = std::chrono::milliseconds(500);
+  Duration slow_start_ = std::chrono::seconds(5);
+  std::int32_t max_attempts_ = 4;
+  Duration retry_base_ = std::chrono::milliseconds(4);
+  Duration retry_cap_ = std::chrono::milliseconds(250);
+  Jitter jitter_;
+  std::int32_t retry_percent_ = 10;
+  std::int32_t retry_burst_ = 20;
+  std::int64_t max_requests_ = 20000;
+  std::int64_t max_request_bytes_ = 268435456;
+  Duration leave_delay_ = std::chrono::seconds(2);
+  Duration configuration_resend_ = std::chrono::seconds(1);
+  std::string cell_ = "main";
+  Duration cell_lease_ = std::chrono::seconds(6);
+  Duration task_lease_ = std::chrono::seconds(15);
+  Duration outage_lease_ = std::chrono::hours(2);
+  Duration drift_margin_ = std::chrono::seconds(1);
+  std::int32_t journal_slots_ = 64;
+  Duration journal_interval_ = std::chrono::milliseconds(50);
+  Duration start_resend_ = std::chrono::seconds(1);
+  Duration store_retry_ = std::chrono::milliseconds(500);
+  Duration finished_retention_ = std::chrono::minutes(30);
+};
+
+/// Builds one EntryPolicy; what is not set keeps its default.
+class EntryPolicy::Builder : public ValueBuilder<EntryPolicy, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& entry(EntryId value) { return Set(value_.entry_, std::move(value)); }
+  Builder& incarnation(std::uint64_t value) {
+    return Set(value_.incarnation_, value);
+  }
+  Builder& operator_url(std::string value) {
+    return Set(value_.operator_url_, std::move(value));
+  }
+  Builder& location(Location value) {
+    return Set(value_.location_, std::move(value));
+  }
+  Builder& endpoint_lapse(Duration value) {
+    return Set(value_.endpoint_lapse_, value);
+  }
+  Builder& endpoint_forget(Duration value) {
+    return Set(value_.endpoint_forget_, value);
+  }
+  Builder& answer_grace(Duration value) {
+    return Set(value_.answer_grace_, value);
+  }
+  Builder& sample_size(std::int32_t value) {
+    return Set(value_.sample_size_, value);
+  }
+  Builder& zone_cost(Duration value) { return Set(value_.zone_cost_, value); }
+  Builder& region_cost(Duration value) {
+    return Set(value_.region_cost_, value);
+  }
+  Builder& region_bytes_per_second(std::int64_t value) {
+    return Set(value_.region_bytes_per_second_, value);
+  }
+  Builder& expected_service_time(Duration value) {
+    return Set(value_.expected_service_time_, value);
+  }
+  Builder& report_half_life(Duration value) {
+    return Set(value_.report_half_life_, value);
+  }
+  Builder& slow_start(Duration value) { return Set(value_.slow_start_, value); }
+  Builder& max_attempts(std::int32_t value) {
+    return Set(value_.max_attempts_, value);
+  }
+  Builder& retry_base(Duration value) { return Set(value_.retry_base_, value); }
+  Builder& retry_cap(Duration value) { return Set(value_.retry_cap_, value); }
+  Builder& jitter(Jitter value) {
+    return Set(value_.jitter_, std::move(value));
+  }
+  Builder& retry_percent(std::int32_t value) {
+    return Set(value_.retry_percent_, value);
+  }
+  Builder& retry_burst(std::int32_t value) {
+    return Set(value_.retry_burst_, value);
+  }
+  Builder& max_requests(std::int64_t value) {
+    return Set(value_.max_requests_, value);
+  }
+  Builder& max_request_bytes(std::int64_t value) {
+    return Set(value_.max_request_bytes_, value);
+  }
+  Builder& leave_delay(Duration value) {
+    return Set(value_.leave_delay_, value);
+  }
+  Builder& configuration_resend(Duration value) {
+    return Set(value_.configuration_resend_, value);
+  }
+  Builder& cell(std::string value) {
+    return Set(value_.cell_, std::move(value));
+  }
+  Builder& cell_lease(Duration value) { return Set(value_.cell_lease_, value); }
+  Builder& task_lease(Duration value) { return Set(value_.task_lease_, value); }
+  Builder& outage_lease(Duration value) {
+    return Set(value_.outage_lease_, value);
+  }
+  Builder& drift_margin(Duration value) {
+    return Set(value_.drift_margin_, value);
+  }
+  Builder& journal_slots(std::int32_t value) {
+    return Set(value_.journal_slots_, value);
+  }
+  Builder& journal_interval(Duration value) {
+    return Set(value_.journal_interval_, value);
+  }
+  Builder& start_resend(Duration value) {
+    return Set(value_.start_resend_, value);
+  }
+  Builder& store_retry(Duration value) {
+    return Set(value_.store_retry_, value);
+  }
+  Builder& finished_retention(Duration value) {
+    return Set(value_.finished_retention_, value);
+  }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TABLES_ENTRY_POLICY_H_
--- /dev/null
+++ b/src/tables/entry_stage.h
@@ -0,0 +1,46 @@
+#ifndef QUETZALLINE_TABLES_ENTRY_STAGE_H_
+#define QUETZALLINE_TABLES_ENTRY_STAGE_H_
+
+#include <compare>
+#include <string_view>
+
+#include "core/time.h"
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// How far the entry is on its way out.
+class EntryStage {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "entry-stage";
+
+  bool leaving() const { return leaving_; }
+  /// Until then callers are still served.
+  Instant leave_at() const { return leave_at_; }
+  bool finished() const { return finished_; }
+
+  friend auto operator<=>(const EntryStage&, const EntryStage&) = default;
+
+ private:
+  QUETZALLINE_VALUE(EntryStage, leaving_, leave_at_, finished_)
+
+  bool leaving_ = false;
+  Instant leave_at_ = Instant{};
+  bool finished_ = false;
+};
+
+/// Builds one EntryStage; what is not set keeps its default.
+class EntryStage::Builder : public ValueBuilder<EntryStage, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& leaving(bool value) { return Set(value_.leaving_, value); }
+  Builder& leave_at(Instant value) { return Set(value_.leave_at_, value); }
+  Builder& finished(bool value) { return Set(value_.finished_, value); }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TABLES_ENTRY_STAGE_H_
--- /dev/null
+++ b/src/tables/entry_tables.h
@@ -0,0 +1,57 @@
+#ifndef QUETZALLINE_TABLES_ENTRY_TABLES_H_
+#define QUETZALLINE_TABLES_ENTRY_TABLES_H_
+
+#include <cstdint>
+#include <optional>
+
+#include "core/counters.h"
+#include "tables/attempt_table.h"
+#include "tables/cell_holding.h"
+#include "tables/command_table.h"
+#include "tables/endpoint_table.h"
+#include "tables/entry_policy.h"
+#include "tables/entry_stage.h"
+#include "tables/journal_queue.h"
+#include "tables/key_ring.h"
+#include "tables/link_budget.h"
+#include "tables/request_table.h"
+#include "tables/retry_budget.h"
+#include "tables/service_table.h"
+#include "tables/store_call_table.h"
+#include "tables/task_table.h"
+#include "tables/worker_health_table.h"
+
+namespace quetzalline {
+
+/// Everything an entry knows.
+struct EntryTables {
+  EntryPolicy policy_;
+  EntryStage stage_;
+  EndpointTable endpoints_;
+  KeyRing key_ring_;
+  RequestTable requests_;
+  AttemptTable attempts_;
+  RetryBudget retry_budget_;
+  LinkBudget link_budget_;
+  ServiceTable services_;
+  CommandTable commands_;
+  StoreCallTable store_calls_;
+  std::uint64_t last_ticket_ = 0;
+  /// When the configuration is read next, unless a watch on it is open.
+  std::optional<Instant> next_configuration_read_;
+  /// The revision that was last sent on to agents, and when to look again.
+  std::int64_t spread_revision_ = 0;
+  Instant next_spread_ = Instant{};
+  CellHolding cell_;
+  JournalQueue journal_;
+  TaskTable tasks_;
+  /// When placement and the search for lost instances run next.
+  Instant next_placement_ = Instant{};
+  Instant next_loss_check_ = Instant{};
+  WorkerHealthTable worker_health_;
+  Counters counters_;
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TABLES_ENTRY_TABLES_H_
--- /dev/null
+++ b/src/tables/jitter.h
@@ -0,0 +1,17 @@
+#ifndef QUETZALLINE_TABLES_JITTER_H_
+#define QUETZALLINE_TABLES_JITTER_H_
+
+#include <variant>
+
+#include "tables/full_jitter.h"
+#include "tables/half_jitter.h"
+#include "tables/no_jitter.h"
+
+namespace quetzalline {
+
+/// How much of the wait before a retry is random.
+using Jitter = std::variant<HalfJitter, FullJitter, NoJitter>;
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TABLES_JITTER_H_
--- /dev/null
+++ b/src/tables/journal_queue.h
@@ -0,0 +1,42 @@
+#ifndef QUETZALLINE_TABLES_JOURNAL_QUEUE_H_
+#define QUETZALLINE_TABLES_JOURNAL_QUEUE_H_
+
+#include <cstddef>
+#include <deque>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "core/task_attempt_id.h"
+#include "records/journal_entry.h"
+
+namespace quetzalline {
+
+/// Records on their way into the journal: those that wait, and the one entry
+/// that is being written.
+class JournalQueue {
+ public:
+  void Push(const JournalRecord& record);
+  /// Takes the oldest records out of the queue.
+  std::vector<JournalRecord> Take(std::size_t most);
+
+  /// Whether the end of this task attempt is on its way already.
+  bool HasEnd(const TaskAttemptId& task) const { return ends_.contains(task); }
+  void ForgetEnd(const TaskAttemptId& task) { ends_.erase(task); }
+
+  const std::optional<JournalEntry>& in_flight() const { return in_flight_; }
+  void SetInFlight(const JournalEntry& entry) { in_flight_ = entry; }
+  void ClearInFlight() { in_flight_.reset(); }
+
+  std::size_t waiting() const { return waiting_.size(); }
+  void Clear() { *this = JournalQueue(); }
+
+ private:
+  std::deque<JournalRecord> waiting_;
+  std::set<TaskAttemptId> ends_;
+  std::optional<JournalEntry> in_flight_;
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TABLES_JOURNAL_QUEUE_H_
--- /dev/null
+++ b/src/tables/journal_write.h
@@ -0,0 +1,32 @@
+#ifndef QUETZALLINE_TABLES_JOURNAL_WRITE_H_
+#define QUETZALLINE_TABLES_JOURNAL_WRITE_H_
+
+#include <compare>
+#include <string_view>
+
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// The call appends an entry to the cell's journal.
+class JournalWrite {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "journal-write";
+
+  friend auto operator<=>(const JournalWrite&, const JournalWrite&) = default;
+
+ private:
+  QUETZALLINE_VALUE(JournalWrite)
+};
+
+/// Builds one JournalWrite; what is not set keeps its default.
+class JournalWrite::Builder : public ValueBuilder<JournalWrite, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TABLES_JOURNAL_WRITE_H_
--- /dev/null
+++ b/src/tables/lease_watch.h
@@ -0,0 +1,32 @@
+#ifndef QUETZALLINE_TABLES_LEASE_WATCH_H_
+#define QUETZALLINE_TABLES_LEASE_WATCH_H_
+
+#include <compare>
+#include <string_view>
+
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// The call waits for changes of the cell's lease.
+class LeaseWatch {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "lease-watch";
+
+  friend auto operator<=>(const LeaseWatch&, const LeaseWatch&) = default;
+
+ private:
+  QUETZALLINE_VALUE(LeaseWatch)
+};
+
+/// Builds one LeaseWatch; what is not set keeps its default.
+class LeaseWatch::Builder : public ValueBuilder<LeaseWatch, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TABLES_LEASE_WATCH_H_
--- /dev/null
+++ b/src/tables/lease_write.h
@@ -0,0 +1,47 @@
+#ifndef QUETZALLINE_TABLES_LEASE_WRITE_H_
+#define QUETZALLINE_TABLES_LEASE_WRITE_H_
+
+#include <compare>
+#include <cstdint>
+#include <string_view>
+
+#include "core/time.h"
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// The call takes, renews or releases the cell's lease.
+class LeaseWrite {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "lease-write";
+
+  /// When the call was made; a lease counts from here.
+  Instant asked() const { return asked_; }
+  std::uint64_t renewal() const { return renewal_; }
+  bool released() const { return released_; }
+
+  friend auto operator<=>(const LeaseWrite&, const LeaseWrite&) = default;
+
+ private:
+  QUETZALLINE_VALUE(LeaseWrite, asked_, renewal_, released_)
+
+  Instant asked_ = Instant{};
+  std::uint64_t renewal_ = 0;
+  bool released_ = false;
+};
+
+/// Builds one LeaseWrite; what is not set keeps its default.
+class LeaseWrite::Builder : public ValueBuilder<LeaseWrite, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& asked(Instant value) { return Set(value_.asked_, value); }
+  Builder& renewal(std::uint64_t value) { return Set(value_.renewal_, value); }
+  Builder& released(bool value) { return Set(value_.released_, value); }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TABLES_LEASE_WRITE_H_
--- /dev/null
+++ b/src/tables/limit.h
@@ -0,0 +1,53 @@
+#ifndef QUETZALLINE_TABLES_LIMIT_H_
+#define QUETZALLINE_TABLES_LIMIT_H_
+
+#include <compare>
+#include <string_view>
+
+#include "core/time.h"
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// How many slots the agent uses and what it has measured.
+class Limit {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "limit";
+
+  double slots() const { return slots_; }
+  /// Smoothed time of one call; zero until the first.
+  Duration service_time() const { return service_time_; }
+  /// Smoothed least time of one call.
+  Duration floor_time() const { return floor_time_; }
+  /// When the limit last changed.
+  Instant adapted() const { return adapted_; }
+
+  friend auto operator<=>(const Limit&, const Limit&) = default;
+
+ private:
+  QUETZALLINE_VALUE(Limit, slots_, service_time_, floor_time_, adapted_)
+
+  double slots_ = 1;
+  Duration service_time_ = Duration{};
+  Duration floor_time_ = Duration{};
+  Instant adapted_ = Instant{};
+};
+
+/// Builds one Limit; what is not set keeps its default.
+class Limit::Builder : public ValueBuilder<Limit, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& slots(double value) { return Set(value_.slots_, value); }
+  Builder& service_time(Duration value) {
+    return Set(value_.service_time_, value);
+  }
+  Builder& floor_time(Duration value) { return Set(value_.floor_time_, value); }
+  Builder& adapted(Instant value) { return Set(value_.adapted_, value); }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TABLES_LIMIT_H_
--- /dev/null
+++ b/src/tables/request.h
@@ -0,0 +1,100 @@
+#ifndef QUETZALLINE_TABLES_REQUEST_H_
+#define QUETZALLINE_TABLES_REQUEST_H_
+
+#include <compare>
+#include <cstdint>
+#include <string_view>
+#include <utility>
+
+#include "core/ids.h"
+#include "core/reason.h"
+#include "core/shared.h"
+#include "core/time.h"
+#include "core/value.h"
+#include "messages/caller_request.h"
+#include "tables/request_state.h"
+
+namespace quetzalline {
+
+/// A caller's request that is not yet answered.
+class Request {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "request";
+
+  const Shared<CallerRequest>& arrival() const { return arrival_; }
+  const ServiceName& service() const { return service_; }
+  Instant deadline() const { return deadline_; }
+  bool urgent() const { return urgent_; }
+  bool idempotent() const { return idempotent_; }
+  /// Attempts sent so far.
+  std::int32_t attempts() const { return attempts_; }
+  const RequestState& state() const { return state_; }
+  /// A second agent remembers the request's idempotency key.
+  bool witnessed() const { return witnessed_; }
+  /// The key was seen before, so that the request must not run anew.
+  bool repeated() const { return repeated_; }
+  Reason last_reason() const { return last_reason_; }
+  /// Endpoint of the latest attempt.
+  const EndpointId& last_endpoint() const { return last_endpoint_; }
+  /// Endpoint whose agent was asked to remember the idempotency key.
+  const EndpointId& witness() const { return witness_; }
+  /// The caller is gone; the answer will be dropped.
+  bool abandoned() const { return abandoned_; }
+
+  friend auto operator<=>(const Request&, const Request&) = default;
+
+ private:
+  QUETZALLINE_VALUE(Request, arrival_, service_, deadline_, urgent_,
+                    idempotent_, attempts_, state_, witnessed_, repeated_,
+                    last_reason_, last_endpoint_, witness_, abandoned_)
+
+  Shared<CallerRequest> arrival_;
+  ServiceName service_;
+  Instant deadline_ = Instant{};
+  bool urgent_ = false;
+  bool idempotent_ = false;
+  std::int32_t attempts_ = 0;
+  RequestState state_;
+  bool witnessed_ = false;
+  bool repeated_ = false;
+  Reason last_reason_ = Reason{};
+  EndpointId last_endpoint_;
+  EndpointId witness_;
+  bool abandoned_ = false;
+};
+
+/// Builds one Request; what is not set keeps its default.
+class Request::Builder : public ValueBuilder<Request, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& arrival(Shared<CallerRequest> value) {
+    return Set(value_.arrival_, std::move(value));
+  }
+  Builder& service(ServiceName value) {
+    return Set(value_.service_, std::move(value));
+  }
+  Builder& deadline(Instant value) { return Set(value_.deadline_, value); }
+  Builder& urgent(bool value) { return Set(value_.urgent_, value); }
+  Builder& idempotent(bool value) { return Set(value_.idempotent_, value); }
+  Builder& attempts(std::int32_t value) { return Set(value_.attempts_, value); }
+  Builder& state(RequestState value) {
+    return Set(value_.state_, std::move(value));
+  }
+  Builder& witnessed(bool value) { return Set(value_.witnessed_, value); }
+  Builder& repeated(bool value) { return Set(value_.repeated_, value); }
+  Builder& last_reason(Reason value) { return Set(value_.last_reason_, value); }
+  Builder& last_endpoint(EndpointId value) {
+    return Set(value_.last_endpoint_, std::move(value));
+  }
+  Builder& witness(EndpointId value) {
+    return Set(value_.witness_, std::move(value));
+  }
+  Builder& abandoned(bool value) { return Set(value_.abandoned_, value); }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TABLES_REQUEST_H_
--- /dev/null
+++ b/src/tables/request_state.h
@@ -0,0 +1,17 @@
+#ifndef QUETZALLINE_TABLES_REQUEST_STATE_H_
+#define QUETZALLINE_TABLES_REQUEST_STATE_H_
+
+#include <variant>
+
+#include "tables/checking_key.h"
+#include "tables/to_try.h"
+#include "tables/trying.h"
+
+namespace quetzalline {
+
+/// Where a request stands.
+using RequestState = std::variant<ToTry, CheckingKey, Trying>;
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TABLES_REQUEST_STATE_H_
--- /dev/null
+++ b/src/tables/store_purpose.h
@@ -0,0 +1,26 @@
+#ifndef QUETZALLINE_TABLES_STORE_PURPOSE_H_
+#define QUETZALLINE_TABLES_STORE_PURPOSE_H_
+
+#include <variant>
+
+#include "tables/configuration_watch.h"
+#include "tables/journal_check.h"
+#include "tables/journal_read.h"
+#include "tables/journal_write.h"
+#include "tables/lease_watch.h"
+#include "tables/lease_write.h"
+#include "tables/publication_check.h"
+#include "tables/publication_write.h"
+#include "tables/snapshot_write.h"
+
+namespace quetzalline {
+
+/// What an open store call is for.
+using StorePurpose =
+    std::variant<ConfigurationWatch, PublicationWrite, PublicationCheck,
+                 LeaseWatch, LeaseWrite, JournalRead, JournalWrite,
+                 JournalCheck, SnapshotWrite>;
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TABLES_STORE_PURPOSE_H_
--- /dev/null
+++ b/src/tables/task_table.h
@@ -0,0 +1,76 @@
+#ifndef QUETZALLINE_TABLES_TASK_TABLE_H_
+#define QUETZALLINE_TABLES_TASK_TABLE_H_
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <tuple>
+#include <vector>
+
+#include "core/ids.h"
+#include "core/resources.h"
+#include "core/table.h"
+#include "core/time.h"
+#include "core/time_index.h"
+#include "records/task.h"
+
+namespace quetzalline {
+
+/// The tasks of a cell, as its journal tells them, with the indexes that
+/// placement reads.
+class TaskTable {
+ public:
+  using Rows = Table<TaskId, Task>;
+  /// Ready tasks: urgent before others, then by the time they have waited.
+  using Order = std::set<std::tuple<bool, Instant, TaskId>>;
+
+  const Task* Find(const TaskId& id) const { return rows_.Find(id); }
+  void Put(const Task& row);
+  void Erase(const TaskId& id);
+  void Clear() { *this = TaskTable(); }
+
+  /// Waiting tasks that placement may look at.
+  const Order& ready() const { return ready_; }
+  /// Waiting tasks that placement passed over and may look at again.
+  std::vector<TaskId> DueAgain(Instant now) const {
+    return deferred_.Due(now);
+  }
+  std::optional<Instant> NextAgain() const { return deferred_.Earliest(); }
+  /// The needs of all tasks assigned, or being assigned, to an endpoint.
+  Resources CommittedTo(const EndpointId& endpoint) const;
+  std::vector<TaskId> AssignedTo(const EndpointId& endpoint) const;
+  std::vector<EndpointId> EndpointsInUse() const;
+  std::vector<TaskId> OfJob(const JobId& job) const;
+  /// Needs of the tasks of one team that are assigned.
+  Resources UsedBy(const TeamName& team) const;
+
+  /// Tasks whose start or stop is to be sent.
+  std::vector<TaskId> DueToSend(Instant now) const { return sends_.Due(now); }
+  std::optional<Instant> NextSend() const { return sends_.Earliest(); }
+  /// Tasks that ended at or before this time.
+  std::vector<TaskId> EndedBy(Instant time) const { return ended_.Due(time); }
+
+  std::size_t size() const { return rows_.size(); }
+  const Rows& rows() const { return rows_; }
+
+ private:
+  void Index(const Task& row);
+  void Unindex(const Task& row);
+  void Commit(const Task& row, const EndpointId& endpoint);
+  void Release(const Task& row, const EndpointId& endpoint);
+
+  Rows rows_;
+  Order ready_;
+  TimeIndex<TaskId> deferred_;
+  std::map<EndpointId, std::set<TaskId>> by_endpoint_;
+  std::map<EndpointId, Resources> committed_;
+  std::map<JobId, std::set<TaskId>> by_job_;
+  std::map<TeamName, Resources> used_;
+  TimeIndex<TaskId> sends_;
+  TimeIndex<TaskId> ended_;
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TABLES_TASK_TABLE_H_
--- /dev/null
+++ b/src/tables/trying.h
@@ -0,0 +1,39 @@
+#ifndef QUETZALLINE_TABLES_TRYING_H_
+#define QUETZALLINE_TABLES_TRYING_H_
+
+#include <compare>
+#include <cstdint>
+#include <string_view>
+
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// One attempt is under way.
+class Trying {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "trying";
+
+  std::int32_t attempt() const { return attempt_; }
+
+  friend auto operator<=>(const Trying&, const Trying&) = default;
+
+ private:
+  QUETZALLINE_VALUE(Trying, attempt_)
+
+  std::int32_t attempt_ = 0;
+};
+
+/// Builds one Trying; what is not set keeps its default.
+class Trying::Builder : public ValueBuilder<Trying, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& attempt(std::int32_t value) { return Set(value_.attempt_, value); }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TABLES_TRYING_H_
--- /dev/null
+++ b/src/wire/message_codec.cc
@@ -0,0 +1,22 @@
+#include "wire/message_codec.h"
+
+#include "wire/flex_encoding.h"
+
+namespace quetzalline {
+std::string EncodeMessage(const AgentMessage& message) {
+  return FlexEncoder::Encode(message);
+}
+
+std::string EncodeMessage(const EntryMessage& message) {
+  return FlexEncoder::Encode(message);
+}
+
+std::optional<AgentMessage> DecodeAgentMessage(std::string_view payload) {
+  return FlexDecoder::Decode<AgentMessage>(payload);
+}
+
+std::optional<EntryMessage> DecodeEntryMessage(std::string_view payload) {
+  return FlexDecoder::Decode<EntryMessage>(payload);
+}
+
+}  // namespace quetzalline
--- /dev/null
+++ b/src/wire/message_codec.h
@@ -0,0 +1,23 @@
+#ifndef QUETZALLINE_WIRE_MESSAGE_CODEC_H_
+#define QUETZALLINE_WIRE_MESSAGE_CODEC_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "messages/agent_message.h"
+#include "messages/entry_message.h"
+
+namespace quetzalline {
+
+/// The payload of a frame with this message.
+std::string EncodeMessage(const AgentMessage& message);
+std::string EncodeMessage(const EntryMessage& message);
+
+/// The message in a payload; empty where it is malformed.
+std::optional<AgentMessage> DecodeAgentMessage(std::string_view payload);
+std::optional<EntryMessage> DecodeEntryMessage(std::string_view payload);
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_WIRE_MESSAGE_CODEC_H_
