Workers enforce the lease on tasks by themselves

Cause: a task went on when its agent died or was paused past the lease, while the holder of the cell was free to assign it elsewhere.

Change: the agent tells the worker until when tasks may run, and the worker stops them then. A new agent takes over what the worker runs and what ended meanwhile, and lists its tasks only once the worker has told of all of them.

--- a/src/adapters/http_worker.cc
+++ b/src/adapters/http_worker.cc
@@ -2,6 +2,7 @@
 
 #include <glog/logging.h>
 
+#include "adapters/node_loop.h"
 #include "wire/json_encoding.h"
 
 namespace quetzalline {
@@ -46,8 +47,9 @@
                        const boost::asio::ip::tcp::endpoint& worker)
     : io_(io), client_(std::make_unique<HttpClient>(io, worker)) {}
 
-void HttpWorker::Start(OnFound on_found, OnNews on_news) {
+void HttpWorker::Start(OnFound on_found, OnListed on_listed, OnNews on_news) {
   on_found_ = std::move(on_found);
+  on_listed_ = std::move(on_listed);
   on_news_ = std::move(on_news);
   List();
 }
@@ -57,6 +59,15 @@
                     boost::json::serialize(JsonEncoder::Encode(start)));
 }
 
+// The worker's clock was read before its answer came, so that the time told is
+// never later than the time meant.
+void HttpWorker::Perform(const RenewWork& renew) {
+  const Duration until = renew.until().time_since_epoch() + clock_offset_;
+  const boost::json::object body{{"until_us", until.count()}};
+  client_->Call(MakeRequest("POST", "/v1/lease", boost::json::serialize(body)),
+                [](const CallResult&) {});
+}
+
 void HttpWorker::Perform(const StopWork& stop) {
   SendUntilAnswered("/v1/stops",
                     boost::json::serialize(JsonEncoder::Encode(stop)));
@@ -87,21 +98,30 @@
   const boost::json::value value = ParseOrNull(body);
   const boost::json::array* tasks = ArrayOf(value, "tasks");
   if (tasks == nullptr) return;
+  TakeClock(value.get_object());
   for (const boost::json::value& task : *tasks) {
     const auto found = JsonDecoder().Decode<WorkerFound>(task);
     if (found) on_found_(*found);
   }
 }
 
+void HttpWorker::TakeClock(const boost::json::object& answer) {
+  const boost::json::value* clock = answer.if_contains("clock_us");
+  if (clock == nullptr || !clock->is_int64()) return;
+  clock_offset_ = Duration(clock->get_int64()) - ReadClock().time_since_epoch();
+}
+
 void HttpWorker::TakeNews(const std::string& body) {
   const boost::json::value value = ParseOrNull(body);
   const boost::json::array* news = ArrayOf(value, "news");
   if (news == nullptr) return;
+  TakeClock(value.get_object());
   for (const boost::json::value& item : *news) {
     const auto decoded = JsonDecoder().Decode<WorkerNews>(item);
     if (decoded) on_news_(*decoded);
     ++sequence_;
   }
+  if (!std::exchange(listed_, true)) on_listed_();
 }
 
 void HttpWorker::SendUntilAnswered(const std::string& target,
--- a/src/adapters/http_worker.h
+++ b/src/adapters/http_worker.h
@@ -4,12 +4,15 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/json/object.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 
 #include "adapters/http_client.h"
+#include "core/time.h"
+#include "messages/renew_work.h"
 #include "messages/start_work.h"
 #include "messages/stop_work.h"
 #include "messages/worker_found.h"
@@ -24,13 +27,15 @@
  public:
   using OnNews = std::function<void(const WorkerNews&)>;
   using OnFound = std::function<void(const WorkerFound&)>;
+  using OnListed = std::function<void()>;
 
   HttpWorker(boost::asio::io_context& io,
              const boost::asio::ip::tcp::endpoint& worker);
 
   /// Tells of the tasks the worker runs already, and from then on its news.
-  void Start(OnFound on_found, OnNews on_news);
+  void Start(OnFound on_found, OnListed on_listed, OnNews on_news);
   void Perform(const StartWork& start);
+  void Perform(const RenewWork& renew);
   void Perform(const StopWork& stop);
 
  private:
@@ -38,14 +43,19 @@
   void Poll();
   void TakeTasks(const std::string& body);
   void TakeNews(const std::string& body);
+  void TakeClock(const boost::json::object& answer);
   void SendUntilAnswered(const std::string& target, const std::string& body);
   void Later(std::function<void()> work);
 
   boost::asio::io_context& io_;
   std::unique_ptr<HttpClient> client_;
   OnFound on_found_;
+  OnListed on_listed_;
   OnNews on_news_;
   std::int64_t sequence_ = 0;
+  bool listed_ = false;
+  /// What to add to this process's clock to get the worker's, at most.
+  Duration clock_offset_{};
 };
 
 }  // namespace quetzalline
--- a/src/adapters/local_worker.cc
+++ b/src/adapters/local_worker.cc
@@ -5,12 +5,14 @@
 #include "adapters/node_loop.h"
 
 namespace quetzalline {
-void LocalWorker::Start(const OnFound& on_found, OnNews on_news) {
+void LocalWorker::Start(const OnFound& on_found, const OnListed& on_listed,
+                        OnNews on_news) {
   on_news_ = std::move(on_news);
   for (const auto& [id, task] : worker_->tasks()) {
     on_found(WorkerFound::Builder().task(id).work(task.work()).Build());
   }
   Arm();
+  on_listed();
 }
 
 void LocalWorker::Perform(const StartWork& start) {
@@ -18,6 +20,11 @@
   Arm();
 }
 
+void LocalWorker::Perform(const RenewWork& renew) {
+  worker_->Renew(renew.until());
+  Arm();
+}
+
 void LocalWorker::Perform(const StopWork& stop) {
   worker_->Stop(stop.task(), ReadClock());
   Arm();
--- a/src/adapters/local_worker.h
+++ b/src/adapters/local_worker.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 
+#include "messages/renew_work.h"
 #include "messages/start_work.h"
 #include "messages/stop_work.h"
 #include "messages/worker_found.h"
@@ -19,14 +20,17 @@
  public:
   using OnNews = std::function<void(const WorkerNews&)>;
   using OnFound = std::function<void(const WorkerFound&)>;
+  using OnListed = std::function<void()>;
 
   LocalWorker(boost::asio::io_context& io, std::shared_ptr<MemoryWorker> worker)
       : timer_(std::make_unique<boost::asio::steady_timer>(io)),
         worker_(std::move(worker)) {}
 
   /// Tells of the tasks the worker runs already, and from then on its news.
-  void Start(const OnFound& on_found, OnNews on_news);
+  void Start(const OnFound& on_found, const OnListed& on_listed,
+             OnNews on_news);
   void Perform(const StartWork& start);
+  void Perform(const RenewWork& renew);
   void Perform(const StopWork& stop);
 
  private:
--- a/src/adapters/worker_adapter.h
+++ b/src/adapters/worker_adapter.h
@@ -13,8 +13,12 @@
 class AbsentWorker {
  public:
   void Start(const std::function<void(const WorkerFound&)>&,
-             const std::function<void(const WorkerNews&)>&) {}
+             const std::function<void()>& on_listed,
+             const std::function<void(const WorkerNews&)>&) {
+    on_listed();
+  }
   void Perform(const StartWork&) {}
+  void Perform(const RenewWork&) {}
   void Perform(const StopWork&) {}
 };
 
@@ -23,13 +27,17 @@
  public:
   using OnNews = std::function<void(const WorkerNews&)>;
   using OnFound = std::function<void(const WorkerFound&)>;
+  using OnListed = std::function<void()>;
 
   explicit WorkerAdapter(AbsentWorker worker) : worker_(worker) {}
   explicit WorkerAdapter(LocalWorker worker) : worker_(std::move(worker)) {}
   explicit WorkerAdapter(HttpWorker worker) : worker_(std::move(worker)) {}
 
-  void Start(const OnFound& on_found, const OnNews& on_news) {
-    std::visit([&](auto& worker) { worker.Start(on_found, on_news); }, worker_);
+  void Start(const OnFound& on_found, const OnListed& on_listed,
+             const OnNews& on_news) {
+    std::visit(
+        [&](auto& worker) { worker.Start(on_found, on_listed, on_news); },
+        worker_);
   }
 
   template <typename Effect>
--- a/src/messages/agent_effect.h
+++ b/src/messages/agent_effect.h
@@ -8,6 +8,7 @@
 #include "messages/close_connection.h"
 #include "messages/log_change.h"
 #include "messages/process_finished.h"
+#include "messages/renew_work.h"
 #include "messages/send_to_entry.h"
 #include "messages/start_work.h"
 #include "messages/stop_work.h"
@@ -17,7 +18,7 @@
 /// Everything an agent asks of its adapters.
 using AgentEffect =
     std::variant<SendToEntry, CloseConnection, CallEndpoint, AbandonCall,
-                 StartWork, StopWork, LogChange, ProcessFinished>;
+                 StartWork, RenewWork, StopWork, LogChange, ProcessFinished>;
 
 }  // namespace quetzalline
 
--- a/src/messages/agent_input.h
+++ b/src/messages/agent_input.h
@@ -9,14 +9,15 @@
 #include "messages/entry_message_received.h"
 #include "messages/stop_requested.h"
 #include "messages/worker_found.h"
+#include "messages/worker_listed.h"
 #include "messages/worker_news.h"
 
 namespace quetzalline {
 
 /// Everything an agent reacts to, besides the passing of time.
-using AgentInput =
-    std::variant<ConnectionOpened, ConnectionClosed, EntryMessageReceived,
-                 CallEnded, WorkerFound, WorkerNews, StopRequested>;
+using AgentInput = std::variant<ConnectionOpened, ConnectionClosed,
+                                EntryMessageReceived, CallEnded, WorkerFound,
+                                WorkerListed, WorkerNews, StopRequested>;
 
 }  // namespace quetzalline
 
--- a/src/platform/memory_worker.cc
+++ b/src/platform/memory_worker.cc
@@ -32,7 +32,8 @@
       Overloaded{[](const ServiceWorkload&) { return Result(); },
                  [&](const BatchWorkload& batch) {
                    const Duration left = batch.run_time() - done;
-                   return Result(now + std::max(left, Duration::zero()) / speed);
+                   return Result(now +
+                                 std::max(left, Duration::zero()) / speed);
                  },
                  [](const WatcherWorkload&) { return Result(); }},
       workload);
@@ -86,15 +87,23 @@
   Report(task, stopped.Build());
 }
 
+void MemoryWorker::StopAll(Instant now) {
+  std::vector<TaskAttemptId> running;
+  for (const auto& [id, task] : tasks_) running.push_back(id);
+  for (const TaskAttemptId& id : running) Stop(id, now);
+}
+
 std::vector<WorkerNews> MemoryWorker::TakeNews(Instant now) {
+  const Instant last = std::min(now, lease_end_);
   std::vector<TaskAttemptId> ended;
   for (const auto& [id, task] : tasks_) {
-    if (task.ends() && *task.ends() <= now) ended.push_back(id);
+    if (task.ends() && *task.ends() <= last) ended.push_back(id);
   }
   for (const TaskAttemptId& id : ended) {
     tasks_.erase(id);
     Report(id, TaskFinished());
   }
+  if (lease_end_ <= now) StopAll(lease_end_);
   return std::exchange(reports_, {});
 }
 
@@ -103,7 +112,8 @@
   for (const auto& [id, task] : tasks_) {
     if (task.ends() && (!next || *task.ends() < *next)) next = task.ends();
   }
-  return next;
+  const bool lapses = !tasks_.empty() && (!next || lease_end_ < *next);
+  return lapses ? lease_end_ : next;
 }
 
 }  // namespace quetzalline
--- a/src/platform/memory_worker.h
+++ b/src/platform/memory_worker.h
@@ -23,6 +23,8 @@
 
   void Start(const StartWork& start, Instant now);
   void Stop(const TaskAttemptId& task, Instant now);
+  /// Lets the tasks run until this time.
+  void Renew(Instant until) { lease_end_ = until; }
   void SetFaults(const WorkerFaults& faults) { faults_ = faults; }
 
   /// What there is to report by now, in order.
@@ -34,12 +36,14 @@
   const std::map<TaskAttemptId, WorkerTask>& tasks() const { return tasks_; }
 
  private:
+  void StopAll(Instant now);
   void Report(const TaskAttemptId& task, const TaskNews& news);
 
   std::map<TaskAttemptId, WorkerTask> tasks_;
   std::vector<WorkerNews> reports_;
   WorkerFaults faults_;
   std::int64_t speed_;
+  Instant lease_end_ = Instant{};
 };
 
 }  // namespace quetzalline
--- a/src/programs/agent_process.cc
+++ b/src/programs/agent_process.cc
@@ -34,6 +34,7 @@
     return false;
   }
   worker_.Start([this](const WorkerFound& found) { loop_.Post(found); },
+                [this] { loop_.Post(WorkerListed()); },
                 [this](const WorkerNews& news) { loop_.Post(news); });
   for (const auto& dialer : dialers_) dialer->Start();
   loop_.Schedule();
@@ -95,6 +96,7 @@
       [&](const CallEndpoint& e) { endpoint_.Perform(e); },
       [&](const AbandonCall& e) { endpoint_.Perform(e); },
       [&](const StartWork& e) { worker_.Perform(e); },
+      [&](const RenewWork& e) { worker_.Perform(e); },
       [&](const StopWork& e) { worker_.Perform(e); },
       [&](const LogChange& e) {
         WriteLogLine(settings_.policy().endpoint().value(), e);
--- a/src/programs/entry_process.cc
+++ b/src/programs/entry_process.cc
@@ -103,9 +103,9 @@
     return false;
   }
   loop_->Post(AgentMessageReceived::Builder()
-                 .connection(connection)
-                 .message(*message)
-                 .Build());
+                  .connection(connection)
+                  .message(*message)
+                  .Build());
   return true;
 }
 
--- a/src/programs/operator_client.cc
+++ b/src/programs/operator_client.cc
@@ -41,12 +41,11 @@
   boost::asio::io_context io;
   HttpClient client(io, *address);
   OperatorAnswer answer{std::nullopt, "no answer from " + target.url_};
-  client.Call(request,
-              [&](const CallResult& result) {
-                const auto* done = std::get_if<CallCompleted>(&result);
-                if (done != nullptr) answer.response_ = done->response();
-                io.stop();
-              });
+  client.Call(request, [&](const CallResult& result) {
+    const auto* done = std::get_if<CallCompleted>(&result);
+    if (done != nullptr) answer.response_ = done->response();
+    io.stop();
+  });
   io.run_for(kTimeout);
   return answer;
 }
@@ -72,7 +71,8 @@
                                const std::string& method,
                                const std::string& path,
                                const std::string& body) {
-  const OperatorAnswer answer = CallOnce(target, MakeRequest(target, method, path, body));
+  const OperatorAnswer answer =
+      CallOnce(target, MakeRequest(target, method, path, body));
   if (!answer.response_ || answer.response_->status() != kMisdirectedStatus) {
     return answer;
   }
--- a/src/programs/run_agent.cc
+++ b/src/programs/run_agent.cc
@@ -1,5 +1,3 @@
-#include "programs/subcommand.h"
-
 #include <iostream>
 
 #include "adapters/socket_address.h"
@@ -9,6 +7,7 @@
 #include "programs/process_identity.h"
 #include "programs/run_until_stopped.h"
 #include "programs/settings.h"
+#include "programs/subcommand.h"
 
 namespace quetzalline {
 namespace {
--- a/src/programs/run_check.cc
+++ b/src/programs/run_check.cc
@@ -1,11 +1,10 @@
-#include "programs/subcommand.h"
-
 #include <filesystem>
 #include <iostream>
 
 #include "programs/command_line.h"
 #include "programs/service_files.h"
 #include "programs/settings.h"
+#include "programs/subcommand.h"
 
 namespace quetzalline {
 namespace {
--- a/src/programs/run_local.cc
+++ b/src/programs/run_local.cc
@@ -1,11 +1,10 @@
-#include "programs/subcommand.h"
-
 #include <boost/asio/io_context.hpp>
 #include <iostream>
 
 #include "programs/command_line.h"
 #include "programs/local_tour.h"
 #include "programs/run_until_stopped.h"
+#include "programs/subcommand.h"
 
 namespace quetzalline {
 namespace {
--- a/src/programs/run_operator_commands.cc
+++ b/src/programs/run_operator_commands.cc
@@ -1,5 +1,3 @@
-#include "programs/subcommand.h"
-
 #include <boost/json.hpp>
 #include <iostream>
 
@@ -8,6 +6,7 @@
 #include "programs/command_line.h"
 #include "programs/operator_options.h"
 #include "programs/status_text.h"
+#include "programs/subcommand.h"
 #include "wire/json_encoding.h"
 
 namespace quetzalline {
--- a/src/programs/run_publish.cc
+++ b/src/programs/run_publish.cc
@@ -1,11 +1,10 @@
-#include "programs/subcommand.h"
-
 #include <algorithm>
 #include <iostream>
 
 #include "programs/command_line.h"
 #include "programs/operator_options.h"
 #include "programs/publish_directory.h"
+#include "programs/subcommand.h"
 
 namespace quetzalline {
 ExitStatus RunPublish(const Arguments& arguments) {
--- a/src/systems/agent/agent_inbox.cc
+++ b/src/systems/agent/agent_inbox.cc
@@ -59,6 +59,7 @@
       [&](const EntryMessageReceived& i) { SortMessage(i, inbox); },
       [&](const CallEnded& i) { inbox.calls_ended_.push_back(i); },
       [&](const WorkerFound& i) { inbox.worker_found_.push_back(i); },
+      [&](const WorkerListed&) { inbox.worker_listed_ = true; },
       [&](const WorkerNews& i) { inbox.worker_news_.push_back(i); },
       [&](const StopRequested&) { inbox.stop_requested_ = true; },
   };
--- a/src/systems/agent/agent_inbox.h
+++ b/src/systems/agent/agent_inbox.h
@@ -28,6 +28,7 @@
   std::vector<CallEnded> calls_ended_;
   std::vector<WorkerFound> worker_found_;
   std::vector<WorkerNews> worker_news_;
+  bool worker_listed_ = false;
   bool stop_requested_ = false;
 };
 
--- a/src/systems/agent/run_tasks.cc
+++ b/src/systems/agent/run_tasks.cc
@@ -9,6 +9,9 @@
 namespace quetzalline {
 namespace {
 
+// Least time by which the worker's lease is extended at once.
+constexpr Duration kRenewalStep = std::chrono::seconds(1);
+
 bool HasEnded(const HeldTask& row) {
   return row.news() && IsTerminal(*row.news());
 }
@@ -62,7 +65,7 @@
                                const AgentTables& tables, Instant now) {
   if (start.epoch() < tables.stage_.epoch()) return Reason::kStaleEpoch;
   if (tables.stage_.state() != EndpointState::kActive) return Reason::kLeaving;
-  if (tables.stage_.task_lease_end() <= now) return Reason::kLeaseLapsed;
+  if (tables.stage_.worker_lease_end() <= now) return Reason::kLeaseLapsed;
   const HeldTask* known = tables.tasks_.Find(start.task().task());
   if (known != nullptr) {
     if (known->task().number() > start.task().number()) {
@@ -135,9 +138,23 @@
                                      .Build());
 }
 
+// News of an attempt that this agent does not hold is from the time of an
+// earlier agent; what ended then is reported too.
+std::optional<HeldTask> RowFor(const WorkerNews& news,
+                               const HeldTaskTable& tasks) {
+  const HeldTask* row = tasks.Find(news.task().task());
+  if (row == nullptr && IsTerminal(news.news())) {
+    return HeldTask::Builder().task(news.task()).Build();
+  }
+  if (row == nullptr || row->task() != news.task() || HasEnded(*row)) {
+    return std::nullopt;
+  }
+  return *row;
+}
+
 void TakeNews(const WorkerNews& news, AgentTables& tables, AgentTick& tick) {
-  const HeldTask* row = tables.tasks_.Find(news.task().task());
-  if (row == nullptr || row->task() != news.task() || HasEnded(*row)) return;
+  const std::optional<HeldTask> row = RowFor(news, tables.tasks_);
+  if (!row) return;
   const HeldTask updated =
       HeldTask::Builder(*row).news(news.news()).reported(tick.now()).Build();
   tables.tasks_.Put(news.task().task(), updated);
@@ -155,7 +172,10 @@
             HeldTask::Builder(*row).acknowledged(true).reported(now).Build());
 }
 
+// Until the holder of the cell is heard, tasks that an earlier agent started
+// run on the lease that it gave the worker.
 void StopAllWithoutLease(AgentTables& tables, AgentTick& tick) {
+  if (tables.stage_.epoch() == 0) return;
   const Instant lease_end = tables.stage_.task_lease_end();
   std::vector<HeldTask> running;
   for (const auto& [id, row] : tables.tasks_) {
@@ -167,6 +187,15 @@
   for (const HeldTask& row : running) StopHeld(row, tables.tasks_, tick);
 }
 
+// The worker is told of the lease in steps, not with every heartbeat.
+void RenewWorkerLease(AgentTables& tables, AgentTick& tick) {
+  const Instant lease_end = tables.stage_.task_lease_end();
+  if (lease_end < tables.stage_.worker_lease_end() + kRenewalStep) return;
+  tables.stage_ =
+      AgentStage::Builder(tables.stage_).worker_lease_end(lease_end).Build();
+  tick.Emit(RenewWork::Builder().until(lease_end).Build());
+}
+
 // Repeats terminal news until it is acknowledged, and forgets it a while after.
 void RepeatNews(AgentTables& tables, AgentTick& tick) {
   const std::optional<ConnectionId> holder = HolderLink(tables.links_);
@@ -205,9 +234,14 @@
 }
 
 void RunTasks(const AgentInbox& inbox, AgentTables& tables, AgentTick& tick) {
+  RenewWorkerLease(tables, tick);
   for (const WorkerFound& found : inbox.worker_found_) {
     Adopt(found, tables.tasks_, tick.now());
   }
+  if (inbox.worker_listed_) {
+    tables.stage_ =
+        AgentStage::Builder(tables.stage_).worker_listed(true).Build();
+  }
   for (const WorkerNews& news : inbox.worker_news_) {
     TakeNews(news, tables, tick);
   }
--- a/src/systems/agent/send_heartbeats.cc
+++ b/src/systems/agent/send_heartbeats.cc
@@ -3,15 +3,15 @@
 #include <vector>
 
 #include "systems/agent/report_load.h"
-#include "systems/agent/run_tasks.h"
 
 namespace quetzalline {
 namespace {
 
+// Attempts that ended count as held until the holder has recorded the end.
 std::vector<TaskAttemptId> HeldAttempts(const HeldTaskTable& tasks) {
   std::vector<TaskAttemptId> held;
   for (const auto& [id, row] : tasks) {
-    if (!row.news() || !IsTerminal(*row.news())) held.push_back(row.task());
+    if (!row.acknowledged()) held.push_back(row.task());
   }
   return held;
 }
@@ -30,7 +30,8 @@
       .load(ReportLoad(policy, tables.limit_, tables.executions_))
       .configuration(tables.services_.revision());
   // Only the holder of the cell needs the tasks.
-  if (link.epoch() > 0) builder.tasks(HeldAttempts(tables.tasks_));
+  const bool tell = link.epoch() > 0 && tables.stage_.worker_listed();
+  if (tell) builder.tasks(HeldAttempts(tables.tasks_));
   return builder.Build();
 }
 
--- a/src/systems/entry/hold_cell.cc
+++ b/src/systems/entry/hold_cell.cc
@@ -227,17 +227,16 @@
 }
 
 bool IsCellCall(const StorePurpose& purpose) {
-  return std::visit(
-      Overloaded{[](const ConfigurationWatch&) { return false; },
-                 [](const PublicationWrite&) { return false; },
-                 [](const PublicationCheck&) { return false; },
-                 [](const LeaseWatch&) { return false; },
-                 [](const LeaseWrite&) { return true; },
-                 [](const JournalRead&) { return true; },
-                 [](const JournalWrite&) { return true; },
-                 [](const JournalCheck&) { return true; },
-                 [](const SnapshotWrite&) { return true; }},
-      purpose);
+  return std::visit(Overloaded{[](const ConfigurationWatch&) { return false; },
+                               [](const PublicationWrite&) { return false; },
+                               [](const PublicationCheck&) { return false; },
+                               [](const LeaseWatch&) { return false; },
+                               [](const LeaseWrite&) { return true; },
+                               [](const JournalRead&) { return true; },
+                               [](const JournalWrite&) { return true; },
+                               [](const JournalCheck&) { return true; },
+                               [](const SnapshotWrite&) { return true; }},
+                    purpose);
 }
 
 // Answers to calls of an earlier time as holder must not be taken for answers
--- a/src/tables/agent_stage.h
+++ b/src/tables/agent_stage.h
@@ -28,12 +28,16 @@
   std::uint64_t epoch() const { return epoch_; }
   /// Tasks are stopped after this time.
   Instant task_lease_end() const { return task_lease_end_; }
+  /// The worker has told of everything it ran when the agent started.
+  bool worker_listed() const { return worker_listed_; }
+  /// What the worker was last told.
+  Instant worker_lease_end() const { return worker_lease_end_; }
 
   friend auto operator<=>(const AgentStage&, const AgentStage&) = default;
 
  private:
   QUETZALLINE_VALUE(AgentStage, state_, finished_, sequence_, configuration_,
-                    epoch_, task_lease_end_)
+                    epoch_, task_lease_end_, worker_listed_, worker_lease_end_)
 
   EndpointState state_ = EndpointState{};
   bool finished_ = false;
@@ -41,6 +45,8 @@
   std::int64_t configuration_ = 0;
   std::uint64_t epoch_ = 0;
   Instant task_lease_end_ = Instant{};
+  bool worker_listed_ = false;
+  Instant worker_lease_end_ = Instant{};
 };
 
 /// Builds one AgentStage; what is not set keeps its default.
@@ -60,6 +66,12 @@
   Builder& task_lease_end(Instant value) {
     return Set(value_.task_lease_end_, value);
   }
+  Builder& worker_listed(bool value) {
+    return Set(value_.worker_listed_, value);
+  }
+  Builder& worker_lease_end(Instant value) {
+    return Set(value_.worker_lease_end_, value);
+  }
 };
 
 }  // namespace quetzalline
--- a/src/tables/execution_table.cc
+++ b/src/tables/execution_table.cc
@@ -6,14 +6,13 @@
 namespace {
 
 std::int64_t BytesOf(const AttemptOutcome& outcome) {
-  return std::visit(
-      Overloaded{[](const Done& done) {
-                   return static_cast<std::int64_t>(
-                       done.response().body().size());
-                 },
-                 [](const NotRun&) { return std::int64_t{0}; },
-                 [](const Unknown&) { return std::int64_t{0}; }},
-      outcome);
+  return std::visit(Overloaded{[](const Done& done) {
+                                 return static_cast<std::int64_t>(
+                                     done.response().body().size());
+                               },
+                               [](const NotRun&) { return std::int64_t{0}; },
+                               [](const Unknown&) { return std::int64_t{0}; }},
+                    outcome);
 }
 
 }  // namespace
@@ -44,48 +43,46 @@
 }
 
 void ExecutionTable::Index(const Execution& row) {
-  std::visit(
-      Overloaded{[&](const Queued& queued) {
-                   queues_[row.urgent() ? 1 : 0][row.caller()].insert(
-                       {queued.since(), row.id()});
-                   ++queued_;
-                   leases_.Set(row.id(), row.lease_end());
-                 },
-                 [&](const Running&) {
-                   ++running_;
-                   ++running_of_[row.caller()];
-                   leases_.Set(row.id(), row.lease_end());
-                 },
-                 [&](const Abandoned& abandoned) {
-                   ++running_;
-                   ++running_of_[row.caller()];
-                   holds_.Set(row.id(), abandoned.until());
-                 },
-                 [&](const Answered& answered) {
-                   answer_bytes_ += BytesOf(answered.outcome());
-                   answers_.Set(row.id(), answered.at());
-                 }},
-      row.state());
+  std::visit(Overloaded{[&](const Queued& queued) {
+                          queues_[row.urgent() ? 1 : 0][row.caller()].insert(
+                              {queued.since(), row.id()});
+                          ++queued_;
+                          leases_.Set(row.id(), row.lease_end());
+                        },
+                        [&](const Running&) {
+                          ++running_;
+                          ++running_of_[row.caller()];
+                          leases_.Set(row.id(), row.lease_end());
+                        },
+                        [&](const Abandoned& abandoned) {
+                          ++running_;
+                          ++running_of_[row.caller()];
+                          holds_.Set(row.id(), abandoned.until());
+                        },
+                        [&](const Answered& answered) {
+                          answer_bytes_ += BytesOf(answered.outcome());
+                          answers_.Set(row.id(), answered.at());
+                        }},
+             row.state());
 }
 
 void ExecutionTable::Unindex(const Execution& row) {
   leases_.Clear(row.id());
   holds_.Clear(row.id());
   answers_.Clear(row.id());
-  std::visit(
-      Overloaded{[&](const Queued& queued) {
-                   Queues& queues = queues_[row.urgent() ? 1 : 0];
-                   const auto queue = queues.find(row.caller());
-                   queue->second.erase({queued.since(), row.id()});
-                   if (queue->second.empty()) queues.erase(queue);
-                   --queued_;
-                 },
-                 [&](const Running&) { ReleaseSlot(row.caller()); },
-                 [&](const Abandoned&) { ReleaseSlot(row.caller()); },
-                 [&](const Answered& answered) {
-                   answer_bytes_ -= BytesOf(answered.outcome());
-                 }},
-      row.state());
+  std::visit(Overloaded{[&](const Queued& queued) {
+                          Queues& queues = queues_[row.urgent() ? 1 : 0];
+                          const auto queue = queues.find(row.caller());
+                          queue->second.erase({queued.since(), row.id()});
+                          if (queue->second.empty()) queues.erase(queue);
+                          --queued_;
+                        },
+                        [&](const Running&) { ReleaseSlot(row.caller()); },
+                        [&](const Abandoned&) { ReleaseSlot(row.caller()); },
+                        [&](const Answered& answered) {
+                          answer_bytes_ -= BytesOf(answered.outcome());
+                        }},
+             row.state());
 }
 
 }  // namespace quetzalline
