--- a/src/messages/agent_message.h
+++ b/src/messages/agent_message.h
@@ -5,13 +5,12 @@
 
 #include "messages/announce.h"
 #include "messages/answer.h"
-#include "messages/key_remembered.h"
 #include "messages/task_report.h"
 
 namespace quetzalline {
 
 /// Every message from an agent to an entry.
-using AgentMessage = std::variant<Announce, Answer, KeyRemembered, TaskReport>;
+using AgentMessage = std::variant<Announce, Answer, TaskReport>;
 
 }  // namespace quetzalline
 
--- a/src/messages/entry_message.h
+++ b/src/messages/entry_message.h
@@ -8,8 +8,6 @@
 #include "messages/configuration_update.h"
 #include "messages/drain_endpoint.h"
 #include "messages/fetch.h"
-#include "messages/forget_key.h"
-#include "messages/remember_key.h"
 #include "messages/start_task.h"
 #include "messages/stop_task.h"
 #include "messages/submit.h"
@@ -19,9 +17,8 @@
 
 /// Every message from an entry to an agent.
 using EntryMessage =
-    std::variant<Submit, RememberKey, ForgetKey, Fetch, Acknowledge, Welcome,
-                 ConfigurationUpdate, StartTask, StopTask, AcknowledgeTask,
-                 DrainEndpoint>;
+    std::variant<Submit, Fetch, Acknowledge, Welcome, ConfigurationUpdate,
+                 StartTask, StopTask, AcknowledgeTask, DrainEndpoint>;
 
 }  // namespace quetzalline
 
--- a/src/records/store_record.h
+++ b/src/records/store_record.h
@@ -7,12 +7,13 @@
 #include "records/cell_lease.h"
 #include "records/cell_snapshot.h"
 #include "records/journal_entry.h"
+#include "records/key_bucket.h"
 
 namespace quetzalline {
 
 /// Everything the system keeps in the store.
-using StoreRecord =
-    std::variant<PublishedService, JournalEntry, CellSnapshot, CellLease>;
+using StoreRecord = std::variant<PublishedService, JournalEntry, CellSnapshot,
+                                 CellLease, KeyBucket>;
 
 }  // namespace quetzalline
 
--- a/src/systems/agent/agent_inbox.cc
+++ b/src/systems/agent/agent_inbox.cc
@@ -11,12 +11,6 @@
                  [&](const Submit& m) {
                    inbox.submits_.push_back({from, m});
                  },
-                 [&](const RememberKey& m) {
-                   inbox.remember_keys_.push_back({from, m});
-                 },
-                 [&](const ForgetKey& m) {
-                   inbox.forget_keys_.push_back({from, m});
-                 },
                  [&](const Fetch& m) {
                    inbox.fetches_.push_back({from, m});
                  },
--- a/src/systems/agent/agent_inbox.h
+++ b/src/systems/agent/agent_inbox.h
@@ -15,8 +15,6 @@
   std::vector<ConnectionId> opened_;
   std::vector<ConnectionId> closed_;
   std::vector<Received<Submit>> submits_;
-  std::vector<Received<RememberKey>> remember_keys_;
-  std::vector<Received<ForgetKey>> forget_keys_;
   std::vector<Received<Fetch>> fetches_;
   std::vector<Received<Acknowledge>> acknowledges_;
   std::vector<Received<Welcome>> welcomes_;
--- a/src/systems/agent/agent_node.cc
+++ b/src/systems/agent/agent_node.cc
@@ -7,7 +7,6 @@
 #include "systems/agent/end_calls.h"
 #include "systems/agent/expire_executions.h"
 #include "systems/agent/leave_agent.h"
-#include "systems/agent/remember_keys.h"
 #include "systems/agent/run_tasks.h"
 #include "systems/agent/send_heartbeats.h"
 #include "systems/agent/start_executions.h"
@@ -28,7 +27,6 @@
   ApplyConfiguration(inbox, tables_, tick);
   EndCalls(inbox, tables_, tick);
   AnswerFetches(inbox, tables_, tick);
-  RememberKeys(inbox, tables_, tick);
   AdmitAttempts(inbox, tables_, tick);
   ExpireExecutions(tables_, tick);
   StartExecutions(tables_, tick);
--- a/src/systems/entry/choose_endpoint.cc
+++ b/src/systems/entry/choose_endpoint.cc
@@ -126,7 +126,7 @@
   if (near_enough) return best->id_;
   for (const Region& region : tables.endpoints_.RegionsOf(request.service())) {
     if (region == here) continue;
-    if (best && !LinkHasRoom(request, tables)) break;
+    if (!LinkHasRoom(request, tables)) break;
     const std::optional<Candidate> remote =
         BestInRegion(region, request, tables, now, random);
     if (remote && (!best || remote->expected_ < best->expected_)) best = remote;
--- a/src/systems/entry/choose_endpoint.h
+++ b/src/systems/entry/choose_endpoint.h
@@ -11,8 +11,9 @@
 
 /// The endpoint at which a request is expected to be answered soonest among a
 /// few drawn at random; empty where no endpoint can take it. Another region is
-/// chosen only where the local one has none, or where the expected wait saved
-/// exceeds the round trip and the link's budget has room for the request.
+/// chosen only while the link's budget has room for the request, and only where
+/// the local region has no endpoint or the expected wait saved exceeds the
+/// round trip.
 std::optional<EndpointId> ChooseEndpoint(const Request& request,
                                          const EntryTables& tables, Instant now,
                                          Random& random);
--- a/src/systems/entry/conclude_request.cc
+++ b/src/systems/entry/conclude_request.cc
@@ -4,8 +4,8 @@
 #include <optional>
 
 #include "core/overloaded.h"
+#include "systems/entry/key_buckets.h"
 #include "systems/entry/plan_retry.h"
-#include "systems/entry/send_message.h"
 
 namespace quetzalline {
 namespace {
@@ -26,18 +26,20 @@
       outcome);
 }
 
-void ReleaseKey(const Request& request, EntryTables& tables, EntryTick& tick) {
-  const CallerRequest& arrival = *request.arrival();
-  if (arrival.key().empty() || request.witness().empty()) return;
-  const Endpoint* witness = tables.endpoints_.Find(request.witness());
-  if (witness == nullptr) return;
-  SendMessage(witness->connection(),
-              ForgetKey::Builder()
-                  .request(arrival.id())
-                  .caller(arrival.caller())
-                  .key(arrival.key())
-                  .Build(),
-              tick);
+// A request of which an earlier attempt may have run is not told as not run,
+// whatever became of its last attempt.
+AttemptOutcome OutcomeOfAll(const Request& request,
+                            const AttemptOutcome& last) {
+  const auto* not_run = std::get_if<NotRun>(&last);
+  if (not_run == nullptr || !request.may_have_run()) return last;
+  return Unknown::Builder().reason(not_run->reason()).Build();
+}
+
+// A key whose request did not run is free again.
+void ReleaseKey(const Request& request, EntryTables& tables) {
+  if (!request.registered() || request.repeated()) return;
+  const std::int32_t bucket = BucketOf(*request.arrival(), tables.policy_);
+  tables.key_buckets_.AddRelease(bucket, request.arrival()->id());
 }
 
 bool IsEndpointFault(const AttemptOutcome& outcome) {
@@ -76,11 +78,12 @@
 
 }  // namespace
 
-void ConcludeRequest(const Request& request, const AttemptOutcome& outcome,
+void ConcludeRequest(const Request& request, const AttemptOutcome& last,
                      EntryTables& tables, EntryTick& tick) {
+  const AttemptOutcome outcome = OutcomeOfAll(request, last);
   CountOutcome(outcome, tick.counters());
   if (std::holds_alternative<NotRun>(outcome)) {
-    ReleaseKey(request, tables, tick);
+    ReleaseKey(request, tables);
   }
   if (!request.abandoned()) {
     tick.Emit(AnswerCaller::Builder()
@@ -109,7 +112,10 @@
   const std::optional<Instant> retry =
       PlanRetry(request, outcome, tables, tick);
   if (!retry) return ConcludeRequest(request, outcome, tables, tick);
+  const bool may_have_run =
+      request.may_have_run() || std::holds_alternative<Unknown>(outcome);
   tables.requests_.Put(Request::Builder(request)
+                           .may_have_run(may_have_run)
                            .state(ToTry::Builder().not_before(*retry).Build())
                            .Build());
 }
--- a/src/systems/entry/conclude_request.h
+++ b/src/systems/entry/conclude_request.h
@@ -8,7 +8,7 @@
 namespace quetzalline {
 
 /// Answers the caller and forgets the request. Where the request did not run,
-/// the agent that remembers its idempotency key is told to forget it.
+/// its idempotency key is released.
 void ConcludeRequest(const Request& request, const AttemptOutcome& outcome,
                      EntryTables& tables, EntryTick& tick);
 
--- a/src/systems/entry/entry_inbox.cc
+++ b/src/systems/entry/entry_inbox.cc
@@ -14,9 +14,6 @@
       [&](const Answer& m) {
         inbox.answers_.push_back({from, m});
       },
-      [&](const KeyRemembered& m) {
-        inbox.keys_remembered_.push_back({from, m});
-      },
       [&](const TaskReport& m) {
         inbox.task_reports_.push_back({from, m});
       },
--- a/src/systems/entry/entry_inbox.h
+++ b/src/systems/entry/entry_inbox.h
@@ -26,7 +26,6 @@
   std::vector<ConnectionId> closed_;
   std::vector<Received<Announce>> announces_;
   std::vector<Received<Answer>> answers_;
-  std::vector<Received<KeyRemembered>> keys_remembered_;
   std::vector<Received<TaskReport>> task_reports_;
   std::vector<StoreNews> store_news_;
   bool stop_requested_ = false;
--- a/src/systems/entry/entry_node.cc
+++ b/src/systems/entry/entry_node.cc
@@ -2,7 +2,6 @@
 
 #include "systems/entry/accept_requests.h"
 #include "systems/entry/append_journal.h"
-#include "systems/entry/check_keys.h"
 #include "systems/entry/commit_journal.h"
 #include "systems/entry/entry_inbox.h"
 #include "systems/entry/expire_requests.h"
@@ -10,6 +9,7 @@
 #include "systems/entry/leave_entry.h"
 #include "systems/entry/place_tasks.h"
 #include "systems/entry/publish_services.h"
+#include "systems/entry/register_keys.h"
 #include "systems/entry/route_requests.h"
 #include "systems/entry/run_commands.h"
 #include "systems/entry/spread_configuration.h"
@@ -58,10 +58,10 @@
   AppendJournal(tables_, tick);
   SpreadConfiguration(tables_, tick);
   TakeAnswers(inbox, tables_, tick);
-  CheckKeys(inbox, tables_, tick);
   AcceptRequests(inbox, tables_, tick);
   ExpireRequests(tables_, tick);
   RouteRequests(tables_, tick);
+  RegisterKeys(inbox, tables_, tick);
   LeaveEntry(inbox, tables_, tick);
   wake_at_ = tick.wake_at();
   return tick.TakeEffects();
--- a/src/systems/entry/hold_cell.cc
+++ b/src/systems/entry/hold_cell.cc
@@ -235,7 +235,9 @@
                                [](const JournalRead&) { return true; },
                                [](const JournalWrite&) { return true; },
                                [](const JournalCheck&) { return true; },
-                               [](const SnapshotWrite&) { return true; }},
+                               [](const SnapshotWrite&) { return true; },
+                               [](const KeyBucketRead&) { return false; },
+                               [](const KeyBucketWrite&) { return false; }},
                     purpose);
 }
 
--- a/src/systems/entry/replay_journal.cc
+++ b/src/systems/entry/replay_journal.cc
@@ -36,6 +36,7 @@
           cell.snapshot_index_ = item.index();
         },
         [](const CellLease&) {},
+        [](const KeyBucket&) {},
     };
     std::visit(collect, *item.record());
   }
--- a/src/systems/entry/route_requests.cc
+++ b/src/systems/entry/route_requests.cc
@@ -2,19 +2,16 @@
 
 #include <algorithm>
 #include <optional>
-#include <string>
-#include <vector>
 
 #include "systems/entry/choose_endpoint.h"
 #include "systems/entry/conclude_request.h"
+#include "systems/entry/key_buckets.h"
 #include "systems/entry/send_message.h"
 
 namespace quetzalline {
 namespace {
 
 constexpr Duration kNoEndpointRetryAfter = std::chrono::seconds(1);
-// The home of an idempotency key and the agents that may witness it.
-constexpr std::size_t kKeyCandidates = 3;
 
 void RefuseNoEndpoint(const Request& request, EntryTables& tables,
                       EntryTick& tick) {
@@ -98,44 +95,30 @@
   SendMessage(row.connection(), MakeSubmit(request, id, tick.now()), tick);
 }
 
-std::string RingKey(const CallerRequest& arrival) {
-  return arrival.caller().value() + "/" + arrival.key();
-}
-
-void AskWitness(const Request& request, const Endpoint& witness,
-                EntryTables& tables, EntryTick& tick) {
+// The endpoint is chosen once; the store then names it for the key.
+void RegisterKey(const Request& request, EntryTables& tables, EntryTick& tick) {
+  const std::optional<EndpointId> choice =
+      ChooseEndpoint(request, tables, tick.now(), tick.random());
+  if (!choice) return RefuseNoEndpoint(request, tables, tick);
+  tables.requests_.Put(Request::Builder(request)
+                           .key_endpoint(*choice)
+                           .state(RegisteringKey())
+                           .Build());
   const CallerRequest& arrival = *request.arrival();
-  const EndpointId& id = witness.announced()->endpoint();
-  tables.requests_.Put(
-      Request::Builder(request)
-          .witness(id)
-          .state(CheckingKey::Builder().witness(id).asked(tick.now()).Build())
-          .Build());
-  SendMessage(witness.connection(),
-              RememberKey::Builder()
-                  .request(arrival.id())
-                  .caller(arrival.caller())
-                  .key(arrival.key())
-                  .Build(),
-              tick);
+  tables.key_buckets_.AddWaiting(BucketOf(arrival, tables.policy_),
+                                 arrival.id());
 }
 
 void RouteKeyed(const Request& request, EntryTables& tables, EntryTick& tick) {
-  const std::vector<EndpointId> candidates = tables.key_ring_.Successors(
-      request.service(), RingKey(*request.arrival()), kKeyCandidates);
-  const bool has_home =
-      !candidates.empty() && IsUsable(tables.endpoints_.Find(candidates[0]));
-  if (!has_home) return RefuseNoEndpoint(request, tables, tick);
-  if (request.witnessed() || candidates.size() == 1) {
-    return SendAttempt(request, candidates[0], tables, tick);
-  }
-  for (std::size_t i = 1; i < candidates.size(); ++i) {
-    const Endpoint* witness = tables.endpoints_.Find(candidates[i]);
-    if (witness == nullptr || !witness->reachable()) continue;
-    const Endpoint chosen = *witness;
-    return AskWitness(request, chosen, tables, tick);
+  if (!request.registered()) return RegisterKey(request, tables, tick);
+  const EndpointId endpoint = request.key_endpoint();
+  if (IsUsable(tables.endpoints_.Find(endpoint))) {
+    return SendAttempt(request, endpoint, tables, tick);
   }
-  RefuseNoEndpoint(request, tables, tick);
+  if (!request.repeated()) return RefuseNoEndpoint(request, tables, tick);
+  const NotRun conflict =
+      NotRun::Builder().reason(Reason::kKeyConflict).Build();
+  ConcludeRequest(request, conflict, tables, tick);
 }
 
 void RouteRequest(const Request& request, EntryTables& tables,
--- a/src/systems/entry/route_requests.h
+++ b/src/systems/entry/route_requests.h
@@ -7,8 +7,8 @@
 namespace quetzalline {
 
 /// Sends an attempt for each request that may be tried now. A request with an
-/// idempotency key goes to the agent that the key leads to, after a second
-/// agent has remembered the key.
+/// idempotency key first has the key registered in the store, and then goes to
+/// the one endpoint that is registered for it.
 void RouteRequests(EntryTables& tables, EntryTick& tick);
 
 }  // namespace quetzalline
--- a/src/systems/entry/store_keys.h
+++ b/src/systems/entry/store_keys.h
@@ -11,6 +11,7 @@
 /// Where the system keeps its records in the store.
 std::string ConfigurationPrefix();
 std::string ServiceKey(const ServiceName& service);
+std::string KeyBucketKey(std::int32_t bucket);
 std::string CellPrefix(const std::string& cell);
 std::string LeaseKey(const std::string& cell);
 /// The prefix of everything a new holder reads: the journal and its snapshot.
--- a/src/systems/entry/track_endpoints.cc
+++ b/src/systems/entry/track_endpoints.cc
@@ -88,7 +88,6 @@
           EntryTick& tick) {
   const Announce& announce = received.message_;
   tables.endpoints_.Put(FirstRow(received, tick.now()));
-  tables.key_ring_.Add(announce.service(), announce.endpoint());
   tick.counters().Add(Counter::kEndpointsJoined);
   LogEndpoint("endpoint-joined", announce.endpoint(), Reason::kNone, tick);
 }
@@ -98,10 +97,6 @@
   const Announce& announce = received.message_;
   LoseAttempts(announce, tables, tick);
   const Endpoint* old = tables.endpoints_.Find(announce.endpoint());
-  if (old->announced()->service() != announce.service()) {
-    tables.key_ring_.Remove(old->announced()->service(), announce.endpoint());
-    tables.key_ring_.Add(announce.service(), announce.endpoint());
-  }
   tables.endpoints_.Put(Endpoint::Builder(FirstRow(received, tick.now()))
                             .task_lease_end(old->task_lease_end())
                             .Build());
@@ -157,12 +152,6 @@
       tick);
 }
 
-void Forget(const EndpointId& id, EntryTables& tables) {
-  const Endpoint* row = tables.endpoints_.Find(id);
-  tables.key_ring_.Remove(row->announced()->service(), id);
-  tables.endpoints_.Erase(id);
-}
-
 void CheckSilence(const EndpointId& id, EntryTables& tables, EntryTick& tick) {
   const Endpoint row = *tables.endpoints_.Find(id);
   const EntryPolicy& policy = tables.policy_;
@@ -179,7 +168,7 @@
   }
   const bool in_use = !tables.attempts_.OfEndpoint(id).empty() ||
                       !tables.tasks_.AssignedTo(id).empty();
-  if (!in_use) return Forget(id, tables);
+  if (!in_use) return tables.endpoints_.Erase(id);
   tables.endpoints_.CheckAt(id, tick.now() + policy.endpoint_forget());
 }
 
--- a/src/systems/entry/track_tasks.cc
+++ b/src/systems/entry/track_tasks.cc
@@ -164,6 +164,8 @@
   const Endpoint* endpoint = tables.endpoints_.Find(state.endpoint());
   if (endpoint == nullptr || !endpoint->reachable()) return;
   const TaskAttemptId attempt = AttemptOf(task, state);
+  // An attempt whose end is on its way into the journal must not start.
+  if (tables.journal_.HasEnd(attempt)) return;
   if (state.stopping() != Reason::kNone) {
     return SendMessage(endpoint->connection(),
                        StopTask::Builder()
--- a/src/tables/entry_policy.h
+++ b/src/tables/entry_policy.h
@@ -62,6 +62,10 @@
   std::int32_t retry_percent() const { return retry_percent_; }
   /// Retries allowed at once.
   std::int32_t retry_burst() const { return retry_burst_; }
+  /// Buckets over which idempotency keys are spread.
+  std::int32_t key_buckets() const { return key_buckets_; }
+  /// Latest idempotency keys kept in each bucket.
+  std::int32_t keys_per_bucket() const { return keys_per_bucket_; }
   /// Open requests held at most.
   std::int64_t max_requests() const { return max_requests_; }
   /// Bytes of open requests held at most.
@@ -100,11 +104,11 @@
                     region_bytes_per_second_, expected_service_time_,
                     report_half_life_, slow_start_, max_attempts_, retry_base_,
                     retry_cap_, jitter_, retry_percent_, retry_burst_,
-                    max_requests_, max_request_bytes_, leave_delay_,
-                    configuration_resend_, cell_, cell_lease_, task_lease_,
-                    outage_lease_, drift_margin_, journal_slots_,
-                    journal_interval_, start_resend_, store_retry_,
-                    finished_retention_)
+                    key_buckets_, keys_per_bucket_, max_requests_,
+                    max_request_bytes_, leave_delay_, configuration_resend_,
+                    cell_, cell_lease_, task_lease_, outage_lease_,
+                    drift_margin_, journal_slots_, journal_interval_,
+                    start_resend_, store_retry_, finished_retention_)
 
   EntryId entry_;
   std::uint64_t incarnation_ = 0;
@@ -126,6 +130,8 @@
   Jitter jitter_;
   std::int32_t retry_percent_ = 10;
   std::int32_t retry_burst_ = 20;
+  std::int32_t key_buckets_ = 256;
+  std::int32_t keys_per_bucket_ = 250;
   std::int64_t max_requests_ = 20000;
   std::int64_t max_request_bytes_ = 268435456;
   Duration leave_delay_ = std::chrono::seconds(2);
@@ -197,6 +203,12 @@
   Builder& retry_burst(std::int32_t value) {
     return Set(value_.retry_burst_, value);
   }
+  Builder& key_buckets(std::int32_t value) {
+    return Set(value_.key_buckets_, value);
+  }
+  Builder& keys_per_bucket(std::int32_t value) {
+    return Set(value_.keys_per_bucket_, value);
+  }
   Builder& max_requests(std::int64_t value) {
     return Set(value_.max_requests_, value);
   }
--- a/src/tables/entry_tables.h
+++ b/src/tables/entry_tables.h
@@ -12,7 +12,7 @@
 #include "tables/entry_policy.h"
 #include "tables/entry_stage.h"
 #include "tables/journal_queue.h"
-#include "tables/key_ring.h"
+#include "tables/key_bucket_table.h"
 #include "tables/link_budget.h"
 #include "tables/request_table.h"
 #include "tables/retry_budget.h"
@@ -28,7 +28,7 @@
   EntryPolicy policy_;
   EntryStage stage_;
   EndpointTable endpoints_;
-  KeyRing key_ring_;
+  KeyBucketTable key_buckets_;
   RequestTable requests_;
   AttemptTable attempts_;
   RetryBudget retry_budget_;
--- a/src/tables/request.h
+++ b/src/tables/request.h
@@ -31,15 +31,19 @@
   /// Attempts sent so far.
   std::int32_t attempts() const { return attempts_; }
   const RequestState& state() const { return state_; }
-  /// A second agent remembers the request's idempotency key.
-  bool witnessed() const { return witnessed_; }
-  /// The key was seen before, so that the request must not run anew.
+  /// The one endpoint at which the request's idempotency key runs.
+  const EndpointId& key_endpoint() const { return key_endpoint_; }
+  /// The store names that endpoint for the key.
+  bool registered() const { return registered_; }
+  /// An earlier request registered the key, so that this one must not
+  /// run.
   bool repeated() const { return repeated_; }
   Reason last_reason() const { return last_reason_; }
   /// Endpoint of the latest attempt.
   const EndpointId& last_endpoint() const { return last_endpoint_; }
-  /// Endpoint whose agent was asked to remember the idempotency key.
-  const EndpointId& witness() const { return witness_; }
+  /// An earlier attempt may have run, so that the request must not be
+  /// told as not run.
+  bool may_have_run() const { return may_have_run_; }
   /// The caller is gone; the answer will be dropped.
   bool abandoned() const { return abandoned_; }
 
@@ -47,8 +51,9 @@
 
  private:
   QUETZALLINE_VALUE(Request, arrival_, service_, deadline_, urgent_,
-                    idempotent_, attempts_, state_, witnessed_, repeated_,
-                    last_reason_, last_endpoint_, witness_, abandoned_)
+                    idempotent_, attempts_, state_, key_endpoint_, registered_,
+                    repeated_, last_reason_, last_endpoint_, may_have_run_,
+                    abandoned_)
 
   Shared<CallerRequest> arrival_;
   ServiceName service_;
@@ -57,11 +62,12 @@
   bool idempotent_ = false;
   std::int32_t attempts_ = 0;
   RequestState state_;
-  bool witnessed_ = false;
+  EndpointId key_endpoint_;
+  bool registered_ = false;
   bool repeated_ = false;
   Reason last_reason_ = Reason{};
   EndpointId last_endpoint_;
-  EndpointId witness_;
+  bool may_have_run_ = false;
   bool abandoned_ = false;
 };
 
@@ -83,15 +89,16 @@
   Builder& state(RequestState value) {
     return Set(value_.state_, std::move(value));
   }
-  Builder& witnessed(bool value) { return Set(value_.witnessed_, value); }
+  Builder& key_endpoint(EndpointId value) {
+    return Set(value_.key_endpoint_, std::move(value));
+  }
+  Builder& registered(bool value) { return Set(value_.registered_, value); }
   Builder& repeated(bool value) { return Set(value_.repeated_, value); }
   Builder& last_reason(Reason value) { return Set(value_.last_reason_, value); }
   Builder& last_endpoint(EndpointId value) {
     return Set(value_.last_endpoint_, std::move(value));
   }
-  Builder& witness(EndpointId value) {
-    return Set(value_.witness_, std::move(value));
-  }
+  Builder& may_have_run(bool value) { return Set(value_.may_have_run_, value); }
   Builder& abandoned(bool value) { return Set(value_.abandoned_, value); }
 };
 
--- a/src/tables/request_state.h
+++ b/src/tables/request_state.h
@@ -3,14 +3,14 @@
 
 #include <variant>
 
-#include "tables/checking_key.h"
+#include "tables/registering_key.h"
 #include "tables/to_try.h"
 #include "tables/trying.h"
 
 namespace quetzalline {
 
 /// Where a request stands.
-using RequestState = std::variant<ToTry, CheckingKey, Trying>;
+using RequestState = std::variant<ToTry, RegisteringKey, Trying>;
 
 }  // namespace quetzalline
 
--- a/src/tables/request_table.cc
+++ b/src/tables/request_table.cc
@@ -21,7 +21,7 @@
         tries_.Set(id, state.not_before());
         deadlines_.Set(id, row.deadline());
       },
-      [&](const CheckingKey&) { deadlines_.Set(id, row.deadline()); },
+      [&](const RegisteringKey&) { deadlines_.Set(id, row.deadline()); },
       [](const Trying&) {},
   };
   std::visit(index, row.state());
--- a/src/tables/store_purpose.h
+++ b/src/tables/store_purpose.h
@@ -7,6 +7,8 @@
 #include "tables/journal_check.h"
 #include "tables/journal_read.h"
 #include "tables/journal_write.h"
+#include "tables/key_bucket_read.h"
+#include "tables/key_bucket_write.h"
 #include "tables/lease_watch.h"
 #include "tables/lease_write.h"
 #include "tables/publication_check.h"
@@ -19,7 +21,7 @@
 using StorePurpose =
     std::variant<ConfigurationWatch, PublicationWrite, PublicationCheck,
                  LeaseWatch, LeaseWrite, JournalRead, JournalWrite,
-                 JournalCheck, SnapshotWrite>;
+                 JournalCheck, SnapshotWrite, KeyBucketRead, KeyBucketWrite>;
 
 }  // namespace quetzalline
 
--- a/src/wire/dump_tables.cc
+++ b/src/wire/dump_tables.cc
@@ -40,6 +40,7 @@
       {"attempts", EncodeRows(tables.attempts_.rows())},
       {"retry_budget", JsonEncoder::Encode(tables.retry_budget_)},
       {"link_budget", JsonEncoder::Encode(tables.link_budget_)},
+      {"key_buckets", EncodePairs(tables.key_buckets_.rows())},
       {"services", EncodeServices(tables.services_)},
       {"commands", EncodeRows(tables.commands_.rows())},
       {"store_calls", EncodeRows(tables.store_calls_)},
--- /dev/null
+++ b/test/placement/journal_test.cc
@@ -0,0 +1,134 @@
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+#include "support/fleet_parts.h"
+#include "systems/entry/report_status.h"
+
+namespace quetzalline {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+SubmitJob Job(int number, const std::string& task) {
+  return SubmitJob::Builder()
+      .job(JobId("j" + std::to_string(number)))
+      .service(ServiceName("quotes"))
+      .task(task)
+      .Build();
+}
+
+// The journal as a fresh process reads it, compared with the holder's tasks.
+void ExpectReplayEqualsHolder(VirtualFleet& fleet) {
+  const std::size_t holder = *fleet.Holder();
+  const auto before = fleet.entry(holder).tasks_.size();
+  std::vector<std::string> states;
+  for (const auto& [id, task] : fleet.entry(holder).tasks_.rows()) {
+    states.push_back(id.value() + " " + StateName(task));
+  }
+  fleet.KillEntry(holder);
+  fleet.RunFor(seconds(10));
+  BOOST_REQUIRE(fleet.Holder());
+  const EntryTables& successor = fleet.entry(*fleet.Holder());
+  BOOST_TEST(successor.tasks_.size() == before);
+  std::vector<std::string> replayed;
+  for (const auto& [id, task] : successor.tasks_.rows()) {
+    replayed.push_back(id.value() + " " + StateName(task));
+  }
+  BOOST_TEST(replayed == states, boost::test_tools::per_element());
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(journal)
+
+BOOST_AUTO_TEST_CASE(nothing_grows_however_long_the_journal_runs) {
+  SmallFleet small(1, 2, 3);
+  VirtualFleet& fleet = small.fleet_;
+  for (int i = 0; i < 400; ++i) {
+    fleet.Command(*fleet.Holder(), Job(i, "watch"));
+    fleet.RunFor(milliseconds(100));
+  }
+  const EntryTables& holder = fleet.entry(*fleet.Holder());
+  BOOST_TEST(holder.cell_.sequence() > 400U);
+  // Service, lease, snapshot, and no more than one key for each slot.
+  BOOST_TEST(fleet.store().store().Read("").size() <= 3U + 64U);
+  ExpectReplayEqualsHolder(fleet);
+}
+
+BOOST_AUTO_TEST_CASE(writes_are_grouped_however_many_tasks_start) {
+  SmallFleet small(2, 1, 3);
+  VirtualFleet& fleet = small.fleet_;
+  fleet.RunFor(seconds(5));
+  const std::int64_t before =
+      fleet.entry(0).counters_.Total(Counter::kJournalWrites);
+  for (int i = 0; i < 700; ++i) fleet.Command(0, Job(i, "long"));
+  fleet.RunFor(seconds(1));
+  const std::int64_t writes =
+      fleet.entry(0).counters_.Total(Counter::kJournalWrites) - before;
+  BOOST_TEST(writes <= 20);
+  BOOST_TEST(fleet.entry(0).tasks_.size() == 700U);
+}
+
+BOOST_AUTO_TEST_CASE(lost_answers_and_late_writes_lose_and_repeat_nothing) {
+  for (std::uint64_t seed = 0; seed < 10; ++seed) {
+    SmallFleet small(seed, 2, 4);
+    VirtualFleet& fleet = small.fleet_;
+    fleet.store().SetLostPercent(30);
+    std::vector<std::uint64_t> commands;
+    for (int i = 0; i < 12; ++i) {
+      const std::size_t entry = fleet.Holder().value_or(0);
+      commands.push_back(fleet.Command(entry, Job(i, "rebuild")));
+      fleet.RunFor(seconds(3));
+    }
+    fleet.store().SetLostPercent(0);
+    fleet.RunFor(minutes(3));
+    BOOST_REQUIRE(fleet.Holder());
+    for (std::size_t i = 0; i < commands.size(); ++i) {
+      const CommandResult* result = fleet.Result(commands[i]);
+      BOOST_REQUIRE(result != nullptr);
+      if (!std::holds_alternative<JobAccepted>(*result)) continue;
+      const TaskId id("j" + std::to_string(i) + "/1");
+      const Task* task = fleet.entry(*fleet.Holder()).tasks_.Find(id);
+      BOOST_REQUIRE(task != nullptr);
+      BOOST_TEST(StateName(*task) == "finished");
+    }
+    for (const std::string& breach : fleet.log().breaches()) {
+      BOOST_ERROR("seed " << seed << ": " << breach);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_slow_store_delays_and_breaks_nothing) {
+  SmallFleet small(4, 2, 3);
+  VirtualFleet& fleet = small.fleet_;
+  fleet.store().SetDelay(seconds(2));
+  const std::uint64_t command =
+      fleet.Command(*fleet.Holder(), Job(1, "rebuild"));
+  fleet.RunFor(minutes(2));
+  fleet.store().SetDelay(milliseconds(3));
+  fleet.RunFor(minutes(1));
+  BOOST_REQUIRE(fleet.Result(command) != nullptr);
+  BOOST_TEST(fleet.log().breaches().empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_seal_shuts_out_every_write_of_the_holder_before) {
+  SmallFleet small(5, 2, 3);
+  VirtualFleet& fleet = small.fleet_;
+  const std::size_t old_holder = *fleet.Holder();
+  fleet.PauseEntry(old_holder, seconds(20));
+  const std::uint64_t command = fleet.Command(old_holder, Job(1, "rebuild"));
+  fleet.RunFor(seconds(15));
+  BOOST_TEST(std::holds_alternative<Holding>(
+      fleet.entry(1 - old_holder).cell_.stage()));
+  fleet.RunFor(seconds(15));
+  // The old holder woke, tried to append, and was told.
+  BOOST_REQUIRE(fleet.Result(command) != nullptr);
+  BOOST_TEST(!std::holds_alternative<JobAccepted>(*fleet.Result(command)));
+  BOOST_TEST(fleet.entry(1 - old_holder).tasks_.size() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace quetzalline
--- /dev/null
+++ b/test/requests/attempt_state_test.cc
@@ -0,0 +1,178 @@
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "core/overloaded.h"
+#include "core/reflect.h"
+#include "support/fleet_parts.h"
+
+namespace quetzalline {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+enum class Expected { kDone, kNotRun, kUnknown };
+
+// A fault that strikes while an attempt is in a known state.
+struct Case {
+  std::string name_;
+  // How long the endpoint takes; the fault strikes 50 ms after the question.
+  Duration service_time_;
+  // Requests that keep all slots busy, so that the attempt waits in the queue.
+  int others_;
+  std::function<void(VirtualFleet&)> fault_;
+  Expected expected_;
+  Reason reason_;
+};
+
+const auto kNoFault = [](VirtualFleet&) {};
+const auto kSilence = [](VirtualFleet& fleet) { fleet.Silence(0, 0); };
+const auto kKillAgent = [](VirtualFleet& fleet) {
+  fleet.KillAgent(0);
+  fleet.StartAgent(0);
+};
+const auto kKillInstance = [](VirtualFleet& fleet) { fleet.KillInstance(0); };
+const auto kKillEndpoint = [](VirtualFleet& fleet) {
+  fleet.endpoint(0).Kill();
+};
+const auto kCut = [](VirtualFleet& fleet) { fleet.Cut(0, 0, true); };
+const auto kPauseAgent = [](VirtualFleet& fleet) {
+  fleet.PauseAgent(0, seconds(10));
+};
+
+std::vector<Case> Cases() {
+  const Duration fast = milliseconds(200);
+  const Duration slow = seconds(30);
+  return {
+      {"running, nothing", fast, 0, kNoFault, Expected::kDone, Reason::kNone},
+      {"running, endpoint outlasts the lease", slow, 0, kNoFault,
+       Expected::kUnknown, Reason::kLeaseLapsed},
+      {"running, connection silent", fast, 0, kSilence, Expected::kDone,
+       Reason::kNone},
+      {"running, agent dies", slow, 0, kKillAgent, Expected::kUnknown,
+       Reason::kAgentReplaced},
+      {"running, instance dies", slow, 0, kKillInstance, Expected::kUnknown,
+       Reason::kDeadlinePassed},
+      {"running, endpoint dies", slow, 0, kKillEndpoint, Expected::kUnknown,
+       Reason::kEndpointBroke},
+      {"running, cut off", slow, 0, kCut, Expected::kUnknown,
+       Reason::kDeadlinePassed},
+      {"running, agent paused", fast, 0, kPauseAgent, Expected::kUnknown,
+       Reason::kDeadlinePassed},
+      {"queued, endpoint never free", slow, 8, kNoFault, Expected::kNotRun,
+       Reason::kDeadlinePassed},
+      {"queued, agent dies", slow, 8, kKillAgent, Expected::kUnknown,
+       Reason::kAgentReplaced},
+      {"queued, connection silent", fast, 8, kSilence, Expected::kDone,
+       Reason::kNone},
+      {"queued, cut off", slow, 8, kCut, Expected::kUnknown,
+       Reason::kDeadlinePassed},
+  };
+}
+
+Expected KindOf(const AttemptOutcome& outcome) {
+  return std::visit(
+      Overloaded{[](const Done&) { return Expected::kDone; },
+                 [](const NotRun&) { return Expected::kNotRun; },
+                 [](const Unknown&) { return Expected::kUnknown; }},
+      outcome);
+}
+
+// Silence is noticed within two seconds, so that deadlines here are longer.
+Question Post(Duration deadline) {
+  Question question;
+  question.method_ = "POST";
+  question.deadline_ = deadline;
+  return question;
+}
+
+ServiceFile PatientService() {
+  const Route route =
+      Route::Builder(QuoteService().route()).deadline(seconds(6)).Build();
+  return ServiceFile::Builder(QuoteService()).route(route).Build();
+}
+
+void RunCase(const Case& test_case) {
+  EndpointBehaviour behaviour;
+  behaviour.exponential_ = false;
+  behaviour.service_time_ = test_case.service_time_;
+  SmallFleet small(1, 1, 1, behaviour);
+  VirtualFleet& fleet = small.fleet_;
+  fleet.PutService(PatientService());
+  fleet.RunFor(seconds(1));
+  for (int i = 0; i < test_case.others_; ++i) {
+    fleet.Ask(0, Post(seconds(6)));
+  }
+  const RequestId id = fleet.Ask(0, Post(seconds(5)));
+  fleet.RunFor(milliseconds(50));
+  test_case.fault_(fleet);
+  fleet.RunFor(seconds(20));
+  const AttemptOutcome* answer = fleet.Answer(id);
+  BOOST_REQUIRE(answer != nullptr);
+  BOOST_TEST((KindOf(*answer) == test_case.expected_));
+  BOOST_TEST(ToString(ReasonOf(*answer)) == ToString(test_case.reason_));
+  for (const std::string& breach : fleet.log().breaches()) {
+    BOOST_ERROR(breach);
+  }
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(attempt_states)
+
+BOOST_AUTO_TEST_CASE(each_fault_at_each_state_is_told_truthfully) {
+  for (const Case& test_case : Cases()) {
+    BOOST_TEST_CONTEXT(test_case.name_) { RunCase(test_case); }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_attempt_whose_frame_was_lost_did_not_run) {
+  SmallFleet small(2, 1, 1);
+  VirtualFleet& fleet = small.fleet_;
+  fleet.PutService(PatientService());
+  fleet.RunFor(seconds(1));
+  fleet.Silence(0, 0);
+  const RequestId id = fleet.Ask(0, Post(seconds(5)));
+  fleet.RunFor(seconds(10));
+  // The new connection tells that the frame never came; the retry runs.
+  BOOST_REQUIRE(fleet.Answer(id) != nullptr);
+  BOOST_TEST(std::holds_alternative<Done>(*fleet.Answer(id)));
+  BOOST_TEST(fleet.log().Starts(id) == 1);
+  BOOST_TEST(fleet.log().breaches().empty());
+}
+
+BOOST_AUTO_TEST_CASE(an_endpoint_that_takes_no_connection_did_not_run_it) {
+  SmallFleet small(3, 1, 1);
+  VirtualFleet& fleet = small.fleet_;
+  fleet.endpoint(0).Kill();
+  const RequestId id = fleet.Ask(0, Post(seconds(1)));
+  fleet.RunFor(seconds(3));
+  BOOST_REQUIRE(fleet.Answer(id) != nullptr);
+  BOOST_TEST((KindOf(*fleet.Answer(id)) == Expected::kNotRun));
+  BOOST_TEST(fleet.log().Starts(id) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_caller_that_hangs_up_frees_its_place_in_the_queue) {
+  EndpointBehaviour behaviour;
+  behaviour.exponential_ = false;
+  behaviour.service_time_ = milliseconds(400);
+  SmallFleet small(4, 1, 1, behaviour);
+  VirtualFleet& fleet = small.fleet_;
+  for (int i = 0; i < 8; ++i) fleet.Ask(0, Post(seconds(1)));
+  const RequestId id = fleet.Ask(0, Post(seconds(1)));
+  fleet.RunFor(milliseconds(20));
+  BOOST_TEST(fleet.agent(0).executions_.queued() == 1);
+  fleet.HangUp(0, id);
+  fleet.RunFor(milliseconds(20));
+  BOOST_TEST(fleet.agent(0).executions_.queued() == 0);
+  fleet.RunFor(seconds(3));
+  BOOST_TEST(fleet.log().Starts(id) == 0);
+  BOOST_TEST(fleet.entry(0).requests_.size() == 0U);
+  BOOST_TEST(fleet.entry(0).attempts_.size() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace quetzalline
--- /dev/null
+++ b/test/support/fake_endpoint.cc
@@ -0,0 +1,104 @@
+#include "support/fake_endpoint.h"
+
+#include <random>
+#include <string>
+#include <utility>
+
+namespace quetzalline {
+namespace {
+
+constexpr int kPercent = 100;
+
+// The answer names the request it belongs to, or its idempotency key.
+std::string AnswerText(const CallEndpoint& call) {
+  for (const Header& header : call.request().headers()) {
+    if (header.name() == "Idempotency-Key") return "key " + header.value();
+  }
+  const RequestId& id = call.attempt().request();
+  return "request " + std::to_string(id.origin()) + "-" +
+         std::to_string(id.sequence());
+}
+
+}  // namespace
+
+FakeEndpoint::FakeEndpoint(EventQueue& events, PromiseLog& log, EndpointId id,
+                           const EndpointBehaviour& behaviour,
+                           std::uint64_t seed)
+    : events_(events),
+      log_(log),
+      id_(std::move(id)),
+      behaviour_(behaviour),
+      random_(seed) {}
+
+Duration FakeEndpoint::DrawServiceTime() {
+  double factor = 1.0;
+  if (behaviour_.exponential_) {
+    factor = std::exponential_distribution<double>(1.0)(random_);
+  }
+  if (behaviour_.slowdown_) factor *= behaviour_.slowdown_(events_.now());
+  const auto mean = static_cast<double>(behaviour_.service_time_.count());
+  return Duration(static_cast<std::int64_t>(mean * factor) + 1);
+}
+
+void FakeEndpoint::Call(const CallEndpoint& call, OnEnded on_ended) {
+  const AttemptId attempt = call.attempt();
+  if (dead_) {
+    on_ended(
+        CallEnded::Builder().attempt(attempt).result(CallNotSent()).Build());
+    return;
+  }
+  log_.RequestStarted(attempt.request(), id_);
+  const std::uint64_t serial = ++last_serial_;
+  running_.insert_or_assign(attempt, Run{serial, call, std::move(on_ended)});
+  if (running() > behaviour_.slots_) {
+    log_.Breach("endpoint " + id_.value() + " has more than its slots hold");
+  }
+  events_.After(DrawServiceTime(),
+                [this, attempt, serial] { End(attempt, serial); });
+}
+
+CallResult FakeEndpoint::ResultOf(const Run& run) {
+  if (Draw(random_, kPercent - 1) < behaviour_.broken_percent_) {
+    return CallBroken::Builder().reason(Reason::kEndpointBroke).Build();
+  }
+  const HttpResponse response = HttpResponse::Builder()
+                                    .status(200)
+                                    .body(Body(AnswerText(run.call_)))
+                                    .Build();
+  return CallCompleted::Builder().response(response).Build();
+}
+
+void FakeEndpoint::End(const AttemptId& attempt, std::uint64_t serial) {
+  const auto found = running_.find(attempt);
+  if (found == running_.end() || found->second.serial_ != serial) return;
+  const Run run = found->second;
+  running_.erase(found);
+  log_.RequestEnded(attempt.request(), id_);
+  run.on_ended_(
+      CallEnded::Builder().attempt(attempt).result(ResultOf(run)).Build());
+}
+
+void FakeEndpoint::Abandon(const AttemptId& attempt) {
+  if (running_.erase(attempt) > 0) log_.RequestEnded(attempt.request(), id_);
+}
+
+void FakeEndpoint::AbandonAll() {
+  for (const auto& [attempt, run] : std::exchange(running_, {})) {
+    log_.RequestEnded(attempt.request(), id_);
+  }
+}
+
+void FakeEndpoint::Kill() {
+  dead_ = true;
+  for (const auto& [attempt, run] : std::exchange(running_, {})) {
+    log_.RequestEnded(attempt.request(), id_);
+    run.on_ended_(
+        CallEnded::Builder()
+            .attempt(attempt)
+            .result(
+                CallBroken::Builder().reason(Reason::kEndpointBroke).Build())
+            .Build());
+  }
+}
+
+}  // namespace quetzalline
--- /dev/null
+++ b/test/support/fault_schedule.h
@@ -0,0 +1,23 @@
+#ifndef QUETZALLINE_TEST_SUPPORT_FAULT_SCHEDULE_H_
+#define QUETZALLINE_TEST_SUPPORT_FAULT_SCHEDULE_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace quetzalline {
+
+/// What a run of faults came to.
+struct ScheduleResult {
+  std::vector<std::string> breaches_;
+  std::int64_t done_ = 0;
+  std::int64_t tasks_finished_ = 0;
+};
+
+/// Runs a fleet of two regions under requests, jobs, publications and faults
+/// that are all drawn from the seed, then heals everything and lets it settle.
+ScheduleResult RunFaultSchedule(std::uint64_t seed);
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TEST_SUPPORT_FAULT_SCHEDULE_H_
--- /dev/null
+++ b/test/support/promise_log.h
@@ -0,0 +1,65 @@
+#ifndef QUETZALLINE_TEST_SUPPORT_PROMISE_LOG_H_
+#define QUETZALLINE_TEST_SUPPORT_PROMISE_LOG_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/attempt_outcome.h"
+#include "core/ids.h"
+#include "core/request_id.h"
+#include "core/task_attempt_id.h"
+#include "core/time.h"
+
+namespace quetzalline {
+
+/// Watches what happens at callers, endpoints and workers and notes every
+/// breach of a promise. It knows nothing of the system's own tables.
+class PromiseLog {
+ public:
+  void CallerAsked(const RequestId& id, const std::string& key);
+  void CallerAnswered(const RequestId& id, const AttemptOutcome& outcome);
+  void RequestStarted(const RequestId& id, const EndpointId& endpoint);
+  void RequestEnded(const RequestId& id, const EndpointId& endpoint);
+
+  void TaskRan(const TaskAttemptId& task, const EndpointId& instance);
+  void TaskEnded(const TaskAttemptId& task, const EndpointId& instance);
+  void TaskResumed(const TaskAttemptId& task, const std::string& checkpoint);
+
+  void Breach(const std::string& what);
+  const std::vector<std::string>& breaches() const { return breaches_; }
+
+  /// Requests that were asked and not answered.
+  std::size_t unanswered() const;
+  std::int64_t answered_done() const { return done_; }
+  std::int64_t answered_not_run() const { return not_run_; }
+  std::int64_t answered_unknown() const { return unknown_; }
+  std::int64_t Starts(const RequestId& id) const;
+  bool IsRunning(const TaskId& task) const { return places_.contains(task); }
+  std::int64_t TaskRuns(const TaskId& task) const;
+
+ private:
+  struct Request {
+    std::string key_;
+    std::int64_t starts_ = 0;
+    std::set<EndpointId> running_at_;
+    bool answered_ = false;
+    bool said_not_run_ = false;
+  };
+
+  std::map<RequestId, Request> requests_;
+  std::map<std::string, std::int64_t> key_starts_;
+  std::map<TaskId, std::set<std::pair<TaskAttemptId, EndpointId>>> places_;
+  std::map<TaskId, std::int64_t> task_runs_;
+  std::map<std::string, TaskAttemptId> resumed_from_;
+  std::vector<std::string> breaches_;
+  std::int64_t done_ = 0;
+  std::int64_t not_run_ = 0;
+  std::int64_t unknown_ = 0;
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TEST_SUPPORT_PROMISE_LOG_H_
--- /dev/null
+++ b/test/support/virtual_fleet.cc
@@ -0,0 +1,451 @@
+#include "support/virtual_fleet.h"
+
+#include <algorithm>
+
+#include "core/overloaded.h"
+#include "core/resources_arithmetic.h"
+#include "systems/agent/run_tasks.h"
+#include "systems/entry/store_keys.h"
+#include "wire/record_codec.h"
+
+namespace quetzalline {
+namespace {
+
+constexpr Duration kSameZone = std::chrono::microseconds(300);
+constexpr Duration kOtherZone = std::chrono::milliseconds(1);
+constexpr Duration kOtherRegion = std::chrono::milliseconds(30);
+constexpr Duration kRedialPause = std::chrono::milliseconds(200);
+
+Duration DelayOf(const Location& a, const Location& b) {
+  if (a.region() != b.region()) return kOtherRegion;
+  return a.zone() != b.zone() ? kOtherZone : kSameZone;
+}
+
+}  // namespace
+
+VirtualFleet::VirtualFleet(std::uint64_t seed)
+    : random_(seed), store_(events_, seed + 1) {}
+
+std::size_t VirtualFleet::AddEntry(const EntryPolicy& policy) {
+  const std::size_t number = entries_.size();
+  entries_.push_back(std::make_unique<EntryPlace>(EntryPlace{
+      policy, VirtualNode<EntryNode>(events_,
+                                     [this, number](const EntryEffect& effect) {
+                                       Perform(number, effect);
+                                     })}));
+  StartEntryNode(number);
+  return number;
+}
+
+std::size_t VirtualFleet::AddAgent(const AgentPolicy& policy,
+                                   const EndpointBehaviour& behaviour) {
+  const std::size_t number = instances_.size();
+  instances_.push_back(std::make_unique<Instance>(Instance{
+      policy,
+      VirtualNode<AgentNode>(events_,
+                             [this, number](const AgentEffect& effect) {
+                               Perform(number, effect);
+                             }),
+      std::make_unique<FakeEndpoint>(events_, log_, policy.endpoint(),
+                                     behaviour, NextSeed()),
+      MemoryWorker(),
+      {},
+      true}));
+  StartAgentNode(number);
+  return number;
+}
+
+void VirtualFleet::PutService(const ServiceFile& file) {
+  const std::string key = ServiceKey(file.name());
+  const std::int64_t expected = store_.store().IndexOf(key);
+  const StoreRecord record = PublishedService::Builder()
+                                 .file(file)
+                                 .author("test")
+                                 .publication("test")
+                                 .Build();
+  store_.Perform(
+      StoreWrite::Builder().key(key).record(record).expected(expected).Build(),
+      [](const StoreAnswer&) {});
+}
+
+void VirtualFleet::RunFor(Duration duration) {
+  events_.RunUntil(events_.now() + duration);
+}
+
+RequestId VirtualFleet::Ask(std::size_t entry, const Question& question) {
+  const RequestId id =
+      RequestId::Builder().origin(entry + 1).sequence(++last_request_).Build();
+  std::vector<Header> headers;
+  if (!question.key_.empty()) {
+    headers.push_back(
+        Header::Builder().name("Idempotency-Key").value(question.key_).Build());
+  }
+  log_.CallerAsked(id, question.key_);
+  asked_[id] = events_.now();
+  entries_[entry]->node_.Post(
+      CallerRequest::Builder()
+          .id(id)
+          .caller(CallerName(question.caller_))
+          .request(HttpRequest::Builder()
+                       .method(question.method_)
+                       .target(question.target_)
+                       .headers(std::move(headers))
+                       .body(Body(std::string(question.body_bytes_, 'x')))
+                       .Build())
+          .deadline(question.deadline_)
+          .key(question.key_)
+          .Build());
+  return id;
+}
+
+void VirtualFleet::HangUp(std::size_t entry, const RequestId& id) {
+  entries_[entry]->node_.Post(CallerGone::Builder().id(id).Build());
+}
+
+std::uint64_t VirtualFleet::Command(std::size_t entry,
+                                    const quetzalline::Command& command) {
+  const std::uint64_t id = ++last_command_;
+  entries_[entry]->node_.Post(
+      OperatorCommand::Builder().id(id).command(command).Build());
+  return id;
+}
+
+const CommandResult* VirtualFleet::Result(std::uint64_t command) const {
+  const auto found = results_.find(command);
+  return found == results_.end() ? nullptr : &found->second;
+}
+
+const AttemptOutcome* VirtualFleet::Answer(const RequestId& id) const {
+  const auto found = answers_.find(id);
+  return found == answers_.end() ? nullptr : &found->second;
+}
+
+std::optional<std::size_t> VirtualFleet::Holder() const {
+  for (std::size_t i = 0; i < entries_.size(); ++i) {
+    if (!EntryAlive(i)) continue;
+    if (std::holds_alternative<Holding>(entry(i).cell_.stage())) return i;
+  }
+  return std::nullopt;
+}
+
+Duration VirtualFleet::DelayBetween(std::size_t entry,
+                                    std::size_t agent) const {
+  return DelayOf(entries_[entry]->policy_.location(),
+                 instances_[agent]->policy_.location());
+}
+
+bool VirtualFleet::Passes(const Link& link) const {
+  return !link.silent_ && !cuts_.contains({link.entry_, link.agent_});
+}
+
+void VirtualFleet::StartEntryNode(std::size_t entry) {
+  EntryPlace& place = *entries_[entry];
+  const EntryPolicy policy = EntryPolicy::Builder(place.policy_)
+                                 .incarnation(++last_incarnation_)
+                                 .Build();
+  place.node_.Start(EntryNode(policy, NextSeed()));
+}
+
+void VirtualFleet::StartAgentNode(std::size_t agent) {
+  Instance& instance = *instances_[agent];
+  const AgentPolicy policy = AgentPolicy::Builder(instance.policy_)
+                                 .incarnation(++last_incarnation_)
+                                 .Build();
+  instance.node_.Start(AgentNode(policy, NextSeed()));
+  TellWorkerState(agent);
+  DialAll(agent);
+}
+
+void VirtualFleet::TellWorkerState(std::size_t agent) {
+  Instance& instance = *instances_[agent];
+  for (const auto& [id, task] : instance.worker_.tasks()) {
+    instance.node_.Post(
+        WorkerFound::Builder().task(id).work(task.work()).Build());
+  }
+  for (const WorkerNews& news : instance.ended_news_) instance.node_.Post(news);
+  instance.node_.Post(WorkerListed());
+}
+
+void VirtualFleet::DialAll(std::size_t agent) {
+  const std::uint64_t generation = instances_[agent]->node_.generation();
+  for (std::size_t i = 0; i < entries_.size(); ++i) Dial(i, agent, generation);
+}
+
+void VirtualFleet::Dial(std::size_t entry, std::size_t agent,
+                        std::uint64_t generation) {
+  events_.After(DelayBetween(entry, agent), [this, entry, agent, generation] {
+    Instance& instance = *instances_[agent];
+    const bool current =
+        instance.node_.alive() && instance.node_.generation() == generation;
+    if (!current) return;
+    const bool reachable = EntryAlive(entry) && !cuts_.contains({entry, agent});
+    if (reachable) return OpenLink(entry, agent);
+    events_.After(kRedialPause, [this, entry, agent, generation] {
+      Dial(entry, agent, generation);
+    });
+  });
+}
+
+void VirtualFleet::OpenLink(std::size_t entry, std::size_t agent) {
+  const ConnectionId id(++last_connection_);
+  links_.emplace(id, Link{entry, agent});
+  const auto opened = ConnectionOpened::Builder().connection(id).Build();
+  entries_[entry]->node_.Post(opened);
+  instances_[agent]->node_.Post(opened);
+}
+
+void VirtualFleet::CloseLink(ConnectionId connection, bool entry_knows,
+                             bool agent_knows) {
+  const auto found = links_.find(connection);
+  if (found == links_.end()) return;
+  const Link link = found->second;
+  links_.erase(found);
+  const auto closed =
+      ConnectionClosed::Builder().connection(connection).Build();
+  const auto entry_generation = entries_[link.entry_]->node_.generation();
+  const auto agent_generation = instances_[link.agent_]->node_.generation();
+  const Duration delay = DelayBetween(link.entry_, link.agent_);
+  if (entry_knows) {
+    events_.After(delay, [this, link, closed, entry_generation] {
+      VirtualNode<EntryNode>& node = entries_[link.entry_]->node_;
+      if (node.generation() == entry_generation) node.Post(closed);
+    });
+  }
+  if (!agent_knows) return;
+  events_.After(delay, [this, link, closed, agent_generation] {
+    VirtualNode<AgentNode>& node = instances_[link.agent_]->node_;
+    if (node.generation() != agent_generation) return;
+    node.Post(closed);
+    events_.After(kRedialPause, [this, link, agent_generation] {
+      Dial(link.entry_, link.agent_, agent_generation);
+    });
+  });
+}
+
+// An agent that is not told keeps its end until it notices the silence.
+void VirtualFleet::CloseAtEntry(ConnectionId connection) {
+  const auto found = links_.find(connection);
+  if (found == links_.end()) return;
+  if (Passes(found->second)) return CloseLink(connection, true, true);
+  found->second.silent_ = true;
+  entries_[found->second.entry_]->node_.Post(
+      ConnectionClosed::Builder().connection(connection).Build());
+}
+
+void VirtualFleet::CloseLinks(std::optional<std::size_t> entry,
+                              std::optional<std::size_t> agent,
+                              bool peers_notice) {
+  std::vector<ConnectionId> ids;
+  for (const auto& [id, link] : links_) {
+    const bool of_entry = entry && link.entry_ == *entry;
+    const bool of_agent = agent && link.agent_ == *agent;
+    if (of_entry || of_agent) ids.push_back(id);
+  }
+  for (const ConnectionId id : ids) {
+    const bool passes = Passes(links_.at(id));
+    if (peers_notice && passes) {
+      CloseLink(id, agent.has_value(), entry.has_value());
+    } else {
+      links_.at(id).silent_ = true;
+    }
+  }
+}
+
+void VirtualFleet::KillEntry(std::size_t entry) {
+  entries_[entry]->node_.Kill();
+  CloseLinks(entry, std::nullopt, true);
+}
+
+void VirtualFleet::StartEntry(std::size_t entry) { StartEntryNode(entry); }
+
+void VirtualFleet::StopEntry(std::size_t entry) {
+  entries_[entry]->node_.Post(StopRequested());
+}
+
+void VirtualFleet::PauseEntry(std::size_t entry, Duration duration) {
+  entries_[entry]->node_.PauseUntil(events_.now() + duration);
+}
+
+void VirtualFleet::KillAgent(std::size_t agent) {
+  instances_[agent]->node_.Kill();
+  instances_[agent]->endpoint_->AbandonAll();
+  CloseLinks(std::nullopt, agent, true);
+}
+
+void VirtualFleet::StartAgent(std::size_t agent) { StartAgentNode(agent); }
+
+void VirtualFleet::StopAgent(std::size_t agent) {
+  instances_[agent]->node_.Post(StopRequested());
+}
+
+void VirtualFleet::PauseAgent(std::size_t agent, Duration duration) {
+  instances_[agent]->node_.PauseUntil(events_.now() + duration);
+}
+
+void VirtualFleet::KillInstance(std::size_t agent) {
+  Instance& instance = *instances_[agent];
+  instance.node_.Kill();
+  CloseLinks(std::nullopt, agent, false);
+  instance.endpoint_->Kill();
+  for (const auto& [id, task] : instance.worker_.tasks()) {
+    log_.TaskEnded(id, instance.policy_.endpoint());
+  }
+  instance.worker_ = MemoryWorker();
+  instance.ended_news_.clear();
+  instance.up_ = false;
+}
+
+void VirtualFleet::StartInstance(std::size_t agent) {
+  instances_[agent]->up_ = true;
+  instances_[agent]->endpoint_->Revive();
+  StartAgentNode(agent);
+}
+
+void VirtualFleet::Silence(std::size_t entry, std::size_t agent) {
+  for (auto& [id, link] : links_) {
+    if (link.entry_ == entry && link.agent_ == agent) link.silent_ = true;
+  }
+}
+
+void VirtualFleet::Cut(std::size_t entry, std::size_t agent, bool cut) {
+  if (cut) {
+    cuts_.insert({entry, agent});
+    Silence(entry, agent);
+  } else {
+    cuts_.erase({entry, agent});
+  }
+}
+
+void VirtualFleet::Deliver(ConnectionId connection,
+                           const EntryMessage& message) {
+  const auto found = links_.find(connection);
+  if (found == links_.end() || !Passes(found->second)) return;
+  const Link link = found->second;
+  events_.After(DelayBetween(link.entry_, link.agent_), [this, connection,
+                                                         message, link] {
+    const auto still = links_.find(connection);
+    if (still == links_.end() || !Passes(still->second)) return;
+    instances_[link.agent_]->node_.Post(EntryMessageReceived::Builder()
+                                            .connection(connection)
+                                            .message(message)
+                                            .Build());
+  });
+}
+
+void VirtualFleet::Deliver(ConnectionId connection,
+                           const AgentMessage& message) {
+  const auto found = links_.find(connection);
+  if (found == links_.end() || !Passes(found->second)) return;
+  const Link link = found->second;
+  events_.After(DelayBetween(link.entry_, link.agent_), [this, connection,
+                                                         message, link] {
+    const auto still = links_.find(connection);
+    if (still == links_.end() || !Passes(still->second)) return;
+    entries_[link.entry_]->node_.Post(AgentMessageReceived::Builder()
+                                          .connection(connection)
+                                          .message(message)
+                                          .Build());
+  });
+}
+
+void VirtualFleet::TakeAnswer(const AnswerCaller& answer) {
+  log_.CallerAnswered(answer.id(), answer.outcome());
+  answers_.insert_or_assign(answer.id(), answer.outcome());
+  if (std::holds_alternative<Done>(answer.outcome())) {
+    latencies_.push_back(events_.now() - asked_[answer.id()]);
+  }
+}
+
+void VirtualFleet::Perform(std::size_t entry, const EntryEffect& effect) {
+  const auto generation = entries_[entry]->node_.generation();
+  const auto on_store_answer = [this, entry,
+                                generation](const StoreAnswer& answer) {
+    VirtualNode<EntryNode>& node = entries_[entry]->node_;
+    if (node.generation() == generation) node.Post(answer);
+  };
+  const Overloaded perform{
+      [&](const SendToAgent& e) { Deliver(e.connection(), e.message()); },
+      [&](const CloseConnection& e) { CloseAtEntry(e.connection()); },
+      [&](const AnswerCaller& e) { TakeAnswer(e); },
+      [&](const AnswerOperator& e) {
+        results_.insert_or_assign(e.id(), e.result());
+      },
+      [&](const StoreRead& e) { store_.Perform(e, on_store_answer); },
+      [&](const StoreWatch& e) { store_.Perform(e, on_store_answer); },
+      [&](const StoreWrite& e) { store_.Perform(e, on_store_answer); },
+      [](const LogChange&) {},
+      [&](const ProcessFinished&) {
+        events_.After(Duration(0), [this, entry] { KillEntry(entry); });
+      },
+  };
+  std::visit(perform, effect);
+}
+
+void VirtualFleet::Perform(std::size_t agent, const AgentEffect& effect) {
+  Instance& instance = *instances_[agent];
+  const auto generation = instance.node_.generation();
+  const Overloaded perform{
+      [&](const SendToEntry& e) { Deliver(e.connection(), e.message()); },
+      [&](const CloseConnection& e) {
+        const auto found = links_.find(e.connection());
+        const bool told = found != links_.end() && Passes(found->second);
+        CloseLink(e.connection(), told, true);
+      },
+      [&](const CallEndpoint& e) {
+        instance.endpoint_->Call(
+            e, [this, agent, generation](const CallEnded& ended) {
+              VirtualNode<AgentNode>& node = instances_[agent]->node_;
+              if (node.generation() == generation) node.Post(ended);
+            });
+      },
+      [&](const AbandonCall& e) { instance.endpoint_->Abandon(e.attempt()); },
+      [&](const StartWork& e) { StartWorkAt(agent, e); },
+      [&](const RenewWork& e) {
+        instance.worker_.Renew(e.until());
+        PollWorker(agent);
+      },
+      [&](const StopWork& e) {
+        instance.worker_.Stop(e.task(), events_.now());
+        PollWorker(agent);
+      },
+      [](const LogChange&) {},
+      [&](const ProcessFinished&) {
+        events_.After(Duration(0), [this, agent] { KillAgent(agent); });
+      },
+  };
+  std::visit(perform, effect);
+}
+
+void VirtualFleet::StartWorkAt(std::size_t agent, const StartWork& start) {
+  Instance& instance = *instances_[agent];
+  log_.TaskRan(start.task(), instance.policy_.endpoint());
+  log_.TaskResumed(start.task(), start.checkpoint());
+  instance.worker_.Start(start, events_.now());
+  CheckCapacity(instance);
+  PollWorker(agent);
+}
+
+void VirtualFleet::CheckCapacity(const Instance& instance) {
+  Resources used;
+  for (const auto& [id, task] : instance.worker_.tasks()) {
+    used = Sum(used, task.work().needs());
+  }
+  if (Fits(used, instance.policy_.capacity())) return;
+  log_.Breach("instance " + instance.policy_.endpoint().value() +
+              " has more tasks than it holds");
+}
+
+void VirtualFleet::PollWorker(std::size_t agent) {
+  Instance& instance = *instances_[agent];
+  for (const WorkerNews& news : instance.worker_.TakeNews(events_.now())) {
+    if (IsTerminal(news.news())) {
+      log_.TaskEnded(news.task(), instance.policy_.endpoint());
+      instance.ended_news_.push_back(news);
+    }
+    instance.node_.Post(news);
+  }
+  const std::optional<Instant> next = instance.worker_.NextNews();
+  if (next) events_.At(*next, [this, agent] { PollWorker(agent); });
+}
+
+}  // namespace quetzalline
--- /dev/null
+++ b/test/support/virtual_fleet.h
@@ -0,0 +1,157 @@
+#ifndef QUETZALLINE_TEST_SUPPORT_VIRTUAL_FLEET_H_
+#define QUETZALLINE_TEST_SUPPORT_VIRTUAL_FLEET_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "messages/command_result.h"
+#include "platform/memory_worker.h"
+#include "support/event_queue.h"
+#include "support/fake_endpoint.h"
+#include "support/promise_log.h"
+#include "support/virtual_node.h"
+#include "support/virtual_store.h"
+#include "systems/agent/agent_node.h"
+#include "systems/entry/entry_node.h"
+
+namespace quetzalline {
+
+/// What a caller asks in virtual time.
+struct Question {
+  std::string method_ = "GET";
+  std::string target_ = "/quotes/1";
+  std::string caller_;
+  std::string key_;
+  std::optional<Duration> deadline_;
+  std::size_t body_bytes_ = 0;
+};
+
+/// Entries and agents with their endpoints and workers in virtual time, joined
+/// by connections that delay, fall silent and break. Everything is drawn from
+/// one seed.
+class VirtualFleet {
+ public:
+  explicit VirtualFleet(std::uint64_t seed);
+
+  std::size_t AddEntry(const EntryPolicy& policy);
+  std::size_t AddAgent(const AgentPolicy& policy,
+                       const EndpointBehaviour& behaviour);
+  /// Writes a service file to the store as another process would.
+  void PutService(const ServiceFile& file);
+  void RunFor(Duration duration);
+
+  RequestId Ask(std::size_t entry, const Question& question);
+  void HangUp(std::size_t entry, const RequestId& id);
+  std::uint64_t Command(std::size_t entry, const quetzalline::Command& command);
+  /// The result of a command, if it has come.
+  const CommandResult* Result(std::uint64_t command) const;
+  /// How a request was answered, if it was.
+  const AttemptOutcome* Answer(const RequestId& id) const;
+
+  void KillEntry(std::size_t entry);
+  void StartEntry(std::size_t entry);
+  void StopEntry(std::size_t entry);
+  void PauseEntry(std::size_t entry, Duration duration);
+  /// Kills the agent's process only; its endpoint and worker go on.
+  void KillAgent(std::size_t agent);
+  void StartAgent(std::size_t agent);
+  void StopAgent(std::size_t agent);
+  void PauseAgent(std::size_t agent, Duration duration);
+  /// Takes the whole instance away without a word.
+  void KillInstance(std::size_t agent);
+  void StartInstance(std::size_t agent);
+  /// The present connection goes silent for good; a new one works.
+  void Silence(std::size_t entry, std::size_t agent);
+  /// Nothing passes between the two until healed.
+  void Cut(std::size_t entry, std::size_t agent, bool cut);
+
+  EventQueue& events() { return events_; }
+  VirtualStore& store() { return store_; }
+  PromiseLog& log() { return log_; }
+  FakeEndpoint& endpoint(std::size_t agent) {
+    return *instances_[agent]->endpoint_;
+  }
+  MemoryWorker& worker(std::size_t agent) { return instances_[agent]->worker_; }
+  bool EntryAlive(std::size_t i) const { return entries_[i]->node_.alive(); }
+  bool AgentAlive(std::size_t i) const { return instances_[i]->node_.alive(); }
+  const EntryTables& entry(std::size_t i) const {
+    return entries_[i]->node_.node().tables();
+  }
+  const AgentTables& agent(std::size_t i) const {
+    return instances_[i]->node_.node().tables();
+  }
+  std::size_t entries() const { return entries_.size(); }
+  std::size_t agents() const { return instances_.size(); }
+  /// The entry that holds the cell, if one does.
+  std::optional<std::size_t> Holder() const;
+  /// Times from question to whole answer, in the order of the answers.
+  const std::vector<Duration>& latencies() const { return latencies_; }
+
+ private:
+  struct EntryPlace {
+    EntryPolicy policy_;
+    VirtualNode<EntryNode> node_;
+  };
+  struct Instance {
+    AgentPolicy policy_;
+    VirtualNode<AgentNode> node_;
+    std::unique_ptr<FakeEndpoint> endpoint_;
+    MemoryWorker worker_;
+    std::vector<WorkerNews> ended_news_;
+    bool up_ = true;
+  };
+  struct Link {
+    std::size_t entry_;
+    std::size_t agent_;
+    bool silent_ = false;
+  };
+  using Pair = std::pair<std::size_t, std::size_t>;
+
+  std::uint64_t NextSeed() { return random_(); }
+  Duration DelayBetween(std::size_t entry, std::size_t agent) const;
+  bool Passes(const Link& link) const;
+
+  void StartEntryNode(std::size_t entry);
+  void StartAgentNode(std::size_t agent);
+  void TellWorkerState(std::size_t agent);
+  void DialAll(std::size_t agent);
+  void Dial(std::size_t entry, std::size_t agent, std::uint64_t generation);
+  void OpenLink(std::size_t entry, std::size_t agent);
+  void CloseLink(ConnectionId connection, bool entry_knows, bool agent_knows);
+  void CloseAtEntry(ConnectionId connection);
+  void CloseLinks(std::optional<std::size_t> entry,
+                  std::optional<std::size_t> agent, bool peers_notice);
+  void Perform(std::size_t entry, const EntryEffect& effect);
+  void Perform(std::size_t agent, const AgentEffect& effect);
+  void TakeAnswer(const AnswerCaller& answer);
+  void Deliver(ConnectionId connection, const EntryMessage& message);
+  void Deliver(ConnectionId connection, const AgentMessage& message);
+  void StartWorkAt(std::size_t agent, const StartWork& start);
+  void PollWorker(std::size_t agent);
+  void CheckCapacity(const Instance& instance);
+
+  EventQueue events_;
+  Random random_;
+  VirtualStore store_;
+  PromiseLog log_;
+  std::vector<std::unique_ptr<EntryPlace>> entries_;
+  std::vector<std::unique_ptr<Instance>> instances_;
+  std::map<ConnectionId, Link> links_;
+  std::set<Pair> cuts_;
+  std::map<RequestId, Instant> asked_;
+  std::map<RequestId, AttemptOutcome> answers_;
+  std::map<std::uint64_t, CommandResult> results_;
+  std::vector<Duration> latencies_;
+  std::uint64_t last_connection_ = 0;
+  std::uint64_t last_request_ = 0;
+  std::uint64_t last_command_ = 0;
+  std::uint64_t last_incarnation_ = 0;
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TEST_SUPPORT_VIRTUAL_FLEET_H_
--- /dev/null
+++ b/test/support/virtual_store.h
@@ -0,0 +1,64 @@
+#ifndef QUETZALLINE_TEST_SUPPORT_VIRTUAL_STORE_H_
+#define QUETZALLINE_TEST_SUPPORT_VIRTUAL_STORE_H_
+
+#include <functional>
+#include <vector>
+
+#include "core/tick.h"
+#include "messages/store_answer.h"
+#include "messages/store_read.h"
+#include "messages/store_watch.h"
+#include "messages/store_write.h"
+#include "platform/memory_store.h"
+#include "support/event_queue.h"
+
+namespace quetzalline {
+
+/// The platform's store in virtual time, with its faults: it can be down, slow,
+/// lose answers of writes that took effect, or let them take effect late.
+class VirtualStore {
+ public:
+  using OnAnswer = std::function<void(const StoreAnswer&)>;
+
+  VirtualStore(EventQueue& events, std::uint64_t seed)
+      : events_(events), random_(seed) {}
+
+  void Perform(const StoreRead& read, const OnAnswer& on_answer);
+  void Perform(const StoreWatch& watch, const OnAnswer& on_answer);
+  void Perform(const StoreWrite& write, const OnAnswer& on_answer);
+
+  void SetDown(bool down);
+  void SetDelay(Duration delay) { delay_ = delay; }
+  /// Share of writes whose answer is lost, in percent; half of those take
+  /// effect late.
+  void SetLostPercent(int percent) { lost_percent_ = percent; }
+
+  std::int64_t calls() const { return calls_; }
+  const MemoryStore& store() const { return store_; }
+
+ private:
+  struct Waiting {
+    StoreWatch watch_;
+    OnAnswer on_answer_;
+  };
+
+  void Answer(std::uint64_t ticket, const StoreResult& result,
+              const OnAnswer& on_answer);
+  StoreResult Values(const std::string& prefix) const;
+  StoreResult Apply(const StoreWrite& write);
+  void WriteLosingAnswer(const StoreWrite& write, const OnAnswer& on_answer);
+  void FireWatches();
+
+  EventQueue& events_;
+  Random random_;
+  MemoryStore store_;
+  std::vector<Waiting> watches_;
+  Duration delay_ = std::chrono::milliseconds(3);
+  bool down_ = false;
+  int lost_percent_ = 0;
+  std::int64_t calls_ = 0;
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TEST_SUPPORT_VIRTUAL_STORE_H_
