--- a/src/adapters/frame_connection.cc
+++ b/src/adapters/frame_connection.cc
@@ -70,7 +70,8 @@
     buffers.push_back(boost::asio::buffer(frame));
   }
   const auto sent = [self = shared_from_this()](
-                        const boost::system::error_code& error, std::size_t) {
+                        const boost::system::error_code& error,
+                        std::size_t /*bytes*/) {
     self->sending_.clear();
     if (self->closed_) return;
     if (error) return self->Close();
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -78,11 +78,11 @@
     kPublicationsAccepted, kPublicationConflicts, kCommandsRefused, kStoreCalls,
     kStoreFailures, kCellTakeovers, kCellLosses, kJournalWrites,
     kJournalRecords, kSnapshotWrites, kTasksAccepted, kTasksAssigned,
-    kTasksFinished, kTasksFailed, kTasksEvicted, kTasksCancelled,
-    kTasksGivenUp, kAttemptsAdmitted, kAttemptsRefused, kAttemptsStarted,
-    kAttemptsAnswered, kAttemptsAbandoned, kAttemptsRepeated, kFetchesAnswered,
-    kKeysRepeated, kHeartbeatsSent, kEntriesSilent, kTasksStarted,
-    kTasksRefused, kTasksStopped, kTaskLeasesLapsed, kBadInputs)
+    kTasksFinished, kTasksFailed, kTasksEvicted, kTasksCancelled, kTasksGivenUp,
+    kAttemptsAdmitted, kAttemptsRefused, kAttemptsStarted, kAttemptsAnswered,
+    kAttemptsAbandoned, kAttemptsRepeated, kFetchesAnswered, kKeysRepeated,
+    kHeartbeatsSent, kEntriesSilent, kTasksStarted, kTasksRefused,
+    kTasksStopped, kTaskLeasesLapsed, kBadInputs)
 
 /// How often each thing happened since the process started, by reason where
 /// there is one.
--- a/src/programs/settings.cc
+++ b/src/programs/settings.cc
@@ -150,6 +150,14 @@
   return worker;
 }
 
+// A connection must not count as silent between two heartbeats.
+void CheckHeartbeats(TomlReader& reader, const AgentPolicy& policy) {
+  if (2 * policy.heartbeat_interval() <= policy.entry_silence()) return;
+  reader.Fault("heartbeat_interval",
+               "must be at most half of entry_silence; lower it or raise "
+               "entry_silence");
+}
+
 AgentPolicy ReadAgentPolicy(TomlReader& reader) {
   const AgentPolicy otherwise;
   AgentPolicy::Builder policy;
@@ -163,6 +171,7 @@
           reader.Time("heartbeat_interval", otherwise.heartbeat_interval()))
       .entry_silence(reader.Time("entry_silence", otherwise.entry_silence()))
       .key_retention(reader.Time("key_retention", otherwise.key_retention()));
+  CheckHeartbeats(reader, policy.Build());
   if (std::optional<TomlReader> capacity = reader.Table("capacity")) {
     policy.capacity(ReadCapacity(*capacity));
   }
--- a/src/programs/status_text.cc
+++ b/src/programs/status_text.cc
@@ -61,8 +61,9 @@
   out << "entry " << report.entry().value() << ", configuration "
       << report.configuration() << ", cell held by "
       << (report.holder().empty() ? "nobody" : report.holder().value());
-  if (report.epoch() > 0)
+  if (report.epoch() > 0) {
     out << " (this entry, epoch " << report.epoch() << ")";
+  }
   out << "\nservices in force:\n";
   for (const ServiceStatus& row : report.services()) {
     out << "  " << std::left << std::setw(16) << row.service().value()
--- a/src/systems/entry/choose_endpoint.cc
+++ b/src/systems/entry/choose_endpoint.cc
@@ -8,6 +8,9 @@
 // Share of the service time that a full endpoint is expected to lose to the
 // requests beside it; it spreads load before queues form.
 constexpr double kCrowding = 0.5;
+// A request that waits delays those behind it too, so that its wait counts
+// more than once against the way to another region.
+constexpr double kWaitWeight = 4.0;
 // The share of its speed that a new endpoint is trusted with at first.
 constexpr double kFirstTrust = 0.25;
 
@@ -110,8 +113,7 @@
   const double wait = std::max(0.0, jobs + 1.0 - slots) / slots;
   const double crowding = kCrowding * std::min(1.0, jobs / slots);
   const double failures = 1.0 + row.failures();
-  const double time =
-      service * (1.0 + crowding + wait) * failures / Trust(row, policy, now);
+  const double time = service * (1.0 + crowding + kWaitWeight * wait) * failures / Trust(row, policy, now);
   return Duration(static_cast<std::int64_t>(time)) + NetworkCost(row, policy);
 }
 
--- a/src/systems/entry/route_requests.cc
+++ b/src/systems/entry/route_requests.cc
@@ -111,7 +111,7 @@
 
 void RouteKeyed(const Request& request, EntryTables& tables, EntryTick& tick) {
   if (!request.registered()) return RegisterKey(request, tables, tick);
-  const EndpointId endpoint = request.key_endpoint();
+  const EndpointId& endpoint = request.key_endpoint();
   if (IsUsable(tables.endpoints_.Find(endpoint))) {
     return SendAttempt(request, endpoint, tables, tick);
   }
--- a/src/tables/task_table.h
+++ b/src/tables/task_table.h
@@ -33,9 +33,7 @@
   /// Waiting tasks that placement may look at.
   const Order& ready() const { return ready_; }
   /// Waiting tasks that placement passed over and may look at again.
-  std::vector<TaskId> DueAgain(Instant now) const {
-    return deferred_.Due(now);
-  }
+  std::vector<TaskId> DueAgain(Instant now) const { return deferred_.Due(now); }
   std::optional<Instant> NextAgain() const { return deferred_.Earliest(); }
   /// The needs of all tasks assigned, or being assigned, to an endpoint.
   Resources CommittedTo(const EndpointId& endpoint) const;
--- a/src/wire/flex_encoding.h
+++ b/src/wire/flex_encoding.h
@@ -61,7 +61,7 @@
     Write(builder, *value);
   }
   template <typename T>
-    requires std::is_arithmetic_v<T>
+  requires std::is_arithmetic_v<T>
   static void Write(flexbuffers::Builder& builder, T value) {
     if constexpr (std::is_same_v<T, bool>) {
       builder.Bool(value);
@@ -168,7 +168,7 @@
     return true;
   }
   template <typename T>
-    requires std::is_arithmetic_v<T>
+  requires std::is_arithmetic_v<T>
   static bool Read(flexbuffers::Reference from, T& to) {
     if constexpr (std::is_same_v<T, bool>) {
       to = from.AsBool();
@@ -220,8 +220,9 @@
     if (index >= sizeof...(Alternatives)) return false;
     return boost::mp11::mp_with_index<sizeof...(Alternatives)>(
         static_cast<std::size_t>(index), [&](auto position) {
-          using Held = std::variant_alternative_t<decltype(position)::value,
-                                                  std::variant<Alternatives...>>;
+          using Held =
+              std::variant_alternative_t<decltype(position)::value,
+                                         std::variant<Alternatives...>>;
           Held held{};
           if (!Read(pair[1], held)) return false;
           to = std::move(held);
--- a/src/wire/json_encoding.h
+++ b/src/wire/json_encoding.h
@@ -20,9 +20,9 @@
 /// The JSON key of a member: times carry their unit.
 template <typename Member>
 std::string JsonKey(std::string_view name) {
-  constexpr bool kIsTime =
-      std::is_same_v<Member, Duration> || std::is_same_v<Member, Instant> ||
-      std::is_same_v<Member, std::optional<Duration>>;
+  constexpr bool kIsTime = std::is_same_v<Member, Duration> ||
+                           std::is_same_v<Member, Instant> ||
+                           std::is_same_v<Member, std::optional<Duration>>;
   return std::string(name) + (kIsTime ? "_us" : "");
 }
 
@@ -51,10 +51,8 @@
     return Encode(*value);
   }
   template <typename T>
-    requires std::is_arithmetic_v<T>
-  static boost::json::value Encode(T value) {
-    return value;
-  }
+  requires std::is_arithmetic_v<T>
+  static boost::json::value Encode(T value) { return value; }
   template <DescribedEnum E>
   static boost::json::value Encode(E value) {
     return boost::json::string(ToString(value));
@@ -162,7 +160,7 @@
     return true;
   }
   template <typename T>
-    requires std::is_arithmetic_v<T>
+  requires std::is_arithmetic_v<T>
   bool Read(const boost::json::value& from, T& to) {
     if constexpr (std::is_same_v<T, bool>) {
       if (!from.is_bool()) return Fail("expected true or false");
