--- a/bench/decision_cost.cc
+++ b/bench/decision_cost.cc
@@ -41,14 +41,13 @@
 }
 
 EntryInput MakeConfiguration() {
-  const ServiceFile file =
-      ServiceFile::Builder()
-          .name(ServiceName("quotes"))
-          .route(Route::Builder()
-                     .prefix("/q")
-                     .deadline(std::chrono::seconds(2))
-                     .Build())
-          .Build();
+  const ServiceFile file = ServiceFile::Builder()
+                               .name(ServiceName("quotes"))
+                               .route(Route::Builder()
+                                          .prefix("/q")
+                                          .deadline(std::chrono::seconds(2))
+                                          .Build())
+                               .Build();
   const StoreRecord record = PublishedService::Builder().file(file).Build();
   const StoreItem item =
       StoreItem::Builder().key("k").record(record).index(1).Build();
@@ -61,14 +60,13 @@
 EntryInput MakeRequest(std::uint64_t sequence) {
   return CallerRequest::Builder()
       .id(RequestId::Builder().origin(1).sequence(sequence).Build())
-      .request(HttpRequest::Builder()
-                   .method("GET")
-                   .target("/q/fryer-204")
-                   .headers({Header::Builder()
-                                 .name("User-Agent")
-                                 .value("bench")
-                                 .Build()})
-                   .Build())
+      .request(
+          HttpRequest::Builder()
+              .method("GET")
+              .target("/q/fryer-204")
+              .headers(
+                  {Header::Builder().name("User-Agent").value("bench").Build()})
+              .Build())
       .Build();
 }
 
@@ -76,14 +74,15 @@
   const Done done = Done::Builder()
                         .response(HttpResponse::Builder().status(200).Build())
                         .Build();
-  const Answer answer = Answer::Builder()
-                            .attempt(submit.attempt())
-                            .outcome(done)
-                            .load(LoadReport::Builder()
-                                      .limit(8)
-                                      .service_time(std::chrono::milliseconds(5))
-                                      .Build())
-                            .Build();
+  const Answer answer =
+      Answer::Builder()
+          .attempt(submit.attempt())
+          .outcome(done)
+          .load(LoadReport::Builder()
+                    .limit(8)
+                    .service_time(std::chrono::milliseconds(5))
+                    .Build())
+          .Build();
   return AgentMessageReceived::Builder()
       .connection(sent.connection())
       .message(answer)
@@ -136,10 +135,10 @@
     node.RunTick(now, answers);
     spent += (routed - start) + (std::chrono::steady_clock::now() - again);
   }
-  std::printf("endpoints %5d  requests a tick %3d  answered %lld  %.0f ns\n",
-              endpoints, batch, static_cast<long long>(answered),
-              static_cast<double>(spent.count()) /
-                  static_cast<double>(answered));
+  std::printf(
+      "endpoints %5d  requests a tick %3d  answered %lld  %.0f ns\n", endpoints,
+      batch, static_cast<long long>(answered),
+      static_cast<double>(spent.count()) / static_cast<double>(answered));
 }
 
 }  // namespace
--- a/src/adapters/http_worker.cc
+++ b/src/adapters/http_worker.cc
@@ -55,8 +55,12 @@
 }
 
 void HttpWorker::Perform(const StartWork& start) {
+  const StartWork translated =
+      StartWork::Builder(start)
+          .lease_until(start.lease_until() + clock_offset_)
+          .Build();
   SendUntilAnswered("/v1/starts",
-                    boost::json::serialize(JsonEncoder::Encode(start)));
+                    boost::json::serialize(JsonEncoder::Encode(translated)));
 }
 
 // The worker's clock was read before its answer came, so that the time told is
@@ -84,7 +88,9 @@
 }
 
 void HttpWorker::Poll() {
-  const std::string target = "/v1/news?after=" + std::to_string(sequence_);
+  // The first poll is answered at once; later ones wait for news.
+  const std::string target = "/v1/news?after=" + std::to_string(sequence_) +
+                             (listed_ ? "&wait=true" : "");
   client_->Call(MakeRequest("GET", target, ""),
                 [this](const CallResult& result) {
                   const std::string* body = BodyOf(result);
--- a/src/messages/start_work.h
+++ b/src/messages/start_work.h
@@ -8,6 +8,7 @@
 
 #include "core/task_attempt_id.h"
 #include "core/task_template.h"
+#include "core/time.h"
 #include "core/value.h"
 
 namespace quetzalline {
@@ -22,15 +23,19 @@
   const TaskAttemptId& task() const { return task_; }
   const TaskTemplate& work() const { return work_; }
   const std::string& checkpoint() const { return checkpoint_; }
+  /// Until then, on the agent's clock, the worker may run it unless
+  /// renewed.
+  Instant lease_until() const { return lease_until_; }
 
   friend auto operator<=>(const StartWork&, const StartWork&) = default;
 
  private:
-  QUETZALLINE_VALUE(StartWork, task_, work_, checkpoint_)
+  QUETZALLINE_VALUE(StartWork, task_, work_, checkpoint_, lease_until_)
 
   TaskAttemptId task_;
   TaskTemplate work_;
   std::string checkpoint_;
+  Instant lease_until_ = Instant{};
 };
 
 /// Builds one StartWork; what is not set keeps its default.
@@ -47,6 +52,9 @@
   Builder& checkpoint(std::string value) {
     return Set(value_.checkpoint_, std::move(value));
   }
+  Builder& lease_until(Instant value) {
+    return Set(value_.lease_until_, value);
+  }
 };
 
 }  // namespace quetzalline
--- a/src/platform/memory_worker.cc
+++ b/src/platform/memory_worker.cc
@@ -61,6 +61,7 @@
 
 void MemoryWorker::Start(const StartWork& start, Instant now) {
   if (tasks_.contains(start.task())) return;
+  Renew(start.lease_until());
   if (faults_.fail_every_task()) {
     return Report(start.task(),
                   TaskFailed::Builder().reason(Reason::kWorkerFailed).Build());
--- a/src/platform/memory_worker.h
+++ b/src/platform/memory_worker.h
@@ -1,6 +1,7 @@
 #ifndef QUETZALLINE_PLATFORM_MEMORY_WORKER_H_
 #define QUETZALLINE_PLATFORM_MEMORY_WORKER_H_
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <vector>
@@ -23,8 +24,9 @@
 
   void Start(const StartWork& start, Instant now);
   void Stop(const TaskAttemptId& task, Instant now);
-  /// Lets the tasks run until this time.
-  void Renew(Instant until) { lease_end_ = until; }
+  /// Lets the tasks run until this time; an earlier time than the one known
+  /// changes nothing.
+  void Renew(Instant until) { lease_end_ = std::max(lease_end_, until); }
   void SetFaults(const WorkerFaults& faults) { faults_ = faults; }
 
   /// What there is to report by now, in order.
--- a/src/systems/agent/run_tasks.cc
+++ b/src/systems/agent/run_tasks.cc
@@ -98,6 +98,7 @@
                 .task(start.task())
                 .work(start.work())
                 .checkpoint(start.checkpoint())
+                .lease_until(tables.stage_.worker_lease_end())
                 .Build());
 }
 
--- /dev/null
+++ b/test/settings/settings_test.cc
@@ -0,0 +1,61 @@
+#include "programs/settings.h"
+
+#include <boost/test/unit_test.hpp>
+#include <cstdlib>
+#include <filesystem>
+#include <set>
+
+#include "programs/service_files.h"
+#include "support/session_file.h"
+
+namespace quetzalline {
+namespace {
+
+// Each input beside its expected faults: entry-*.toml, agent-*.toml and
+// service-*.toml are read as what their names say.
+std::string FaultsOf(const std::filesystem::path& path) {
+  std::vector<FileFault> faults;
+  const std::string name = path.filename().string();
+  if (name.starts_with("entry-")) {
+    ReadEntrySettings(path.string(), faults);
+  } else if (name.starts_with("agent-")) {
+    ReadAgentSettings(path.string(), faults);
+  } else {
+    ReadServiceFile(path.string(), faults);
+  }
+  std::string text;
+  for (FileFault& fault : faults) {
+    fault.file_ = name;
+    text += Text(fault) + "\n";
+  }
+  return text;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(settings)
+
+BOOST_AUTO_TEST_CASE(each_fault_names_file_line_key_and_remedy) {
+  const std::filesystem::path folder =
+      std::filesystem::path(QUETZALLINE_TEST_DIR) / "settings" / "faults";
+  std::set<std::filesystem::path> inputs;
+  for (const auto& entry : std::filesystem::directory_iterator(folder)) {
+    if (entry.path().extension() == ".toml") inputs.insert(entry.path());
+  }
+  BOOST_TEST(inputs.size() >= 4U);
+  for (const std::filesystem::path& input : inputs) {
+    BOOST_TEST_CONTEXT(input) {
+      std::filesystem::path expected = input;
+      expected.replace_extension(".expected");
+      const std::string actual = FaultsOf(input);
+      if (std::getenv("QUETZALLINE_RENEW") != nullptr) {
+        WriteText(expected.string(), actual);
+      }
+      BOOST_TEST(actual == ReadText(expected.string()));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace quetzalline
--- /dev/null
+++ b/test/standin/standin_store.h
@@ -0,0 +1,34 @@
+#ifndef QUETZALLINE_TEST_STANDIN_STANDIN_STORE_H_
+#define QUETZALLINE_TEST_STANDIN_STANDIN_STORE_H_
+
+#include <boost/asio/io_context.hpp>
+
+#include "adapters/http_server.h"
+#include "adapters/shared_store.h"
+
+namespace quetzalline {
+
+/// The in-memory store behind the HTTP protocol that ConsulStore speaks. A POST
+/// to /faults with the JSON of StoreFaults switches its faults.
+class StandinStore {
+ public:
+  explicit StandinStore(boost::asio::io_context& io);
+
+  bool Start(const boost::asio::ip::tcp::endpoint& address) {
+    return server_.Listen(address);
+  }
+  std::uint16_t port() const { return server_.port(); }
+
+ private:
+  void Take(const HttpExchange& exchange);
+  void Write(const HttpExchange& exchange);
+  void Read(const HttpExchange& exchange);
+  void SetFaults(const HttpExchange& exchange);
+
+  SharedStore store_;
+  HttpServer server_;
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TEST_STANDIN_STANDIN_STORE_H_
