--- /dev/null
+++ b/bench/baseline_routing.h
@@ -0,0 +1,122 @@
+#ifndef QUETZALLINE_BENCH_BASELINE_ROUTING_H_
+#define QUETZALLINE_BENCH_BASELINE_ROUTING_H_
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "core/overloaded.h"
+#include "routing_scenario.h"
+
+namespace quetzalline {
+
+// A baseline: the entry alone chooses, endpoints queue without bound, and a
+// request that is not answered in time is lost.
+class Baseline {
+ public:
+  Baseline(const Way& way, const Deployment& deployment,
+           const Scenario& scenario)
+      : way_(way),
+        deployment_(deployment),
+        scenario_(scenario),
+        random_(scenario.seed_ + 77),
+        arrivals_(events_, scenario) {
+    for (int i = 0; i < kExecutors; ++i) {
+      executors_.push_back(std::make_unique<Executor>(events_, i, scenario));
+    }
+    outstanding_.assign(kEntries, std::vector<int>(kExecutors, 0));
+    turns_.assign(kEntries, 0);
+  }
+
+  Figures Run() {
+    arrivals_.Start([this](int entry) { Ask(entry); });
+    events_.RunUntil(Instant(kWarmUp + kRun + std::chrono::seconds(5)));
+    return figures_;
+  }
+
+ private:
+  // Endpoints known to be gone are left out, as after a health check.
+  std::vector<int> Candidates() const {
+    std::vector<int> candidates;
+    for (const auto& executor : executors_) {
+      if (!executor->gone()) candidates.push_back(executor->number());
+    }
+    return candidates;
+  }
+
+  int Choose(int entry) {
+    const std::vector<int> candidates = Candidates();
+    const auto count = static_cast<std::int64_t>(candidates.size());
+    const auto least = [&](const std::function<double(int)>& cost) {
+      return *std::min_element(candidates.begin(), candidates.end(),
+                               [&](int a, int b) { return cost(a) < cost(b); });
+    };
+    return std::visit(
+        Overloaded{[&](const OwnPolicy&) { return 0; },
+                   [&](const RandomChoice&) {
+                     return candidates[static_cast<std::size_t>(
+                         Draw(random_, count - 1))];
+                   },
+                   [&](const RoundRobin&) {
+                     return candidates[static_cast<std::size_t>(
+                         turns_[entry]++ % count)];
+                   },
+                   [&](const LeastOutstanding&) {
+                     const std::int64_t start = Draw(random_, count - 1);
+                     return least([&](int i) {
+                       return outstanding_[entry][i] +
+                              static_cast<double>((i + start) % kExecutors) /
+                                  100.0;
+                     });
+                   },
+                   [&](const Oracle&) {
+                     return least([&](int i) {
+                       const double network =
+                           2.0 *
+                           static_cast<double>(
+                               DelayTo(*executors_[i], deployment_).count()) /
+                           static_cast<double>(kServiceTime.count());
+                       return executors_[i]->TrueWait() + network;
+                     });
+                   }},
+        way_);
+  }
+
+  void Ask(int entry) {
+    const Instant asked = events_.now();
+    const bool counted = asked > Instant(kWarmUp);
+    if (counted) ++figures_.asked_;
+    const int chosen = Choose(entry);
+    ++outstanding_[entry][chosen];
+    const Duration delay = DelayTo(*executors_[chosen], deployment_);
+    if (counted && executors_[chosen]->region() != 0) ++figures_.crossings_;
+    events_.After(delay + deployment_.client_delay_, [=, this] {
+      executors_[chosen]->Serve([=, this] {
+        events_.After(delay + deployment_.client_delay_, [=, this] {
+          --outstanding_[entry][chosen];
+          const Duration took = events_.now() - asked;
+          if (!counted) return;
+          if (took > kDeadline) return;
+          ++figures_.done_;
+          figures_.latencies_.push_back(took);
+        });
+      });
+    });
+  }
+
+  Way way_;
+  Deployment deployment_;
+  Scenario scenario_;
+  Random random_;
+  EventQueue events_;
+  Arrivals arrivals_;
+  std::vector<std::unique_ptr<Executor>> executors_;
+  std::vector<std::vector<int>> outstanding_;
+  std::vector<std::int64_t> turns_;
+  Figures figures_;
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_BENCH_BASELINE_ROUTING_H_
--- a/src/core/table.h
+++ b/src/core/table.h
@@ -2,17 +2,21 @@
 #define QUETZALLINE_CORE_TABLE_H_
 
 #include <cstddef>
+#include <functional>
 #include <map>
+#include <string>
+#include <unordered_map>
 #include <utility>
 
 namespace quetzalline {
 
-/// Rows of one kind by their key, in the order of the keys. Rows are immutable
-/// values: a change replaces the row.
-template <typename Key, typename Row>
+/// Rows of one kind by their key. Rows are immutable values: a change replaces
+/// the row. The rows are in the order of the keys, unless another kind of map
+/// is chosen.
+template <typename Key, typename Row, typename Map = std::map<Key, Row>>
 class Table {
  public:
-  using Rows = std::map<Key, Row>;
+  using Rows = Map;
 
   /// The row with this key, or null. It stays valid until the row is replaced
   /// or erased.
@@ -33,6 +37,9 @@
     return rows_.lower_bound(key);
   }
 
+  /// The rows in the order of their keys, whatever the map.
+  std::map<Key, Row> Sorted() const { return {rows_.begin(), rows_.end()}; }
+
   std::size_t size() const { return rows_.size(); }
   bool empty() const { return rows_.empty(); }
   typename Rows::const_iterator begin() const { return rows_.begin(); }
@@ -42,6 +49,19 @@
   Rows rows_;
 };
 
+/// The hash of a name.
+template <typename Key>
+struct NameHash {
+  std::size_t operator()(const Key& key) const {
+    return std::hash<std::string>()(key.value());
+  }
+};
+
+/// Rows by a name without an order, for tables that are read far more often
+/// than they are listed.
+template <typename Key, typename Row>
+using HashTable = Table<Key, Row, std::unordered_map<Key, Row, NameHash<Key>>>;
+
 }  // namespace quetzalline
 
 #endif  // QUETZALLINE_CORE_TABLE_H_
--- a/src/systems/entry/take_answers.cc
+++ b/src/systems/entry/take_answers.cc
@@ -1,22 +1,12 @@
 #include "systems/entry/take_answers.h"
 
-#include "core/overloaded.h"
+#include "core/answer_bytes.h"
 #include "systems/entry/conclude_request.h"
 #include "systems/entry/send_message.h"
 
 namespace quetzalline {
 namespace {
 
-std::int64_t AnswerBytes(const AttemptOutcome& outcome) {
-  return std::visit(Overloaded{[](const Done& done) {
-                                 return static_cast<std::int64_t>(
-                                     done.response()->body().size());
-                               },
-                               [](const NotRun&) { return std::int64_t{0}; },
-                               [](const Unknown&) { return std::int64_t{0}; }},
-                    outcome);
-}
-
 // The paid link counts answers too, once they have crossed it.
 void ChargeLink(const Endpoint& row, const AttemptOutcome& outcome,
                 EntryTables& tables, EntryTick& tick) {
--- a/src/tables/endpoint_table.h
+++ b/src/tables/endpoint_table.h
@@ -8,7 +8,7 @@
 #include <utility>
 #include <vector>
 
-#include "core/hash_table.h"
+#include "core/table.h"
 #include "core/ids.h"
 #include "core/time.h"
 #include "core/time_index.h"
--- a/src/tables/execution_table.cc
+++ b/src/tables/execution_table.cc
@@ -1,22 +1,9 @@
 #include "tables/execution_table.h"
 
+#include "core/answer_bytes.h"
 #include "core/overloaded.h"
 
 namespace quetzalline {
-namespace {
-
-std::int64_t BytesOf(const AttemptOutcome& outcome) {
-  return std::visit(Overloaded{[](const Done& done) {
-                                 return static_cast<std::int64_t>(
-                                     done.response()->body().size());
-                               },
-                               [](const NotRun&) { return std::int64_t{0}; },
-                               [](const Unknown&) { return std::int64_t{0}; }},
-                    outcome);
-}
-
-}  // namespace
-
 void ExecutionTable::Put(const Execution& row) {
   const Execution* old = rows_.Find(row.id());
   if (old != nullptr) Unindex(*old);
@@ -60,7 +47,7 @@
                           holds_.Set(row.id(), abandoned.until());
                         },
                         [&](const Answered& answered) {
-                          answer_bytes_ += BytesOf(answered.outcome());
+                          answer_bytes_ += AnswerBytes(answered.outcome());
                           answers_.Set(row.id(), answered.at());
                         }},
              row.state());
@@ -80,7 +67,7 @@
                         [&](const Running&) { ReleaseSlot(row.caller()); },
                         [&](const Abandoned&) { ReleaseSlot(row.caller()); },
                         [&](const Answered& answered) {
-                          answer_bytes_ -= BytesOf(answered.outcome());
+                          answer_bytes_ -= AnswerBytes(answered.outcome());
                         }},
              row.state());
 }
--- a/src/tables/jitter.h
+++ b/src/tables/jitter.h
@@ -10,7 +10,7 @@
 namespace quetzalline {
 
 /// How much of the wait before a retry is random.
-using Jitter = std::variant<HalfJitter, FullJitter, NoJitter>;
+using Jitter = std::variant<FullJitter, HalfJitter, NoJitter>;
 
 }  // namespace quetzalline
 
--- a/test/requests/attempt_state_test.cc
+++ b/test/requests/attempt_state_test.cc
@@ -143,6 +143,29 @@
   BOOST_TEST(fleet.log().breaches().empty());
 }
 
+// The frame of an attempt comes after the entry was told that it never came.
+BOOST_AUTO_TEST_CASE(a_frame_that_comes_after_its_refusal_changes_nothing) {
+  AgentNode node(AgentIn("executor", "r", "z"), 1);
+  const ConnectionId connection(1);
+  const AttemptId id = AttemptId::Builder().number(1).Build();
+  const auto receive = [&](const EntryMessage& message) {
+    const std::vector<AgentInput> inputs{EntryMessageReceived::Builder()
+                                             .connection(connection)
+                                             .message(message)
+                                             .Build()};
+    return node.RunTick(Instant(seconds(1)), inputs);
+  };
+  const auto told = receive(Fetch::Builder().attempt(id).Build());
+  BOOST_REQUIRE(told.size() == 1U);
+  receive(Acknowledge::Builder().attempt(id).Build());
+  const auto late =
+      receive(Submit::Builder().attempt(id).lease(seconds(5)).Build());
+  for (const AgentEffect& effect : late) {
+    BOOST_TEST(!std::holds_alternative<CallEndpoint>(effect));
+  }
+  BOOST_TEST(node.tables().executions_.running() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(an_endpoint_that_takes_no_connection_did_not_run_it) {
   SmallFleet small(3, 1, 1);
   VirtualFleet& fleet = small.fleet_;
--- a/test/support/virtual_fleet.h
+++ b/test/support/virtual_fleet.h
@@ -128,6 +128,8 @@
   void Perform(std::size_t entry, const EntryEffect& effect);
   void Perform(std::size_t agent, const AgentEffect& effect);
   void TakeAnswer(const AnswerCaller& answer);
+  void Deliver(ConnectionId connection,
+               const std::function<void(const Link&)>& hand_over);
   void Deliver(ConnectionId connection, const EntryMessage& message);
   void Deliver(ConnectionId connection, const AgentMessage& message);
   void StartWorkAt(std::size_t agent, const StartWork& start);
