--- a/src/tables/endpoint_table.h
+++ b/src/tables/endpoint_table.h
@@ -8,8 +8,8 @@
 #include <utility>
 #include <vector>
 
-#include "core/table.h"
 #include "core/ids.h"
+#include "core/table.h"
 #include "core/time.h"
 #include "core/time_index.h"
 #include "tables/endpoint.h"
