--- a/src/adapters/frame_connection.cc
+++ b/src/adapters/frame_connection.cc
@@ -50,7 +50,8 @@
 bool FrameConnection::TakeFrames() {
   std::size_t position = 0;
   while (received_.size() - position >= kFrameHeaderBytes) {
-    const std::string_view rest = std::string_view(received_).substr(position);
+    const std::string_view all = received_;
+    const std::string_view rest = all.substr(position);
     const std::optional<std::size_t> length = ParseFrameHeader(rest);
     if (!length) return false;
     if (rest.size() < kFrameHeaderBytes + *length) break;
