--- a/src/adapters/consul_codec.h
+++ b/src/adapters/consul_codec.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "core/http_response.h"
-#include "platform/stored_value.h"
+#include "standin/stored_value.h"
 
 namespace quetzalline {
 
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -31,6 +31,8 @@
   std::uint64_t Call(const HttpRequest& request, OnEnd on_end);
   /// Gives up a call and closes its connection.
   void Abandon(std::uint64_t call);
+  /// Closes the connections that no exchange uses.
+  void DropIdle() { idle_.clear(); }
 
  private:
   friend class HttpCall;
--- /dev/null
+++ b/src/adapters/json_log.cc
@@ -0,0 +1,88 @@
+#include "adapters/json_log.h"
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <chrono>
+#include <utility>
+
+#include "systems/cell/cell_keys.h"
+
+namespace quetzalline {
+namespace {
+
+// A pipe that is ready for writing takes at least this many bytes at once.
+constexpr std::size_t kChunkBytes = 4096;
+// Lines that wait for a slow reader; more are dropped.
+constexpr std::size_t kMostBufferedBytes = std::size_t{256} << 10;
+
+std::int64_t UnixMs() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+bool IsReady(int descriptor) {
+  pollfd ready{descriptor, POLLOUT, 0};
+  return ::poll(&ready, 1, 0) == 1 && (ready.revents & POLLOUT) != 0;
+}
+
+bool IsNumber(const std::string& text) {
+  constexpr std::size_t kMostDigits = 18;
+  return !text.empty() && text.size() <= kMostDigits &&
+         std::all_of(text.begin(), text.end(),
+                     [](char c) { return c >= '0' && c <= '9'; });
+}
+
+}  // namespace
+
+JsonLog::JsonLog(int descriptor, std::string process)
+    : descriptor_(descriptor), process_(std::move(process)) {}
+
+void JsonLog::Append(const LogDecision& decision) {
+  boost::json::object line;
+  line["time_ms"] = UnixMs();
+  line["process"] = process_;
+  line["event"] = decision.event();
+  if (decision.job() != 0) line["job"] = JobText(decision.job());
+  for (const LogField& field : decision.fields()) {
+    if (IsNumber(field.value())) {
+      line[field.name()] = std::stoll(field.value());
+    } else {
+      line[field.name()] = field.value();
+    }
+  }
+  buffer_ += boost::json::serialize(line);
+  buffer_ += '\n';
+  ++lines_;
+}
+
+void JsonLog::Write(const LogDecision& decision) {
+  if (buffer_.size() > kMostBufferedBytes) {
+    ++dropped_;
+    ++dropped_untold_;
+    return;
+  }
+  if (dropped_untold_ > 0) {
+    const std::string count = std::to_string(std::exchange(dropped_untold_, 0));
+    Append(LogDecision::Builder()
+               .event("log-lines-dropped")
+               .fields({LogField::Builder().name("lines").value(count).Build()})
+               .Build());
+  }
+  Append(decision);
+}
+
+void JsonLog::Flush() {
+  std::size_t written = 0;
+  while (written < buffer_.size() && IsReady(descriptor_)) {
+    const std::size_t size = std::min(kChunkBytes, buffer_.size() - written);
+    const ssize_t taken = ::write(descriptor_, buffer_.data() + written, size);
+    if (taken <= 0) break;
+    written += static_cast<std::size_t>(taken);
+  }
+  buffer_.erase(0, written);
+}
+
+}  // namespace quetzalline
--- a/src/adapters/local_worker.h
+++ b/src/adapters/local_worker.h
@@ -11,7 +11,7 @@
 #include "messages/stop_work.h"
 #include "messages/worker_found.h"
 #include "messages/worker_news.h"
-#include "platform/memory_worker.h"
+#include "standin/memory_worker.h"
 
 namespace quetzalline {
 
--- /dev/null
+++ b/src/adapters/peer_dialer.h
@@ -0,0 +1,46 @@
+#ifndef QUETZALLINE_ADAPTERS_PEER_DIALER_H_
+#define QUETZALLINE_ADAPTERS_PEER_DIALER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+
+#include "adapters/frame_peers.h"
+#include "core/tick.h"
+
+namespace quetzalline {
+
+/// Keeps one connection to a peer process: dials, and dials again after a pause
+/// of random length when the peer cannot be reached or the connection is lost.
+/// A peer that does not answer the attempt in time counts as not reached.
+class PeerDialer : public std::enable_shared_from_this<PeerDialer> {
+ public:
+  using OnConnected = std::function<void(ConnectionId)>;
+
+  PeerDialer(boost::asio::io_context& io, FramePeers& peers,
+             const boost::asio::ip::tcp::endpoint& address, std::uint64_t seed,
+             OnConnected on_connected);
+
+  void Start() { Dial(); }
+  void Stop();
+
+ private:
+  void Dial();
+  void DialLater();
+  void Connected();
+
+  boost::asio::ip::tcp::socket socket_;
+  boost::asio::steady_timer timer_;
+  FramePeers& peers_;
+  boost::asio::ip::tcp::endpoint address_;
+  Random random_;
+  OnConnected on_connected_;
+  std::optional<ConnectionId> connection_;
+  bool stopped_ = false;
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_ADAPTERS_PEER_DIALER_H_
--- a/src/adapters/shared_store.h
+++ b/src/adapters/shared_store.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
-#include "platform/memory_store.h"
-#include "platform/store_faults.h"
+#include "standin/memory_store.h"
+#include "standin/store_faults.h"
 
 namespace quetzalline {
 
--- a/src/adapters/store_items.h
+++ b/src/adapters/store_items.h
@@ -4,7 +4,7 @@
 #include <vector>
 
 #include "messages/store_item.h"
-#include "platform/stored_value.h"
+#include "standin/stored_value.h"
 
 namespace quetzalline {
 
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -34,6 +34,7 @@
 using RackName = Name<struct RackTag>;
 using TaskId = Name<struct TaskTag>;
 using JobId = Name<struct JobTag>;
+using MemberName = Name<struct MemberTag>;
 
 /// A connection between two processes, numbered by the adapter that opened
 /// it; a number is never used again within a process.
--- /dev/null
+++ b/src/core/member_role.h
@@ -0,0 +1,16 @@
+#ifndef QUETZALLINE_CORE_MEMBER_ROLE_H_
+#define QUETZALLINE_CORE_MEMBER_ROLE_H_
+
+#include <boost/describe/enum.hpp>
+#include <cstdint>
+
+namespace quetzalline {
+
+/// What a process of the system does.
+enum class MemberRole : std::uint8_t { kEntry, kRunner };
+
+BOOST_DESCRIBE_ENUM(MemberRole, kEntry, kRunner)
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_CORE_MEMBER_ROLE_H_
--- /dev/null
+++ b/src/core/run_end.h
@@ -0,0 +1,56 @@
+#ifndef QUETZALLINE_CORE_RUN_END_H_
+#define QUETZALLINE_CORE_RUN_END_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "core/run_key.h"
+#include "core/run_outcome.h"
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// The end of a run as the worker lists it until it is noted.
+class RunEnd {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "run-end";
+
+  /// Counts from 1 in each life of the worker.
+  std::int64_t number() const { return number_; }
+  const RunKey& run() const { return run_; }
+  RunOutcome outcome() const { return outcome_; }
+  /// Where a later run may resume; empty where there is none.
+  const std::string& checkpoint() const { return checkpoint_; }
+
+  friend auto operator<=>(const RunEnd&, const RunEnd&) = default;
+
+ private:
+  QUETZALLINE_VALUE(RunEnd, number_, run_, outcome_, checkpoint_)
+
+  std::int64_t number_ = 0;
+  RunKey run_;
+  RunOutcome outcome_ = RunOutcome{};
+  std::string checkpoint_;
+};
+
+/// Builds one RunEnd; what is not set keeps its default.
+class RunEnd::Builder : public ValueBuilder<RunEnd, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& number(std::int64_t value) { return Set(value_.number_, value); }
+  Builder& run(RunKey value) { return Set(value_.run_, std::move(value)); }
+  Builder& outcome(RunOutcome value) { return Set(value_.outcome_, value); }
+  Builder& checkpoint(std::string value) {
+    return Set(value_.checkpoint_, std::move(value));
+  }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_CORE_RUN_END_H_
--- /dev/null
+++ b/src/core/run_key.h
@@ -0,0 +1,44 @@
+#ifndef QUETZALLINE_CORE_RUN_KEY_H_
+#define QUETZALLINE_CORE_RUN_KEY_H_
+
+#include <compare>
+#include <cstdint>
+#include <string_view>
+#include <utility>
+
+#include "core/task_key.h"
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// One start of a task. Runs of a task are numbered upwards from 1.
+class RunKey {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "run-key";
+
+  const TaskKey& task() const { return task_; }
+  std::int64_t run() const { return run_; }
+
+  friend auto operator<=>(const RunKey&, const RunKey&) = default;
+
+ private:
+  QUETZALLINE_VALUE(RunKey, task_, run_)
+
+  TaskKey task_;
+  std::int64_t run_ = 0;
+};
+
+/// Builds one RunKey; what is not set keeps its default.
+class RunKey::Builder : public ValueBuilder<RunKey, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& task(TaskKey value) { return Set(value_.task_, std::move(value)); }
+  Builder& run(std::int64_t value) { return Set(value_.run_, value); }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_CORE_RUN_KEY_H_
--- /dev/null
+++ b/src/core/step_key.h
@@ -0,0 +1,47 @@
+#ifndef QUETZALLINE_CORE_STEP_KEY_H_
+#define QUETZALLINE_CORE_STEP_KEY_H_
+
+#include <compare>
+#include <cstdint>
+#include <string_view>
+
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// Names one step of one occurrence of a job.
+class StepKey {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "step-key";
+
+  std::uint64_t job() const { return job_; }
+  std::int32_t occurrence() const { return occurrence_; }
+  std::int32_t step() const { return step_; }
+
+  friend auto operator<=>(const StepKey&, const StepKey&) = default;
+
+ private:
+  QUETZALLINE_VALUE(StepKey, job_, occurrence_, step_)
+
+  std::uint64_t job_ = 0;
+  std::int32_t occurrence_ = 0;
+  std::int32_t step_ = 0;
+};
+
+/// Builds one StepKey; what is not set keeps its default.
+class StepKey::Builder : public ValueBuilder<StepKey, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& job(std::uint64_t value) { return Set(value_.job_, value); }
+  Builder& occurrence(std::int32_t value) {
+    return Set(value_.occurrence_, value);
+  }
+  Builder& step(std::int32_t value) { return Set(value_.step_, value); }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_CORE_STEP_KEY_H_
--- /dev/null
+++ b/src/core/worker_facts.h
@@ -0,0 +1,83 @@
+#ifndef QUETZALLINE_CORE_WORKER_FACTS_H_
+#define QUETZALLINE_CORE_WORKER_FACTS_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "core/ids.h"
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// What a worker says of itself.
+class WorkerFacts {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "worker-facts";
+
+  /// Its id, which it may keep through a restart.
+  const std::string& worker() const { return worker_; }
+  /// Unix millisecond of its start; tells its lives apart.
+  std::int64_t born_ms() const { return born_ms_; }
+  const ServiceName& service() const { return service_; }
+  const AvailabilityZone& zone() const { return zone_; }
+  /// Thousandths of a core.
+  std::int64_t cpu() const { return cpu_; }
+  std::int64_t memory_mb() const { return memory_mb_; }
+  std::int64_t gpu() const { return gpu_; }
+  /// Kind and rack among them.
+  const std::vector<std::string>& labels() const { return labels_; }
+  /// Whether it leaves and takes no new work.
+  bool draining() const { return draining_; }
+
+  friend auto operator<=>(const WorkerFacts&, const WorkerFacts&) = default;
+
+ private:
+  QUETZALLINE_VALUE(WorkerFacts, worker_, born_ms_, service_, zone_, cpu_,
+                    memory_mb_, gpu_, labels_, draining_)
+
+  std::string worker_;
+  std::int64_t born_ms_ = 0;
+  ServiceName service_;
+  AvailabilityZone zone_;
+  std::int64_t cpu_ = 0;
+  std::int64_t memory_mb_ = 0;
+  std::int64_t gpu_ = 0;
+  std::vector<std::string> labels_;
+  bool draining_ = false;
+};
+
+/// Builds one WorkerFacts; what is not set keeps its default.
+class WorkerFacts::Builder : public ValueBuilder<WorkerFacts, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& worker(std::string value) {
+    return Set(value_.worker_, std::move(value));
+  }
+  Builder& born_ms(std::int64_t value) { return Set(value_.born_ms_, value); }
+  Builder& service(ServiceName value) {
+    return Set(value_.service_, std::move(value));
+  }
+  Builder& zone(AvailabilityZone value) {
+    return Set(value_.zone_, std::move(value));
+  }
+  Builder& cpu(std::int64_t value) { return Set(value_.cpu_, value); }
+  Builder& memory_mb(std::int64_t value) {
+    return Set(value_.memory_mb_, value);
+  }
+  Builder& gpu(std::int64_t value) { return Set(value_.gpu_, value); }
+  Builder& labels(std::vector<std::string> value) {
+    return Set(value_.labels_, std::move(value));
+  }
+  Builder& draining(bool value) { return Set(value_.draining_, value); }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_CORE_WORKER_FACTS_H_
--- /dev/null
+++ b/src/messages/gateway_effect.h
@@ -0,0 +1,24 @@
+#ifndef QUETZALLINE_MESSAGES_GATEWAY_EFFECT_H_
+#define QUETZALLINE_MESSAGES_GATEWAY_EFFECT_H_
+
+#include <variant>
+
+#include "messages/answer_job_call.h"
+#include "messages/close_connection.h"
+#include "messages/kv_commit.h"
+#include "messages/kv_get.h"
+#include "messages/kv_watch.h"
+#include "messages/log_decision.h"
+#include "messages/process_finished.h"
+#include "messages/send_to_holder.h"
+
+namespace quetzalline {
+
+/// What a gateway node has done.
+using GatewayEffect =
+    std::variant<AnswerJobCall, SendToHolder, CloseConnection, KvGet, KvWatch,
+                 KvCommit, LogDecision, ProcessFinished>;
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_GATEWAY_EFFECT_H_
--- /dev/null
+++ b/src/messages/grant_lease.h
@@ -0,0 +1,39 @@
+#ifndef QUETZALLINE_MESSAGES_GRANT_LEASE_H_
+#define QUETZALLINE_MESSAGES_GRANT_LEASE_H_
+
+#include <compare>
+#include <cstdint>
+#include <string_view>
+
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// Lets the worker's tasks run on, counted from the sending of a report.
+class GrantLease {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "grant-lease";
+
+  std::int64_t report() const { return report_; }
+
+  friend auto operator<=>(const GrantLease&, const GrantLease&) = default;
+
+ private:
+  QUETZALLINE_VALUE(GrantLease, report_)
+
+  std::int64_t report_ = 0;
+};
+
+/// Builds one GrantLease; what is not set keeps its default.
+class GrantLease::Builder : public ValueBuilder<GrantLease, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& report(std::int64_t value) { return Set(value_.report_, value); }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_GRANT_LEASE_H_
--- /dev/null
+++ b/src/messages/hand_in_job.h
@@ -0,0 +1,49 @@
+#ifndef QUETZALLINE_MESSAGES_HAND_IN_JOB_H_
+#define QUETZALLINE_MESSAGES_HAND_IN_JOB_H_
+
+#include <compare>
+#include <cstdint>
+#include <string_view>
+#include <utility>
+
+#include "core/value.h"
+#include "records/job_record.h"
+
+namespace quetzalline {
+
+/// An entry hands in a job for a caller.
+class HandInJob {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "hand-in-job";
+
+  std::uint64_t ticket() const { return ticket_; }
+  std::uint64_t job() const { return job_; }
+  const JobRecord& record() const { return record_; }
+
+  friend auto operator<=>(const HandInJob&, const HandInJob&) = default;
+
+ private:
+  QUETZALLINE_VALUE(HandInJob, ticket_, job_, record_)
+
+  std::uint64_t ticket_ = 0;
+  std::uint64_t job_ = 0;
+  JobRecord record_;
+};
+
+/// Builds one HandInJob; what is not set keeps its default.
+class HandInJob::Builder : public ValueBuilder<HandInJob, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& ticket(std::uint64_t value) { return Set(value_.ticket_, value); }
+  Builder& job(std::uint64_t value) { return Set(value_.job_, value); }
+  Builder& record(JobRecord value) {
+    return Set(value_.record_, std::move(value));
+  }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_HAND_IN_JOB_H_
--- /dev/null
+++ b/src/messages/holder_message.h
@@ -0,0 +1,23 @@
+#ifndef QUETZALLINE_MESSAGES_HOLDER_MESSAGE_H_
+#define QUETZALLINE_MESSAGES_HOLDER_MESSAGE_H_
+
+#include <variant>
+
+#include "messages/entry_alive.h"
+#include "messages/hand_in_job.h"
+#include "messages/holder_superseded.h"
+#include "messages/read_job_state.h"
+#include "messages/read_pending.h"
+#include "messages/withdraw_job.h"
+#include "messages/worker_report.h"
+
+namespace quetzalline {
+
+/// What runners and entries tell a holder.
+using HolderMessage =
+    std::variant<WorkerReport, HolderSuperseded, EntryAlive, HandInJob,
+                 WithdrawJob, ReadJobState, ReadPending>;
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_HOLDER_MESSAGE_H_
--- /dev/null
+++ b/src/messages/job_call_kind.h
@@ -0,0 +1,17 @@
+#ifndef QUETZALLINE_MESSAGES_JOB_CALL_KIND_H_
+#define QUETZALLINE_MESSAGES_JOB_CALL_KIND_H_
+
+#include <variant>
+
+#include "messages/read_call.h"
+#include "messages/submit_call.h"
+#include "messages/withdraw_call.h"
+
+namespace quetzalline {
+
+/// What a caller wants.
+using JobCallKind = std::variant<SubmitCall, ReadCall, WithdrawCall>;
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_JOB_CALL_KIND_H_
--- /dev/null
+++ b/src/messages/job_refused.h
@@ -0,0 +1,49 @@
+#ifndef QUETZALLINE_MESSAGES_JOB_REFUSED_H_
+#define QUETZALLINE_MESSAGES_JOB_REFUSED_H_
+
+#include <compare>
+#include <cstdint>
+#include <string_view>
+
+#include "core/reason.h"
+#include "core/time.h"
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// The job was not accepted and never runs.
+class JobRefused {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "job-refused";
+
+  std::uint64_t ticket() const { return ticket_; }
+  Reason reason() const { return reason_; }
+  Duration retry_after() const { return retry_after_; }
+
+  friend auto operator<=>(const JobRefused&, const JobRefused&) = default;
+
+ private:
+  QUETZALLINE_VALUE(JobRefused, ticket_, reason_, retry_after_)
+
+  std::uint64_t ticket_ = 0;
+  Reason reason_ = Reason{};
+  Duration retry_after_ = Duration{};
+};
+
+/// Builds one JobRefused; what is not set keeps its default.
+class JobRefused::Builder : public ValueBuilder<JobRefused, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& ticket(std::uint64_t value) { return Set(value_.ticket_, value); }
+  Builder& reason(Reason value) { return Set(value_.reason_, value); }
+  Builder& retry_after(Duration value) {
+    return Set(value_.retry_after_, value);
+  }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_JOB_REFUSED_H_
--- /dev/null
+++ b/src/messages/job_state_told.h
@@ -0,0 +1,43 @@
+#ifndef QUETZALLINE_MESSAGES_JOB_STATE_TOLD_H_
+#define QUETZALLINE_MESSAGES_JOB_STATE_TOLD_H_
+
+#include <compare>
+#include <cstdint>
+#include <string_view>
+
+#include "core/job_state.h"
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// The state of a job.
+class JobStateTold {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "job-state-told";
+
+  std::uint64_t ticket() const { return ticket_; }
+  JobState state() const { return state_; }
+
+  friend auto operator<=>(const JobStateTold&, const JobStateTold&) = default;
+
+ private:
+  QUETZALLINE_VALUE(JobStateTold, ticket_, state_)
+
+  std::uint64_t ticket_ = 0;
+  JobState state_ = JobState{};
+};
+
+/// Builds one JobStateTold; what is not set keeps its default.
+class JobStateTold::Builder : public ValueBuilder<JobStateTold, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& ticket(std::uint64_t value) { return Set(value_.ticket_, value); }
+  Builder& state(JobState value) { return Set(value_.state_, value); }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_JOB_STATE_TOLD_H_
--- /dev/null
+++ b/src/messages/kv_end_lease.h
@@ -0,0 +1,42 @@
+#ifndef QUETZALLINE_MESSAGES_KV_END_LEASE_H_
+#define QUETZALLINE_MESSAGES_KV_END_LEASE_H_
+
+#include <compare>
+#include <cstdint>
+#include <string_view>
+
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// Ends a lease; its keys go.
+class KvEndLease {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "kv-end-lease";
+
+  std::uint64_t ticket() const { return ticket_; }
+  std::uint64_t lease() const { return lease_; }
+
+  friend auto operator<=>(const KvEndLease&, const KvEndLease&) = default;
+
+ private:
+  QUETZALLINE_VALUE(KvEndLease, ticket_, lease_)
+
+  std::uint64_t ticket_ = 0;
+  std::uint64_t lease_ = 0;
+};
+
+/// Builds one KvEndLease; what is not set keeps its default.
+class KvEndLease::Builder : public ValueBuilder<KvEndLease, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& ticket(std::uint64_t value) { return Set(value_.ticket_, value); }
+  Builder& lease(std::uint64_t value) { return Set(value_.lease_, value); }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_KV_END_LEASE_H_
--- /dev/null
+++ b/src/messages/kv_watch.h
@@ -0,0 +1,55 @@
+#ifndef QUETZALLINE_MESSAGES_KV_WATCH_H_
+#define QUETZALLINE_MESSAGES_KV_WATCH_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "core/time.h"
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// Waits for changes under a prefix.
+class KvWatch {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "kv-watch";
+
+  std::uint64_t ticket() const { return ticket_; }
+  const std::string& prefix() const { return prefix_; }
+  /// Changes after this revision are wanted.
+  std::int64_t after() const { return after_; }
+  /// Longest time to wait.
+  Duration wait() const { return wait_; }
+
+  friend auto operator<=>(const KvWatch&, const KvWatch&) = default;
+
+ private:
+  QUETZALLINE_VALUE(KvWatch, ticket_, prefix_, after_, wait_)
+
+  std::uint64_t ticket_ = 0;
+  std::string prefix_;
+  std::int64_t after_ = 0;
+  Duration wait_ = Duration{};
+};
+
+/// Builds one KvWatch; what is not set keeps its default.
+class KvWatch::Builder : public ValueBuilder<KvWatch, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& ticket(std::uint64_t value) { return Set(value_.ticket_, value); }
+  Builder& prefix(std::string value) {
+    return Set(value_.prefix_, std::move(value));
+  }
+  Builder& after(std::int64_t value) { return Set(value_.after_, value); }
+  Builder& wait(Duration value) { return Set(value_.wait_, value); }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_KV_WATCH_H_
--- /dev/null
+++ b/src/messages/note_ends.h
@@ -0,0 +1,43 @@
+#ifndef QUETZALLINE_MESSAGES_NOTE_ENDS_H_
+#define QUETZALLINE_MESSAGES_NOTE_ENDS_H_
+
+#include <compare>
+#include <cstdint>
+#include <string_view>
+
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// The ends up to this number are kept for good and may be forgotten.
+class NoteEnds {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "note-ends";
+
+  /// The life of the worker that listed them.
+  std::int64_t born_ms() const { return born_ms_; }
+  std::int64_t up_to() const { return up_to_; }
+
+  friend auto operator<=>(const NoteEnds&, const NoteEnds&) = default;
+
+ private:
+  QUETZALLINE_VALUE(NoteEnds, born_ms_, up_to_)
+
+  std::int64_t born_ms_ = 0;
+  std::int64_t up_to_ = 0;
+};
+
+/// Builds one NoteEnds; what is not set keeps its default.
+class NoteEnds::Builder : public ValueBuilder<NoteEnds, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& born_ms(std::int64_t value) { return Set(value_.born_ms_, value); }
+  Builder& up_to(std::int64_t value) { return Set(value_.up_to_, value); }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_NOTE_ENDS_H_
--- /dev/null
+++ b/src/messages/read_call.h
@@ -0,0 +1,32 @@
+#ifndef QUETZALLINE_MESSAGES_READ_CALL_H_
+#define QUETZALLINE_MESSAGES_READ_CALL_H_
+
+#include <compare>
+#include <string_view>
+
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// A caller asks for a job, or for the length of a queue.
+class ReadCall {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "read-call";
+
+  friend auto operator<=>(const ReadCall&, const ReadCall&) = default;
+
+ private:
+  QUETZALLINE_VALUE(ReadCall)
+};
+
+/// Builds one ReadCall; what is not set keeps its default.
+class ReadCall::Builder : public ValueBuilder<ReadCall, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_READ_CALL_H_
--- /dev/null
+++ b/src/messages/read_pending.h
@@ -0,0 +1,46 @@
+#ifndef QUETZALLINE_MESSAGES_READ_PENDING_H_
+#define QUETZALLINE_MESSAGES_READ_PENDING_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// An entry asks how many jobs of a queue have not begun.
+class ReadPending {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "read-pending";
+
+  std::uint64_t ticket() const { return ticket_; }
+  const std::string& queue() const { return queue_; }
+
+  friend auto operator<=>(const ReadPending&, const ReadPending&) = default;
+
+ private:
+  QUETZALLINE_VALUE(ReadPending, ticket_, queue_)
+
+  std::uint64_t ticket_ = 0;
+  std::string queue_;
+};
+
+/// Builds one ReadPending; what is not set keeps its default.
+class ReadPending::Builder : public ValueBuilder<ReadPending, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& ticket(std::uint64_t value) { return Set(value_.ticket_, value); }
+  Builder& queue(std::string value) {
+    return Set(value_.queue_, std::move(value));
+  }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_READ_PENDING_H_
--- /dev/null
+++ b/src/messages/runner_effect.h
@@ -0,0 +1,25 @@
+#ifndef QUETZALLINE_MESSAGES_RUNNER_EFFECT_H_
+#define QUETZALLINE_MESSAGES_RUNNER_EFFECT_H_
+
+#include <variant>
+
+#include "messages/close_connection.h"
+#include "messages/kv_commit.h"
+#include "messages/kv_get.h"
+#include "messages/log_decision.h"
+#include "messages/send_to_holder.h"
+#include "messages/worker_hold.h"
+#include "messages/worker_pace.h"
+#include "messages/worker_start.h"
+#include "messages/worker_stop.h"
+
+namespace quetzalline {
+
+/// What a runner node has done.
+using RunnerEffect =
+    std::variant<SendToHolder, CloseConnection, WorkerStart, WorkerStop,
+                 WorkerPace, WorkerHold, KvGet, KvCommit, LogDecision>;
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_RUNNER_EFFECT_H_
--- /dev/null
+++ b/src/messages/runner_input.h
@@ -0,0 +1,24 @@
+#ifndef QUETZALLINE_MESSAGES_RUNNER_INPUT_H_
+#define QUETZALLINE_MESSAGES_RUNNER_INPUT_H_
+
+#include <variant>
+
+#include "messages/connection_closed.h"
+#include "messages/connection_opened.h"
+#include "messages/kv_answer.h"
+#include "messages/runner_message_received.h"
+#include "messages/stop_requested.h"
+#include "messages/worker_answer.h"
+#include "messages/worker_left.h"
+#include "messages/worker_seen.h"
+
+namespace quetzalline {
+
+/// What a runner node takes in.
+using RunnerInput =
+    std::variant<ConnectionOpened, ConnectionClosed, RunnerMessageReceived,
+                 WorkerSeen, WorkerLeft, WorkerAnswer, KvAnswer, StopRequested>;
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_RUNNER_INPUT_H_
--- /dev/null
+++ b/src/messages/runner_message.h
@@ -0,0 +1,20 @@
+#ifndef QUETZALLINE_MESSAGES_RUNNER_MESSAGE_H_
+#define QUETZALLINE_MESSAGES_RUNNER_MESSAGE_H_
+
+#include <variant>
+
+#include "messages/attach_runner.h"
+#include "messages/grant_lease.h"
+#include "messages/note_ends.h"
+#include "messages/start_run.h"
+#include "messages/stop_run.h"
+
+namespace quetzalline {
+
+/// What a holder tells a runner.
+using RunnerMessage =
+    std::variant<AttachRunner, GrantLease, StartRun, StopRun, NoteEnds>;
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_RUNNER_MESSAGE_H_
--- /dev/null
+++ b/src/messages/start_run.h
@@ -0,0 +1,61 @@
+#ifndef QUETZALLINE_MESSAGES_START_RUN_H_
+#define QUETZALLINE_MESSAGES_START_RUN_H_
+
+#include <compare>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "core/run_key.h"
+#include "core/shared.h"
+#include "core/time.h"
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// Starts a task on the worker, or says what a run there is that the runner
+/// lists.
+class StartRun {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "start-run";
+
+  const RunKey& run() const { return run_; }
+  const Shared<std::string>& spec() const { return spec_; }
+  const std::string& checkpoint() const { return checkpoint_; }
+  /// Tail latency to hold; zero where the task has none.
+  Duration target() const { return target_; }
+  bool fills() const { return fills_; }
+
+  friend auto operator<=>(const StartRun&, const StartRun&) = default;
+
+ private:
+  QUETZALLINE_VALUE(StartRun, run_, spec_, checkpoint_, target_, fills_)
+
+  RunKey run_;
+  Shared<std::string> spec_;
+  std::string checkpoint_;
+  Duration target_ = Duration{};
+  bool fills_ = false;
+};
+
+/// Builds one StartRun; what is not set keeps its default.
+class StartRun::Builder : public ValueBuilder<StartRun, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& run(RunKey value) { return Set(value_.run_, std::move(value)); }
+  Builder& spec(Shared<std::string> value) {
+    return Set(value_.spec_, std::move(value));
+  }
+  Builder& checkpoint(std::string value) {
+    return Set(value_.checkpoint_, std::move(value));
+  }
+  Builder& target(Duration value) { return Set(value_.target_, value); }
+  Builder& fills(bool value) { return Set(value_.fills_, value); }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_START_RUN_H_
--- /dev/null
+++ b/src/messages/withdraw_job.h
@@ -0,0 +1,42 @@
+#ifndef QUETZALLINE_MESSAGES_WITHDRAW_JOB_H_
+#define QUETZALLINE_MESSAGES_WITHDRAW_JOB_H_
+
+#include <compare>
+#include <cstdint>
+#include <string_view>
+
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// An entry cancels a job for a caller.
+class WithdrawJob {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "withdraw-job";
+
+  std::uint64_t ticket() const { return ticket_; }
+  std::uint64_t job() const { return job_; }
+
+  friend auto operator<=>(const WithdrawJob&, const WithdrawJob&) = default;
+
+ private:
+  QUETZALLINE_VALUE(WithdrawJob, ticket_, job_)
+
+  std::uint64_t ticket_ = 0;
+  std::uint64_t job_ = 0;
+};
+
+/// Builds one WithdrawJob; what is not set keeps its default.
+class WithdrawJob::Builder : public ValueBuilder<WithdrawJob, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& ticket(std::uint64_t value) { return Set(value_.ticket_, value); }
+  Builder& job(std::uint64_t value) { return Set(value_.job_, value); }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_WITHDRAW_JOB_H_
--- /dev/null
+++ b/src/messages/worker_answer.h
@@ -0,0 +1,66 @@
+#ifndef QUETZALLINE_MESSAGES_WORKER_ANSWER_H_
+#define QUETZALLINE_MESSAGES_WORKER_ANSWER_H_
+
+#include <compare>
+#include <cstdint>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "core/run_end.h"
+#include "core/value.h"
+#include "messages/worker_run.h"
+#include "messages/worker_verdict.h"
+
+namespace quetzalline {
+
+/// The end of a call to the worker.
+class WorkerAnswer {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "worker-answer";
+
+  std::uint64_t call() const { return call_; }
+  WorkerVerdict verdict() const { return verdict_; }
+  /// The life of the worker that answered; 0 where it did not say.
+  std::int64_t born_ms() const { return born_ms_; }
+  /// The worker's clock; 0 where it did not say.
+  std::int64_t clock_ms() const { return clock_ms_; }
+  const std::vector<WorkerRun>& running() const { return running_; }
+  const std::vector<RunEnd>& ends() const { return ends_; }
+
+  friend auto operator<=>(const WorkerAnswer&, const WorkerAnswer&) = default;
+
+ private:
+  QUETZALLINE_VALUE(WorkerAnswer, call_, verdict_, born_ms_, clock_ms_,
+                    running_, ends_)
+
+  std::uint64_t call_ = 0;
+  WorkerVerdict verdict_ = WorkerVerdict{};
+  std::int64_t born_ms_ = 0;
+  std::int64_t clock_ms_ = 0;
+  std::vector<WorkerRun> running_;
+  std::vector<RunEnd> ends_;
+};
+
+/// Builds one WorkerAnswer; what is not set keeps its default.
+class WorkerAnswer::Builder : public ValueBuilder<WorkerAnswer, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& call(std::uint64_t value) { return Set(value_.call_, value); }
+  Builder& verdict(WorkerVerdict value) { return Set(value_.verdict_, value); }
+  Builder& born_ms(std::int64_t value) { return Set(value_.born_ms_, value); }
+  Builder& clock_ms(std::int64_t value) { return Set(value_.clock_ms_, value); }
+  Builder& running(std::vector<WorkerRun> value) {
+    return Set(value_.running_, std::move(value));
+  }
+  Builder& ends(std::vector<RunEnd> value) {
+    return Set(value_.ends_, std::move(value));
+  }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_WORKER_ANSWER_H_
--- /dev/null
+++ b/src/messages/worker_left.h
@@ -0,0 +1,42 @@
+#ifndef QUETZALLINE_MESSAGES_WORKER_LEFT_H_
+#define QUETZALLINE_MESSAGES_WORKER_LEFT_H_
+
+#include <compare>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// The worker said that it ends.
+class WorkerLeft {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "worker-left";
+
+  const std::string& worker() const { return worker_; }
+
+  friend auto operator<=>(const WorkerLeft&, const WorkerLeft&) = default;
+
+ private:
+  QUETZALLINE_VALUE(WorkerLeft, worker_)
+
+  std::string worker_;
+};
+
+/// Builds one WorkerLeft; what is not set keeps its default.
+class WorkerLeft::Builder : public ValueBuilder<WorkerLeft, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& worker(std::string value) {
+    return Set(value_.worker_, std::move(value));
+  }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_WORKER_LEFT_H_
--- /dev/null
+++ b/src/messages/worker_pace.h
@@ -0,0 +1,56 @@
+#ifndef QUETZALLINE_MESSAGES_WORKER_PACE_H_
+#define QUETZALLINE_MESSAGES_WORKER_PACE_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "core/run_key.h"
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// Orders the worker to let a run work at a share of its speed.
+class WorkerPace {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "worker-pace";
+
+  std::uint64_t call() const { return call_; }
+  const std::string& worker() const { return worker_; }
+  const RunKey& run() const { return run_; }
+  std::int32_t percent() const { return percent_; }
+  std::int64_t fence() const { return fence_; }
+
+  friend auto operator<=>(const WorkerPace&, const WorkerPace&) = default;
+
+ private:
+  QUETZALLINE_VALUE(WorkerPace, call_, worker_, run_, percent_, fence_)
+
+  std::uint64_t call_ = 0;
+  std::string worker_;
+  RunKey run_;
+  std::int32_t percent_ = 0;
+  std::int64_t fence_ = 0;
+};
+
+/// Builds one WorkerPace; what is not set keeps its default.
+class WorkerPace::Builder : public ValueBuilder<WorkerPace, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& call(std::uint64_t value) { return Set(value_.call_, value); }
+  Builder& worker(std::string value) {
+    return Set(value_.worker_, std::move(value));
+  }
+  Builder& run(RunKey value) { return Set(value_.run_, std::move(value)); }
+  Builder& percent(std::int32_t value) { return Set(value_.percent_, value); }
+  Builder& fence(std::int64_t value) { return Set(value_.fence_, value); }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_WORKER_PACE_H_
--- /dev/null
+++ b/src/messages/worker_start.h
@@ -0,0 +1,70 @@
+#ifndef QUETZALLINE_MESSAGES_WORKER_START_H_
+#define QUETZALLINE_MESSAGES_WORKER_START_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "core/run_key.h"
+#include "core/shared.h"
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// Orders the worker to start a run.
+class WorkerStart {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "worker-start";
+
+  std::uint64_t call() const { return call_; }
+  const std::string& worker() const { return worker_; }
+  const RunKey& run() const { return run_; }
+  const Shared<std::string>& spec() const { return spec_; }
+  const std::string& checkpoint() const { return checkpoint_; }
+  /// When everything on the worker stops unless the lease is renewed, by the
+  /// worker's clock.
+  std::int64_t until_ms() const { return until_ms_; }
+  std::int64_t fence() const { return fence_; }
+
+  friend auto operator<=>(const WorkerStart&, const WorkerStart&) = default;
+
+ private:
+  QUETZALLINE_VALUE(WorkerStart, call_, worker_, run_, spec_, checkpoint_,
+                    until_ms_, fence_)
+
+  std::uint64_t call_ = 0;
+  std::string worker_;
+  RunKey run_;
+  Shared<std::string> spec_;
+  std::string checkpoint_;
+  std::int64_t until_ms_ = 0;
+  std::int64_t fence_ = 0;
+};
+
+/// Builds one WorkerStart; what is not set keeps its default.
+class WorkerStart::Builder : public ValueBuilder<WorkerStart, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& call(std::uint64_t value) { return Set(value_.call_, value); }
+  Builder& worker(std::string value) {
+    return Set(value_.worker_, std::move(value));
+  }
+  Builder& run(RunKey value) { return Set(value_.run_, std::move(value)); }
+  Builder& spec(Shared<std::string> value) {
+    return Set(value_.spec_, std::move(value));
+  }
+  Builder& checkpoint(std::string value) {
+    return Set(value_.checkpoint_, std::move(value));
+  }
+  Builder& until_ms(std::int64_t value) { return Set(value_.until_ms_, value); }
+  Builder& fence(std::int64_t value) { return Set(value_.fence_, value); }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_WORKER_START_H_
--- a/src/programs/main.cc
+++ b/src/programs/main.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "programs/subcommand.h"
+#include "run_platform.h"
 
 namespace quetzalline {
 namespace {
@@ -18,6 +19,10 @@
   static const std::map<std::string, Subcommand> kSubcommands{
       {"entry", {RunEntry, "run an entry instance"}},
       {"agent", {RunAgent, "run the agent beside an endpoint"}},
+      {"platform-entry",
+       {RunPlatformEntry, "run an entry on the users' platform"}},
+      {"platform-agent",
+       {RunPlatformAgent, "run an agent on the users' platform"}},
       {"local", {RunLocal, "run a whole example system in one process"}},
       {"publish", {RunPublish, "hand in the service files of a directory"}},
       {"check", {RunCheck, "check settings and service files offline"}},
@@ -34,7 +39,7 @@
 void PrintHelp(std::ostream& out) {
   out << "Usage: quetzalline SUBCOMMAND [options]\n\n";
   for (const auto& [name, subcommand] : Subcommands()) {
-    out << "  " << name << std::string(10 - name.size(), ' ')
+    out << "  " << name << std::string(16 - name.size(), ' ')
         << subcommand.summary_ << "\n";
   }
   out << "\nExit status: 0 done, 1 refused by the system, 2 wrong usage or "
--- /dev/null
+++ b/src/records/job_record.h
@@ -0,0 +1,50 @@
+#ifndef QUETZALLINE_RECORDS_JOB_RECORD_H_
+#define QUETZALLINE_RECORDS_JOB_RECORD_H_
+
+#include <compare>
+#include <cstdint>
+#include <string_view>
+#include <utility>
+
+#include "core/job_definition.h"
+#include "core/shared.h"
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// A job as it was accepted. Written once.
+class JobRecord {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "job-record";
+
+  const Shared<JobDefinition>& definition() const { return definition_; }
+  /// Unix milliseconds, by the clock of the process that took it.
+  std::int64_t accepted_ms() const { return accepted_ms_; }
+
+  friend auto operator<=>(const JobRecord&, const JobRecord&) = default;
+
+ private:
+  QUETZALLINE_VALUE(JobRecord, definition_, accepted_ms_)
+
+  Shared<JobDefinition> definition_;
+  std::int64_t accepted_ms_ = 0;
+};
+
+/// Builds one JobRecord; what is not set keeps its default.
+class JobRecord::Builder : public ValueBuilder<JobRecord, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& definition(Shared<JobDefinition> value) {
+    return Set(value_.definition_, std::move(value));
+  }
+  Builder& accepted_ms(std::int64_t value) {
+    return Set(value_.accepted_ms_, value);
+  }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_RECORDS_JOB_RECORD_H_
--- /dev/null
+++ b/src/records/kv_record.h
@@ -0,0 +1,20 @@
+#ifndef QUETZALLINE_RECORDS_KV_RECORD_H_
+#define QUETZALLINE_RECORDS_KV_RECORD_H_
+
+#include <variant>
+
+#include "core/scheduler_configuration.h"
+#include "records/holder_record.h"
+#include "records/job_progress.h"
+#include "records/job_record.h"
+#include "records/member_record.h"
+
+namespace quetzalline {
+
+/// What the scheduler reads and writes in the platform's store.
+using KvRecord = std::variant<JobRecord, JobProgress, HolderRecord,
+                              MemberRecord, SchedulerConfiguration>;
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_RECORDS_KV_RECORD_H_
--- /dev/null
+++ b/src/records/task_progress.h
@@ -0,0 +1,64 @@
+#ifndef QUETZALLINE_RECORDS_TASK_PROGRESS_H_
+#define QUETZALLINE_RECORDS_TASK_PROGRESS_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// What a later holder has to know of one task.
+class TaskProgress {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "task-progress";
+
+  std::int32_t occurrence() const { return occurrence_; }
+  std::int32_t step() const { return step_; }
+  std::int32_t index() const { return index_; }
+  bool done() const { return done_; }
+  std::int32_t failures() const { return failures_; }
+  std::int64_t last_run() const { return last_run_; }
+  const std::string& checkpoint() const { return checkpoint_; }
+
+  friend auto operator<=>(const TaskProgress&, const TaskProgress&) = default;
+
+ private:
+  QUETZALLINE_VALUE(TaskProgress, occurrence_, step_, index_, done_, failures_,
+                    last_run_, checkpoint_)
+
+  std::int32_t occurrence_ = 0;
+  std::int32_t step_ = 0;
+  std::int32_t index_ = 0;
+  bool done_ = false;
+  std::int32_t failures_ = 0;
+  std::int64_t last_run_ = 0;
+  std::string checkpoint_;
+};
+
+/// Builds one TaskProgress; what is not set keeps its default.
+class TaskProgress::Builder : public ValueBuilder<TaskProgress, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& occurrence(std::int32_t value) {
+    return Set(value_.occurrence_, value);
+  }
+  Builder& step(std::int32_t value) { return Set(value_.step_, value); }
+  Builder& index(std::int32_t value) { return Set(value_.index_, value); }
+  Builder& done(bool value) { return Set(value_.done_, value); }
+  Builder& failures(std::int32_t value) { return Set(value_.failures_, value); }
+  Builder& last_run(std::int64_t value) { return Set(value_.last_run_, value); }
+  Builder& checkpoint(std::string value) {
+    return Set(value_.checkpoint_, std::move(value));
+  }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_RECORDS_TASK_PROGRESS_H_
--- a/src/platform/memory_store.cc
+++ b/src/standin/memory_store.cc
@@ -1,4 +1,4 @@
-#include "platform/memory_store.h"
+#include "standin/memory_store.h"
 
 #include <algorithm>
 
--- a/src/platform/memory_store.h
+++ b/src/standin/memory_store.h
@@ -1,5 +1,5 @@
-#ifndef QUETZALLINE_PLATFORM_MEMORY_STORE_H_
-#define QUETZALLINE_PLATFORM_MEMORY_STORE_H_
+#ifndef QUETZALLINE_STANDIN_MEMORY_STORE_H_
+#define QUETZALLINE_STANDIN_MEMORY_STORE_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/stored_value.h"
+#include "standin/stored_value.h"
 
 namespace quetzalline {
 
@@ -40,4 +40,4 @@
 
 }  // namespace quetzalline
 
-#endif  // QUETZALLINE_PLATFORM_MEMORY_STORE_H_
+#endif  // QUETZALLINE_STANDIN_MEMORY_STORE_H_
--- a/src/platform/memory_worker.cc
+++ b/src/standin/memory_worker.cc
@@ -1,4 +1,4 @@
-#include "platform/memory_worker.h"
+#include "standin/memory_worker.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/platform/memory_worker.h
+++ b/src/standin/memory_worker.h
@@ -1,5 +1,5 @@
-#ifndef QUETZALLINE_PLATFORM_MEMORY_WORKER_H_
-#define QUETZALLINE_PLATFORM_MEMORY_WORKER_H_
+#ifndef QUETZALLINE_STANDIN_MEMORY_WORKER_H_
+#define QUETZALLINE_STANDIN_MEMORY_WORKER_H_
 
 #include <algorithm>
 #include <map>
@@ -10,8 +10,8 @@
 #include "core/time.h"
 #include "messages/start_work.h"
 #include "messages/worker_news.h"
-#include "platform/worker_faults.h"
-#include "platform/worker_task.h"
+#include "standin/worker_faults.h"
+#include "standin/worker_task.h"
 
 namespace quetzalline {
 
@@ -50,4 +50,4 @@
 
 }  // namespace quetzalline
 
-#endif  // QUETZALLINE_PLATFORM_MEMORY_WORKER_H_
+#endif  // QUETZALLINE_STANDIN_MEMORY_WORKER_H_
--- a/src/platform/store_faults.h
+++ b/src/standin/store_faults.h
@@ -1,5 +1,5 @@
-#ifndef QUETZALLINE_PLATFORM_STORE_FAULTS_H_
-#define QUETZALLINE_PLATFORM_STORE_FAULTS_H_
+#ifndef QUETZALLINE_STANDIN_STORE_FAULTS_H_
+#define QUETZALLINE_STANDIN_STORE_FAULTS_H_
 
 #include <compare>
 #include <string_view>
@@ -45,4 +45,4 @@
 
 }  // namespace quetzalline
 
-#endif  // QUETZALLINE_PLATFORM_STORE_FAULTS_H_
+#endif  // QUETZALLINE_STANDIN_STORE_FAULTS_H_
--- a/src/platform/stored_value.h
+++ b/src/standin/stored_value.h
@@ -1,5 +1,5 @@
-#ifndef QUETZALLINE_PLATFORM_STORED_VALUE_H_
-#define QUETZALLINE_PLATFORM_STORED_VALUE_H_
+#ifndef QUETZALLINE_STANDIN_STORED_VALUE_H_
+#define QUETZALLINE_STANDIN_STORED_VALUE_H_
 
 #include <compare>
 #include <cstdint>
@@ -47,4 +47,4 @@
 
 }  // namespace quetzalline
 
-#endif  // QUETZALLINE_PLATFORM_STORED_VALUE_H_
+#endif  // QUETZALLINE_STANDIN_STORED_VALUE_H_
--- a/src/platform/worker_faults.h
+++ b/src/standin/worker_faults.h
@@ -1,5 +1,5 @@
-#ifndef QUETZALLINE_PLATFORM_WORKER_FAULTS_H_
-#define QUETZALLINE_PLATFORM_WORKER_FAULTS_H_
+#ifndef QUETZALLINE_STANDIN_WORKER_FAULTS_H_
+#define QUETZALLINE_STANDIN_WORKER_FAULTS_H_
 
 #include <compare>
 #include <string_view>
@@ -37,4 +37,4 @@
 
 }  // namespace quetzalline
 
-#endif  // QUETZALLINE_PLATFORM_WORKER_FAULTS_H_
+#endif  // QUETZALLINE_STANDIN_WORKER_FAULTS_H_
--- a/src/platform/worker_task.h
+++ b/src/standin/worker_task.h
@@ -1,5 +1,5 @@
-#ifndef QUETZALLINE_PLATFORM_WORKER_TASK_H_
-#define QUETZALLINE_PLATFORM_WORKER_TASK_H_
+#ifndef QUETZALLINE_STANDIN_WORKER_TASK_H_
+#define QUETZALLINE_STANDIN_WORKER_TASK_H_
 
 #include <compare>
 #include <optional>
@@ -62,4 +62,4 @@
 
 }  // namespace quetzalline
 
-#endif  // QUETZALLINE_PLATFORM_WORKER_TASK_H_
+#endif  // QUETZALLINE_STANDIN_WORKER_TASK_H_
--- /dev/null
+++ b/src/systems/cell/cell_keys.cc
@@ -0,0 +1,50 @@
+#include "systems/cell/cell_keys.h"
+
+#include <charconv>
+
+namespace quetzalline {
+namespace {
+
+constexpr std::size_t kJobDigits = 16;
+constexpr int kHexadecimal = 16;
+
+}  // namespace
+
+std::string JobText(std::uint64_t job) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string text(kJobDigits, '0');
+  for (std::size_t i = kJobDigits; i > 0; --i) {
+    text[i - 1] = kDigits[job % kHexadecimal];
+    job /= kHexadecimal;
+  }
+  return text;
+}
+
+std::optional<std::uint64_t> ParseJobText(std::string_view text) {
+  if (text.size() != kJobDigits) return std::nullopt;
+  std::uint64_t job = 0;
+  const char* end = text.data() + text.size();
+  const auto [stopped, error] =
+      std::from_chars(text.data(), end, job, kHexadecimal);
+  if (error != std::errc() || stopped != end) return std::nullopt;
+  return job;
+}
+
+std::string JobKey(std::uint64_t job) {
+  return std::string(kJobPrefix) + JobText(job);
+}
+
+std::string ProgressKey(std::uint64_t job) {
+  return std::string(kProgressPrefix) + JobText(job);
+}
+
+std::string MemberKey(const MemberName& member) {
+  return std::string(kMemberPrefix) + member.value();
+}
+
+std::string_view AfterPrefix(std::string_view key, std::string_view prefix) {
+  if (key.substr(0, prefix.size()) != prefix) return {};
+  return key.substr(prefix.size());
+}
+
+}  // namespace quetzalline
--- /dev/null
+++ b/src/systems/cell/registration.h
@@ -0,0 +1,60 @@
+#ifndef QUETZALLINE_SYSTEMS_CELL_REGISTRATION_H_
+#define QUETZALLINE_SYSTEMS_CELL_REGISTRATION_H_
+
+#include <cstdint>
+#include <string>
+
+#include "core/tick.h"
+#include "messages/kv_commit.h"
+#include "messages/kv_result.h"
+#include "records/member_record.h"
+#include "systems/cell/cell_keys.h"
+
+namespace quetzalline {
+
+/// Whether this process has announced itself in the store, so that holders
+/// dial it.
+struct Registration {
+  bool done_ = false;
+  /// The commit under way; 0 where there is none.
+  std::uint64_t ticket_ = 0;
+  Instant next_try_;
+};
+
+/// Announces the process, and again after a pause if that failed.
+template <typename AnyTick>
+void Register(const MemberName& member, const MemberRecord& record,
+              std::uint64_t& last_ticket, Registration& registration,
+              AnyTick& tick) {
+  if (registration.done_ || registration.ticket_ != 0) return;
+  if (tick.now() < registration.next_try_) {
+    return tick.WakeAt(registration.next_try_);
+  }
+  registration.ticket_ = ++last_ticket;
+  tick.counters().Add(Counter::kStoreCalls);
+  tick.Emit(KvCommit::Builder()
+                .ticket(registration.ticket_)
+                .puts({KvPut::Builder()
+                           .key(MemberKey(member))
+                           .record(KvRecord(record))
+                           .Build()})
+                .Build());
+}
+
+/// Takes up the answer to the announcement, if it is one.
+template <typename AnyTick>
+bool TakeRegistration(std::uint64_t ticket, const KvResult& result,
+                      Registration& registration, AnyTick& tick) {
+  // Pause before the announcement is repeated: between once and twice this.
+  constexpr Duration kPause = std::chrono::milliseconds(300);
+  if (ticket != registration.ticket_) return false;
+  registration.ticket_ = 0;
+  registration.done_ = std::holds_alternative<KvCommitted>(result);
+  registration.next_try_ =
+      tick.now() + kPause + Duration(Draw(tick.random(), kPause.count()));
+  return true;
+}
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_SYSTEMS_CELL_REGISTRATION_H_
--- /dev/null
+++ b/src/systems/gateway/check_job.cc
@@ -0,0 +1,55 @@
+#include "systems/gateway/check_job.h"
+
+#include <cstdint>
+
+namespace quetzalline {
+namespace {
+
+// Longest specification that callers may hand in, in bytes.
+constexpr std::size_t kLongestSpec = 4000;
+// Bounds on one job, so that no caller fills the holder's memory.
+constexpr std::size_t kMostSteps = 256;
+constexpr std::int64_t kMostTasks = 20'000;
+constexpr std::int64_t kLargestNeed = std::int64_t{1} << 40;
+
+std::optional<std::string> FindStepFault(const JobStep& step,
+                                         std::size_t number) {
+  const std::string where = "steps[" + std::to_string(number) + "].";
+  const auto out_of_range = [](std::int64_t need) {
+    return need < 0 || need > kLargestNeed;
+  };
+  if (step.count() < 1) return where + "count: expected 1 or more";
+  if (out_of_range(step.cpu())) return where + "cpu: out of range";
+  if (out_of_range(step.memory_mb())) return where + "mem_mb: out of range";
+  if (out_of_range(step.gpu())) return where + "gpu: out of range";
+  if (step.estimate() < Duration()) return where + "estimate_ms: out of range";
+  for (const std::int32_t before : step.after()) {
+    if (before < 0 || static_cast<std::size_t>(before) >= number) {
+      return where + "after: expected the numbers of earlier steps";
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::optional<std::string> FindJobFault(const SubmitCall& call) {
+  if (!call.definition()) return call.detail();
+  const JobDefinition& definition = **call.definition();
+  if (definition.spec().size() > kLongestSpec) return "spec: too long";
+  if (definition.steps().empty()) return "steps: expected one or more";
+  if (definition.steps().size() > kMostSteps) return "steps: too many";
+  if (definition.repeat_count() < 0) return "repeat_count: out of range";
+  std::int64_t tasks = 0;
+  for (std::size_t number = 0; number < definition.steps().size(); ++number) {
+    const JobStep& step = definition.steps()[number];
+    if (auto fault = FindStepFault(step, number)) return fault;
+    tasks += step.count();
+  }
+  const std::int64_t occurrences =
+      definition.repeat_count() > 0 ? definition.repeat_count() : 1;
+  if (tasks * occurrences > kMostTasks) return "steps: too many tasks";
+  return std::nullopt;
+}
+
+}  // namespace quetzalline
--- /dev/null
+++ b/src/systems/scheduler/admit_jobs.cc
@@ -0,0 +1,159 @@
+#include "systems/scheduler/admit_jobs.h"
+
+#include "systems/cell/cell_keys.h"
+#include "systems/cell/log_fields.h"
+#include "systems/scheduler/call_kv.h"
+#include "systems/scheduler/campaign.h"
+#include "systems/scheduler/conclude_job.h"
+#include "systems/scheduler/open_job.h"
+
+namespace quetzalline {
+namespace {
+
+// A store that has not kept anything for this long takes no new jobs: a caller
+// is better told at once than left waiting.
+constexpr Duration kStorePatience = std::chrono::milliseconds(400);
+// Callers refused for the store's sake come back between once and twice this.
+constexpr Duration kStoreRetryAfter = std::chrono::milliseconds(1000);
+
+template <typename Message>
+CallerWaiting WaitingOf(ConnectionId connection, const Message& message,
+                        bool withdraws, Instant now) {
+  return CallerWaiting::Builder()
+      .connection(connection)
+      .ticket(message.ticket())
+      .job(message.job())
+      .withdraws(withdraws)
+      .since(now)
+      .Build();
+}
+
+bool StoreIsFailing(const SchedulerTables& tables, Instant now) {
+  if (tables.store_failing_since_) return true;
+  return tables.commit_ && now - tables.commit_->since_ > kStorePatience;
+}
+
+void Refuse(ConnectionId connection, const HandInJob& message,
+            SchedulerTick& tick) {
+  const Duration retry_after =
+      kStoreRetryAfter +
+      Duration(Draw(tick.random(), kStoreRetryAfter.count()));
+  LogLine(tick, "job-refused", message.job(),
+          {Field("reason", Reason::kStoreFailed),
+           FieldMs("retry_after_ms", retry_after)});
+  AnswerEntry(connection,
+              JobRefused::Builder()
+                  .ticket(message.ticket())
+                  .reason(Reason::kStoreFailed)
+                  .retry_after(retry_after)
+                  .Build(),
+              tick);
+}
+
+void Probe(const CallerWaiting& caller, SchedulerTables& tables,
+           SchedulerTick& tick) {
+  GetKey(ProgressKey(caller.job()),
+         ProbingJob::Builder().caller(caller).Build(), tables, tick);
+}
+
+}  // namespace
+
+void AnswerEntry(ConnectionId connection, const GatewayMessage& message,
+                 SchedulerTick& tick) {
+  tick.Emit(
+      SendToGateway::Builder().connection(connection).message(message).Build());
+}
+
+void HandIn(ConnectionId connection, const HandInJob& message,
+            SchedulerTables& tables, SchedulerTick& tick) {
+  if (!IsActing(tables)) return;
+  const JobRow* known = tables.jobs_.Find(message.job());
+  if (known != nullptr && known->stored()) {
+    return AnswerEntry(connection,
+                       JobStored::Builder().ticket(message.ticket()).Build(),
+                       tick);
+  }
+  if (known == nullptr) {
+    if (StoreIsFailing(tables, tick.now())) {
+      return Refuse(connection, message, tick);
+    }
+    OpenNewJob(message.job(), message.record(), tick.now(), tables);
+    tables.dirty_jobs_.insert(message.job());
+    tick.counters().Add(Counter::kTasksAccepted);
+  }
+  tables.callers_.push_back(WaitingOf(connection, message, false, tick.now()));
+}
+
+void Withdraw(ConnectionId connection, const WithdrawJob& message,
+              SchedulerTables& tables, SchedulerTick& tick) {
+  if (!IsActing(tables)) return;
+  const CallerWaiting caller = WaitingOf(connection, message, true, tick.now());
+  const JobRow* known = tables.jobs_.Find(message.job());
+  if (known == nullptr) return Probe(caller, tables, tick);
+  if (known->closed()) {
+    return AnswerEntry(connection,
+                       JobWithdrawn::Builder().ticket(message.ticket()).Build(),
+                       tick);
+  }
+  if (!IsOver(known->state())) {
+    ConcludeJob(message.job(), JobState::kCancelled, Reason::kCancelled, tables,
+                tick);
+  }
+  tables.callers_.push_back(caller);
+}
+
+void TellState(ConnectionId connection, const ReadJobState& message,
+               SchedulerTables& tables, SchedulerTick& tick) {
+  if (!IsActing(tables)) return;
+  const JobRow* known = tables.jobs_.Find(message.job());
+  if (known == nullptr) {
+    return Probe(WaitingOf(connection, message, false, tick.now()), tables,
+                 tick);
+  }
+  if (!known->stored()) {
+    return AnswerEntry(connection,
+                       JobUndecided::Builder().ticket(message.ticket()).Build(),
+                       tick);
+  }
+  // A final state is told only once it is kept.
+  const bool hidden = IsOver(known->state()) && !known->closed();
+  AnswerEntry(connection,
+              JobStateTold::Builder()
+                  .ticket(message.ticket())
+                  .state(hidden ? JobState::kRunning : known->state())
+                  .Build(),
+              tick);
+}
+
+void TellPending(ConnectionId connection, const ReadPending& message,
+                 SchedulerTables& tables, SchedulerTick& tick) {
+  if (!IsActing(tables)) return;
+  std::int64_t count = 0;
+  for (const auto& [job, row] : tables.jobs_) {
+    if (!row.stored() || row.began() || IsOver(row.state())) continue;
+    if (row.record()->definition()->queue() == message.queue()) ++count;
+  }
+  AnswerEntry(
+      connection,
+      PendingTold::Builder().ticket(message.ticket()).count(count).Build(),
+      tick);
+}
+
+void TakeProbe(const CallerWaiting& caller, const KvResult& result,
+               SchedulerTables& tables, SchedulerTick& tick) {
+  if (!IsActing(tables)) return;
+  const auto* read = std::get_if<KvItems>(&result);
+  const JobRow* known = tables.jobs_.Find(caller.job());
+  if (read == nullptr || known != nullptr) {
+    return AnswerEntry(caller.connection(),
+                       JobUndecided::Builder().ticket(caller.ticket()).Build(),
+                       tick);
+  }
+  if (!read->items().empty()) return StepDown("unknown job kept", tables, tick);
+  LogLine(tick, "job-unknown", caller.job(),
+          {Field("store_revision", read->revision())});
+  AnswerEntry(caller.connection(),
+              JobUnknown::Builder().ticket(caller.ticket()).Build(), tick);
+}
+
+}  // namespace quetzalline
--- /dev/null
+++ b/src/systems/scheduler/admit_jobs.h
@@ -0,0 +1,42 @@
+#ifndef QUETZALLINE_SYSTEMS_SCHEDULER_ADMIT_JOBS_H_
+#define QUETZALLINE_SYSTEMS_SCHEDULER_ADMIT_JOBS_H_
+
+#include "messages/hand_in_job.h"
+#include "messages/kv_result.h"
+#include "messages/read_job_state.h"
+#include "messages/read_pending.h"
+#include "messages/withdraw_job.h"
+#include "systems/scheduler/scheduler_tick.h"
+#include "tables/scheduler_tables.h"
+
+namespace quetzalline {
+
+/// Takes a job up, to be kept with the next commit; the entry is told once it
+/// is kept. A job that is known already is the same job.
+void HandIn(ConnectionId connection, const HandInJob& message,
+            SchedulerTables& tables, SchedulerTick& tick);
+
+/// Cancels a job: its tasks stop at once, and the entry is told once that is
+/// kept.
+void Withdraw(ConnectionId connection, const WithdrawJob& message,
+              SchedulerTables& tables, SchedulerTick& tick);
+
+/// Tells the state of a job. One that the holder does not know is looked up in
+/// the store first, since the holder may have been replaced.
+void TellState(ConnectionId connection, const ReadJobState& message,
+               SchedulerTables& tables, SchedulerTick& tick);
+
+void TellPending(ConnectionId connection, const ReadPending& message,
+                 SchedulerTables& tables, SchedulerTick& tick);
+
+/// Ends a look for a job that the holder does not know.
+void TakeProbe(const CallerWaiting& caller, const KvResult& result,
+               SchedulerTables& tables, SchedulerTick& tick);
+
+/// Sends an answer to an entry.
+void AnswerEntry(ConnectionId connection, const GatewayMessage& message,
+                 SchedulerTick& tick);
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_SYSTEMS_SCHEDULER_ADMIT_JOBS_H_
--- /dev/null
+++ b/src/systems/scheduler/choose_worker.cc
@@ -0,0 +1,86 @@
+#include "systems/scheduler/choose_worker.h"
+
+#include <algorithm>
+
+namespace quetzalline {
+namespace {
+
+// A worker that was not heard for this long gets no new work.
+constexpr Duration kFreshReport = std::chrono::milliseconds(900);
+// What it is worth to run next to the data, in shares of a worker.
+constexpr double kDataRackBonus = 0.4;
+
+bool HasLabel(const WorkerFacts& facts, const std::string& label) {
+  return std::find(facts.labels().begin(), facts.labels().end(), label) !=
+         facts.labels().end();
+}
+
+bool Fits(const JobStep& step, const WorkerFacts& facts, const WorkerUse& use) {
+  if (use.memory_mb() + step.memory_mb() > facts.memory_mb()) return false;
+  if (use.gpu() + step.gpu() > facts.gpu()) return false;
+  // What fills takes only what is left over, but takes no room of its own.
+  const std::int64_t taken =
+      step.fills() ? use.cpu() + use.fill_cpu() : use.cpu();
+  return taken + step.cpu() <= facts.cpu();
+}
+
+// The share of the worker that is taken; less is better.
+double Cost(const JobStep& step, const WorkerFacts& facts,
+            const WorkerUse& use) {
+  const auto cpu = static_cast<double>(std::max<std::int64_t>(facts.cpu(), 1));
+  const auto taken = static_cast<double>(use.cpu() + use.fill_cpu());
+  const bool near =
+      !step.data_rack().empty() && HasLabel(facts, step.data_rack());
+  return taken / cpu - (near ? kDataRackBonus : 0.0);
+}
+
+bool IsOpen(const MemberName& name, const WorkerRow& worker,
+            const SchedulerTables& tables, Instant now) {
+  if (!worker.reported() || !worker.facts()) return false;
+  if (worker.facts()->draining() || worker.rests_until() > now) return false;
+  if (tables.strays_.count(name) > 0) return false;
+  const MemberRow* member = tables.members_.Find(name);
+  return member != nullptr && member->connection() &&
+         now - member->heard_at() <= kFreshReport &&
+         now - worker.granted_at() <= kFreshReport;
+}
+
+}  // namespace
+
+std::vector<MemberName> OpenWorkers(const SchedulerTables& tables,
+                                    Instant now) {
+  std::vector<MemberName> open;
+  for (const auto& [name, worker] : tables.workers_) {
+    if (IsOpen(name, worker, tables, now)) open.push_back(name);
+  }
+  return open;
+}
+
+std::optional<MemberName> ChooseWorker(const StepKey& key, const JobStep& step,
+                                       const ServiceName& service,
+                                       const std::vector<MemberName>& open,
+                                       const SchedulerTables& tables) {
+  std::optional<MemberName> best;
+  double least = 0.0;
+  for (const MemberName& name : open) {
+    const WorkerFacts& facts = *tables.workers_.Find(name)->facts();
+    if (facts.service() != service) continue;
+    const WorkerUse& use = tables.tasks_.UseOf(name);
+    if (!Fits(step, facts, use)) continue;
+    if (!step.required_label().empty() &&
+        !HasLabel(facts, step.required_label())) {
+      continue;
+    }
+    if (step.most_per_worker() > 0 &&
+        tables.tasks_.CountOnWorker(key, name) >= step.most_per_worker()) {
+      continue;
+    }
+    const double cost = Cost(step, facts, use);
+    if (best && cost >= least) continue;
+    best = name;
+    least = cost;
+  }
+  return best;
+}
+
+}  // namespace quetzalline
--- /dev/null
+++ b/src/systems/scheduler/choose_worker.h
@@ -0,0 +1,26 @@
+#ifndef QUETZALLINE_SYSTEMS_SCHEDULER_CHOOSE_WORKER_H_
+#define QUETZALLINE_SYSTEMS_SCHEDULER_CHOOSE_WORKER_H_
+
+#include <optional>
+#include <vector>
+
+#include "core/job_step.h"
+#include "core/step_key.h"
+#include "tables/scheduler_tables.h"
+
+namespace quetzalline {
+
+/// The workers that take new work of any service at this time.
+std::vector<MemberName> OpenWorkers(const SchedulerTables& tables, Instant now);
+
+/// The worker on which a task of this step is best started; empty where none
+/// has room. Tasks that serve or are urgent go where least is used; tasks that
+/// fill go where most is left over.
+std::optional<MemberName> ChooseWorker(const StepKey& key, const JobStep& step,
+                                       const ServiceName& service,
+                                       const std::vector<MemberName>& open,
+                                       const SchedulerTables& tables);
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_SYSTEMS_SCHEDULER_CHOOSE_WORKER_H_
--- /dev/null
+++ b/src/systems/scheduler/commit_progress.cc
@@ -0,0 +1,261 @@
+#include "systems/scheduler/commit_progress.h"
+
+#include <algorithm>
+
+#include "systems/cell/cell_keys.h"
+#include "systems/cell/log_fields.h"
+#include "systems/scheduler/admit_jobs.h"
+#include "systems/scheduler/call_kv.h"
+#include "systems/scheduler/campaign.h"
+#include "systems/scheduler/open_job.h"
+
+namespace quetzalline {
+namespace {
+
+// The store takes 32 entries in a commit: one expectation, the epoch's key, the
+// holder's key, and two for each job.
+constexpr std::size_t kMostJobsInCommit = 14;
+// Pause before a commit that failed is tried again, up to twice this.
+constexpr Duration kRetryPause = std::chrono::milliseconds(120);
+
+void AddJobToBatch(std::uint64_t job, SchedulerTables& tables,
+                   CommitBatch& batch) {
+  const JobRow* row = tables.jobs_.Find(job);
+  if (row == nullptr) return;
+  batch.jobs_.push_back(job);
+  const bool over = IsOver(row->state());
+  const bool new_job = !row->stored();
+  if (new_job && !over) {
+    batch.puts_.push_back(PutOf(JobKey(job), *row->record()));
+  }
+  if (over && !new_job) batch.removals_.push_back(JobKey(job));
+  if (over || !new_job) {
+    batch.puts_.push_back(PutOf(ProgressKey(job), ProgressOf(job, tables)));
+  }
+}
+
+// Jobs that a caller waits for come first.
+std::vector<std::uint64_t> ChooseJobs(const SchedulerTables& tables) {
+  std::vector<std::uint64_t> chosen;
+  const auto add = [&](std::uint64_t job) {
+    if (chosen.size() >= kMostJobsInCommit) return;
+    if (std::find(chosen.begin(), chosen.end(), job) == chosen.end()) {
+      chosen.push_back(job);
+    }
+  };
+  for (const CallerWaiting& caller : tables.callers_) {
+    if (tables.dirty_jobs_.count(caller.job()) > 0) add(caller.job());
+  }
+  for (const std::uint64_t job : tables.dirty_jobs_) {
+    if (chosen.size() >= kMostJobsInCommit) break;
+    add(job);
+  }
+  return chosen;
+}
+
+CommitBatch BuildBatch(SchedulerTables& tables, Instant now) {
+  CommitBatch batch;
+  batch.since_ = now;
+  for (const std::uint64_t job : ChooseJobs(tables)) {
+    AddJobToBatch(job, tables, batch);
+    tables.dirty_jobs_.erase(job);
+  }
+  const auto in_batch = [&](std::uint64_t job) {
+    return std::find(batch.jobs_.begin(), batch.jobs_.end(), job) !=
+           batch.jobs_.end();
+  };
+  for (const UnnotedEnd& end : tables.unnoted_ends_) {
+    if (in_batch(end.job())) batch.ends_.push_back(end);
+  }
+  std::vector<CallerWaiting> others;
+  for (const CallerWaiting& caller : tables.callers_) {
+    (in_batch(caller.job()) ? batch.callers_ : others).push_back(caller);
+  }
+  tables.callers_ = std::move(others);
+  return batch;
+}
+
+void Send(SchedulerTables& tables, SchedulerTick& tick) {
+  CommitBatch& batch = *tables.commit_;
+  const HolderTerm term = tables.term_;
+  const std::int64_t sequence = term.sequence() + 1;
+  tables.term_ = HolderTerm::Builder(term).sequence(sequence).Build();
+  const HolderRecord record = HolderRecord::Builder()
+                                  .epoch(term.epoch())
+                                  .sequence(sequence)
+                                  .instance(HolderSignature(tables.policy_))
+                                  .Build();
+  std::vector<KvPut> puts = batch.puts_;
+  puts.push_back(PutOf(std::string(kEpochKey), record));
+  if (term.restore_holder()) {
+    puts.push_back(PutOf(std::string(kHolderKey), record, term.lease()));
+  }
+  batch.sequences_.push_back(sequence);
+  batch.in_flight_ = true;
+  CommitKeys({KvExpectation::Builder()
+                  .key(std::string(kEpochKey))
+                  .revision(term.revision())
+                  .Build()},
+             std::move(puts), batch.removals_, CommittingBatch(), tables, tick);
+  tick.counters().Add(Counter::kJournalWrites);
+  tick.counters().Add(Counter::kJournalRecords,
+                      static_cast<std::int64_t>(batch.jobs_.size()));
+}
+
+void MarkJobKept(std::uint64_t job, SchedulerTables& tables) {
+  const JobRow* row = tables.jobs_.Find(job);
+  if (row == nullptr) return;
+  const bool over = IsOver(row->state());
+  // A job that ended while its commit was under way is not closed by it.
+  const bool closed = over && tables.dirty_jobs_.count(job) == 0;
+  const bool new_job = !row->stored();
+  tables.jobs_.Put(job,
+                   JobRow::Builder(*row).stored(true).closed(closed).Build());
+  if (closed) return EraseQuietTasks(job, tables);
+  if (!new_job || over) return;
+  const std::int32_t occurrences =
+      std::max(row->record()->definition()->repeat_count(), 1);
+  for (std::int32_t k = 0; k < occurrences; ++k) UnlockSteps(job, k, tables);
+}
+
+void AnswerCallers(const CommitBatch& batch, SchedulerTick& tick) {
+  for (const CallerWaiting& caller : batch.callers_) {
+    LogLine(tick, caller.withdraws() ? "job-cancel-kept" : "job-kept",
+            caller.job(), {FieldMs("wait_ms", tick.now() - caller.since())});
+    if (caller.withdraws()) {
+      AnswerEntry(caller.connection(),
+                  JobWithdrawn::Builder().ticket(caller.ticket()).Build(),
+                  tick);
+    } else {
+      AnswerEntry(caller.connection(),
+                  JobStored::Builder().ticket(caller.ticket()).Build(), tick);
+    }
+  }
+}
+
+void FinishCommit(std::int64_t revision, SchedulerTables& tables,
+                  SchedulerTick& tick) {
+  const CommitBatch batch = std::move(*tables.commit_);
+  tables.commit_.reset();
+  tables.store_failing_since_.reset();
+  tables.next_commit_ = tick.now() + tables.policy_.commit_pause();
+  tables.term_ = HolderTerm::Builder(tables.term_)
+                     .revision(revision)
+                     .restore_holder(false)
+                     .confirmed_at(tick.now())
+                     .Build();
+  for (const std::uint64_t job : batch.jobs_) MarkJobKept(job, tables);
+  auto& open = tables.unnoted_ends_;
+  open.erase(std::remove_if(open.begin(), open.end(),
+                            [&](const UnnotedEnd& end) {
+                              return std::find(batch.ends_.begin(),
+                                               batch.ends_.end(),
+                                               end) != batch.ends_.end();
+                            }),
+             open.end());
+  AnswerCallers(batch, tick);
+  NoteKeptEnds(tables, tick);
+}
+
+void RetryCommit(bool uncertain, SchedulerTables& tables, SchedulerTick& tick) {
+  CommitBatch& batch = *tables.commit_;
+  batch.in_flight_ = false;
+  batch.uncertain_ = uncertain;
+  batch.next_try_ = tick.now() + kRetryPause +
+                    Duration(Draw(tick.random(), kRetryPause.count()));
+  if (!tables.store_failing_since_) tables.store_failing_since_ = tick.now();
+}
+
+void ContinueCommit(SchedulerTables& tables, SchedulerTick& tick) {
+  CommitBatch& batch = *tables.commit_;
+  if (batch.in_flight_) return;
+  if (tick.now() < batch.next_try_) return tick.WakeAt(batch.next_try_);
+  if (!batch.uncertain_) return Send(tables, tick);
+  batch.in_flight_ = true;
+  GetKey(kEpochKey, ConfirmingCommit(), tables, tick);
+}
+
+}  // namespace
+
+void NoteKeptEnds(SchedulerTables& tables, SchedulerTick& tick) {
+  std::map<MemberName, std::int64_t> first_open;
+  for (const UnnotedEnd& end : tables.unnoted_ends_) {
+    const auto [entry, added] =
+        first_open.try_emplace(end.worker(), end.number());
+    if (!added) entry->second = std::min(entry->second, end.number());
+  }
+  std::vector<std::pair<MemberName, WorkerRow>> changed;
+  for (const auto& [name, worker] : tables.workers_) {
+    const auto open = first_open.find(name);
+    const std::int64_t up_to =
+        open == first_open.end() ? worker.ends_seen() : open->second - 1;
+    if (up_to <= worker.ends_noted() || !worker.facts()) continue;
+    changed.emplace_back(name,
+                         WorkerRow::Builder(worker).ends_noted(up_to).Build());
+    const MemberRow* member = tables.members_.Find(name);
+    if (member == nullptr || !member->connection()) continue;
+    tick.Emit(SendToRunner::Builder()
+                  .connection(*member->connection())
+                  .message(NoteEnds::Builder()
+                               .born_ms(worker.facts()->born_ms())
+                               .up_to(up_to)
+                               .Build())
+                  .Build());
+  }
+  for (auto& [name, row] : changed) tables.workers_.Put(name, std::move(row));
+}
+
+void CommitProgress(SchedulerTables& tables, SchedulerTick& tick) {
+  if (!IsActing(tables)) return;
+  if (tables.commit_) return ContinueCommit(tables, tick);
+  const bool wanted =
+      !tables.dirty_jobs_.empty() || tables.term_.restore_holder();
+  if (!wanted) return;
+  if (tick.now() < tables.next_commit_) return tick.WakeAt(tables.next_commit_);
+  tables.commit_ = BuildBatch(tables, tick.now());
+  Send(tables, tick);
+}
+
+void TakeCommit(const KvResult& result, SchedulerTables& tables,
+                SchedulerTick& tick) {
+  if (!IsActing(tables) || !tables.commit_) return;
+  if (const auto* done = std::get_if<KvCommitted>(&result)) {
+    return FinishCommit(done->revision(), tables, tick);
+  }
+  const auto* failed = std::get_if<KvFailed>(&result);
+  const bool not_done = failed != nullptr && failed->not_done();
+  LogLine(tick, "commit-unanswered", 0,
+          {Field("epoch", tables.term_.epoch()),
+           Field("sequence", tables.term_.sequence()),
+           Field("not_done", not_done ? 1 : 0)});
+  // A tried commit that surely failed leaves earlier tries as they were.
+  const bool first = tables.commit_->sequences_.size() == 1;
+  RetryCommit(!(not_done && first), tables, tick);
+  if (not_done && first) tables.commit_->sequences_.clear();
+  const bool refused = std::holds_alternative<KvConflict>(result);
+  if (refused) tables.commit_->next_try_ = tick.now();
+}
+
+void TakeCommitCheck(const KvResult& result, SchedulerTables& tables,
+                     SchedulerTick& tick) {
+  if (!IsActing(tables) || !tables.commit_) return;
+  const auto* read = std::get_if<KvItems>(&result);
+  if (read == nullptr) return RetryCommit(true, tables, tick);
+  const HolderRecord* kept = nullptr;
+  if (!read->items().empty() && read->items().front().record()) {
+    kept = std::get_if<HolderRecord>(&*read->items().front().record());
+  }
+  if (kept == nullptr || kept->epoch() != tables.term_.epoch() ||
+      kept->instance() != HolderSignature(tables.policy_)) {
+    return StepDown("a later epoch is kept", tables, tick);
+  }
+  const auto& tries = tables.commit_->sequences_;
+  const bool done =
+      std::find(tries.begin(), tries.end(), kept->sequence()) != tries.end();
+  if (done) {
+    return FinishCommit(read->items().front().revision(), tables, tick);
+  }
+  Send(tables, tick);
+}
+
+}  // namespace quetzalline
--- /dev/null
+++ b/src/systems/scheduler/conclude_job.cc
@@ -0,0 +1,187 @@
+#include "systems/scheduler/conclude_job.h"
+
+#include <algorithm>
+
+#include "systems/cell/log_fields.h"
+#include "systems/scheduler/open_job.h"
+
+namespace quetzalline {
+namespace {
+
+// A worker whose runs fail this often in a row, none of them done, rests.
+constexpr std::int32_t kFailuresBeforeRest = 4;
+// First rest of a failing worker; each further one is twice as long.
+constexpr Duration kFirstRest = std::chrono::milliseconds(2000);
+constexpr std::int32_t kLongestRestShift = 3;
+
+std::string TaskText(const TaskKey& key) {
+  return std::to_string(key.occurrence()) + "." + std::to_string(key.step()) +
+         "." + std::to_string(key.index());
+}
+
+void CountOutcome(const MemberName& name, RunOutcome outcome, Instant now,
+                  SchedulerTables& tables) {
+  const WorkerRow* worker = tables.workers_.Find(name);
+  if (worker == nullptr) return;
+  if (outcome == RunOutcome::kDone) {
+    if (worker->failures() == 0) return;
+    tables.workers_.Put(name, WorkerRow::Builder(*worker).failures(0).Build());
+    return;
+  }
+  if (outcome != RunOutcome::kFailed) return;
+  WorkerRow::Builder builder(*worker);
+  const std::int32_t failures = worker->failures() + 1;
+  builder.failures(failures);
+  if (failures >= kFailuresBeforeRest) {
+    const std::int32_t shift =
+        std::min(failures - kFailuresBeforeRest, kLongestRestShift);
+    builder.rests_until(now + kFirstRest * (1 << shift));
+  }
+  tables.workers_.Put(name, builder.Build());
+}
+
+void FinishTask(const TaskKey& key, const JobTask& task,
+                SchedulerTables& tables, SchedulerTick& tick) {
+  const Shared<JobStep> step = task.step();
+  tables.tasks_.Put(key,
+                    JobTask::Builder(task).stage(TaskStage::kDone).Build());
+  tick.counters().Add(Counter::kTasksFinished);
+  const StepRow* row = tables.steps_.Find(StepOf(key));
+  const std::int32_t left = row == nullptr ? 0 : row->left() - 1;
+  tables.steps_.Put(StepOf(key), StepRow::Builder().left(left).Build());
+  const JobRow* job = tables.jobs_.Find(key.job());
+  const JobRow changed = JobRow::Builder(*job)
+                             .tasks_left(job->tasks_left() - 1)
+                             .work_left(job->work_left() - WorkOf(*step))
+                             .Build();
+  tables.jobs_.Put(key.job(), changed);
+  if (changed.tasks_left() == 0) {
+    ConcludeJob(key.job(), JobState::kCompleted, Reason::kNone, tables, tick);
+  } else if (left == 0) {
+    UnlockSteps(key.job(), key.occurrence(), tables);
+  }
+}
+
+// The checkpoint of an earlier run says less than that of a later one.
+std::string NewerCheckpoint(const JobTask& task, const RunEnd& end) {
+  const bool newer = end.run().run() >= task.run() && !end.checkpoint().empty();
+  return newer ? end.checkpoint() : task.checkpoint();
+}
+
+}  // namespace
+
+void ReturnTask(const TaskKey& key, Reason reason, SchedulerTables& tables,
+                SchedulerTick& tick) {
+  const JobTask* task = tables.tasks_.Find(key);
+  if (task == nullptr || task->stage() != TaskStage::kAssigned) return;
+  LogLine(tick, "task-returned", key.job(),
+          {Field("task", TaskText(key)), Field("run", task->run()),
+           Field("worker", task->worker().value()), Field("reason", reason)});
+  tick.counters().Add(Counter::kTasksEvicted, reason);
+  const JobRow* job = tables.jobs_.Find(key.job());
+  const bool over = job == nullptr || IsOver(job->state());
+  tables.tasks_.Put(key, JobTask::Builder(*task)
+                             .stage(over ? TaskStage::kDone : TaskStage::kReady)
+                             .stopping(false)
+                             .Build());
+  tables.placement_due_ = true;
+  if (over) EraseQuietTasks(key.job(), tables);
+}
+
+void StopStray(const MemberName& worker, const RunKey& run,
+               SchedulerTables& tables, SchedulerTick& tick) {
+  const MemberRow* member = tables.members_.Find(worker);
+  if (member == nullptr || !member->connection()) return;
+  tick.Emit(SendToRunner::Builder()
+                .connection(*member->connection())
+                .message(StopRun::Builder().run(run).Build())
+                .Build());
+}
+
+void StopTask(const TaskKey& key, Reason reason, SchedulerTables& tables,
+              SchedulerTick& tick) {
+  const JobTask* task = tables.tasks_.Find(key);
+  if (task == nullptr || task->stage() != TaskStage::kAssigned) return;
+  if (task->stopping()) return;
+  const RunKey run = RunKey::Builder().task(key).run(task->run()).Build();
+  LogLine(tick, "task-stopped", key.job(),
+          {Field("task", TaskText(key)), Field("run", task->run()),
+           Field("worker", task->worker().value()), Field("reason", reason)});
+  const MemberName worker = task->worker();
+  tables.tasks_.Put(key, JobTask::Builder(*task).stopping(true).Build());
+  StopStray(worker, run, tables, tick);
+}
+
+void ConcludeJob(std::uint64_t job, JobState state, Reason reason,
+                 SchedulerTables& tables, SchedulerTick& tick) {
+  const JobRow* row = tables.jobs_.Find(job);
+  if (row == nullptr || IsOver(row->state())) return;
+  LogLine(tick, "job-over", job,
+          {Field("state", state), Field("reason", reason),
+           FieldMs("age_ms", tick.now() - row->accepted_at()),
+           Field("tasks_left", row->tasks_left())});
+  tables.jobs_.Put(job, JobRow::Builder(*row).state(state).Build());
+  tables.dirty_jobs_.insert(job);
+  tables.placement_due_ = true;
+  std::vector<TaskKey> keys;
+  ForEachTask(job, *row->record()->definition(),
+              [&](const TaskKey& key) { keys.push_back(key); });
+  for (const TaskKey& key : keys) {
+    const JobTask* task = tables.tasks_.Find(key);
+    if (task == nullptr) continue;
+    if (task->stage() == TaskStage::kAssigned) {
+      StopTask(key, reason, tables, tick);
+    } else {
+      tables.tasks_.Put(
+          key, JobTask::Builder(*task).stage(TaskStage::kDone).Build());
+    }
+  }
+}
+
+void TakeRunEnd(const MemberName& worker, const RunEnd& end,
+                SchedulerTables& tables, SchedulerTick& tick) {
+  const TaskKey& key = end.run().task();
+  const JobTask* task = tables.tasks_.Find(key);
+  CountOutcome(worker, end.outcome(), tick.now(), tables);
+  if (task == nullptr || task->stage() == TaskStage::kDone) return;
+  const JobRow* job = tables.jobs_.Find(key.job());
+  const bool current = task->stage() == TaskStage::kAssigned &&
+                       task->worker() == worker &&
+                       task->run() == end.run().run();
+  LogLine(tick, "run-ended", key.job(),
+          {Field("task", TaskText(key)), Field("run", end.run().run()),
+           Field("worker", worker.value()), Field("outcome", end.outcome()),
+           Field("current", current ? 1 : 0)});
+  tables.placement_due_ = true;
+  if (IsOver(job->state())) {
+    if (!current) return;
+    tables.tasks_.Put(key,
+                      JobTask::Builder(*task).stage(TaskStage::kDone).Build());
+    return EraseQuietTasks(key.job(), tables);
+  }
+  const bool long_running = task->step()->long_running();
+  if (end.outcome() == RunOutcome::kDone && !long_running) {
+    if (!current) StopTask(key, Reason::kStaleAttempt, tables, tick);
+    tables.dirty_jobs_.insert(key.job());
+    const JobTask finished = *tables.tasks_.Find(key);
+    return FinishTask(key, finished, tables, tick);
+  }
+  const bool failed = end.outcome() == RunOutcome::kFailed && !long_running;
+  JobTask::Builder builder(*task);
+  builder.checkpoint(NewerCheckpoint(*task, end))
+      .run(std::max(task->run(), end.run().run()))
+      .failures(task->failures() + (failed ? 1 : 0));
+  if (current) builder.stage(TaskStage::kReady).stopping(false);
+  const JobTask changed = builder.Build();
+  tables.tasks_.Put(key, changed);
+  if (failed || !changed.checkpoint().empty()) {
+    tables.dirty_jobs_.insert(key.job());
+  }
+  if (failed && changed.failures() >= job->queue()->max_attempts()) {
+    tick.counters().Add(Counter::kTasksFailed);
+    ConcludeJob(key.job(), JobState::kFailed, Reason::kTooManyAttempts, tables,
+                tick);
+  }
+}
+
+}  // namespace quetzalline
--- /dev/null
+++ b/src/systems/scheduler/open_job.cc
@@ -0,0 +1,229 @@
+#include "systems/scheduler/open_job.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <tuple>
+#include <vector>
+
+namespace quetzalline {
+namespace {
+
+using TaskPlace = std::tuple<std::int32_t, std::int32_t, std::int32_t>;
+
+const JobQueue* FindQueue(const std::string& name,
+                          const SchedulerConfiguration& configuration) {
+  const auto found =
+      std::find_if(configuration.queues().begin(), configuration.queues().end(),
+                   [&](const JobQueue& queue) { return queue.name() == name; });
+  return found == configuration.queues().end() ? nullptr : &*found;
+}
+
+// The longest chain of declared run times through the steps.
+Duration LongestChain(const JobDefinition& definition) {
+  std::vector<Duration> ends;
+  Duration longest{};
+  for (const JobStep& step : definition.steps()) {
+    Duration start{};
+    for (const std::int32_t before : step.after()) {
+      start = std::max(start, ends[static_cast<std::size_t>(before)]);
+    }
+    ends.push_back(start + step.estimate());
+    longest = std::max(longest, ends.back());
+  }
+  return longest;
+}
+
+JobRow MakeRow(const JobRecord& record, Instant accepted_at,
+               const SchedulerTables& tables) {
+  const JobDefinition& definition = *record.definition();
+  const JobQueue* queue = FindQueue(definition.queue(), tables.configuration_);
+  const JobQueue known = queue == nullptr ? JobQueue() : *queue;
+  const auto chain = std::chrono::duration_cast<Duration>(
+      LongestChain(definition) * known.stretch());
+  return JobRow::Builder()
+      .record(record)
+      .queue(known)
+      .accepted_at(accepted_at)
+      .due(accepted_at + chain + known.objective())
+      .state(JobState::kQueued)
+      .Build();
+}
+
+const JobStep& StepAt(const JobDefinition& definition, std::int32_t step) {
+  return definition.steps()[static_cast<std::size_t>(step)];
+}
+
+JobTask MakeTask(const JobStep& step, const TaskProgress* known,
+                 TaskStage stage) {
+  JobTask::Builder builder;
+  builder.stage(stage).step(step);
+  if (known == nullptr) return builder.Build();
+  return builder.stage(known->done() ? TaskStage::kDone : stage)
+      .run(known->last_run())
+      .failures(known->failures())
+      .checkpoint(known->checkpoint())
+      .Build();
+}
+
+// Puts the rows of the job's tasks and steps and returns the finished job row.
+JobRow AddTasks(std::uint64_t job, const JobRow& row,
+                const std::map<TaskPlace, TaskProgress>& known, TaskStage stage,
+                SchedulerTables& tables) {
+  const JobDefinition& definition = *row.record()->definition();
+  std::map<StepKey, std::int32_t> left;
+  std::int32_t tasks_left = 0;
+  std::int64_t work_left = 0;
+  ForEachTask(job, definition, [&](const TaskKey& key) {
+    const JobStep& step = StepAt(definition, key.step());
+    const auto found = known.find({key.occurrence(), key.step(), key.index()});
+    const JobTask task =
+        MakeTask(step, found == known.end() ? nullptr : &found->second, stage);
+    std::int32_t& step_left = left[StepOf(key)];
+    if (task.stage() != TaskStage::kDone) {
+      ++step_left;
+      ++tasks_left;
+      work_left += WorkOf(step);
+    }
+    tables.tasks_.Put(key, task);
+  });
+  for (const auto& [key, count] : left) {
+    tables.steps_.Put(key, StepRow::Builder().left(count).Build());
+  }
+  return JobRow::Builder(row)
+      .tasks_left(tasks_left)
+      .work_left(work_left)
+      .Build();
+}
+
+bool IsUnlocked(std::uint64_t job, std::int32_t occurrence, const JobStep& step,
+                const SchedulerTables& tables) {
+  return std::all_of(
+      step.after().begin(), step.after().end(), [&](std::int32_t before) {
+        const StepRow* row = tables.steps_.Find(StepKey::Builder()
+                                                    .job(job)
+                                                    .occurrence(occurrence)
+                                                    .step(before)
+                                                    .Build());
+        return row != nullptr && row->left() == 0;
+      });
+}
+
+}  // namespace
+
+std::int64_t WorkOf(const JobStep& step) {
+  constexpr std::int64_t kMillicoresInCore = 1000;
+  const auto run_ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(step.estimate())
+          .count();
+  return step.cpu() * run_ms / kMillicoresInCore;
+}
+
+bool IsOver(JobState state) {
+  return state == JobState::kCompleted || state == JobState::kFailed ||
+         state == JobState::kCancelled;
+}
+
+void OpenNewJob(std::uint64_t job, const JobRecord& record, Instant now,
+                SchedulerTables& tables) {
+  const JobRow row = MakeRow(record, now, tables);
+  tables.jobs_.Put(job, AddTasks(job, row, {}, TaskStage::kBlocked, tables));
+}
+
+void OpenKeptJob(std::uint64_t job, const JobRecord& record,
+                 const JobProgress& progress, Instant accepted_at,
+                 SchedulerTables& tables) {
+  std::map<TaskPlace, TaskProgress> known;
+  for (const TaskProgress& task : progress.tasks()) {
+    known[{task.occurrence(), task.step(), task.index()}] = task;
+  }
+  const JobRow row = JobRow::Builder(MakeRow(record, accepted_at, tables))
+                         .stored(true)
+                         .began(progress.state() == JobState::kRunning)
+                         .state(progress.state())
+                         .Build();
+  tables.jobs_.Put(job, AddTasks(job, row, known, TaskStage::kInDoubt, tables));
+}
+
+void UnlockSteps(std::uint64_t job, std::int32_t occurrence,
+                 SchedulerTables& tables) {
+  const JobRow* row = tables.jobs_.Find(job);
+  if (row == nullptr || !row->stored() || IsOver(row->state())) return;
+  const Shared<JobRecord> record = row->record();
+  const std::vector<JobStep>& steps = record->definition()->steps();
+  for (std::size_t number = 0; number < steps.size(); ++number) {
+    if (!IsUnlocked(job, occurrence, steps[number], tables)) continue;
+    for (std::int32_t index = 0; index < steps[number].count(); ++index) {
+      const TaskKey key = TaskKey::Builder()
+                              .job(job)
+                              .occurrence(occurrence)
+                              .step(static_cast<std::int32_t>(number))
+                              .index(index)
+                              .Build();
+      const JobTask* task = tables.tasks_.Find(key);
+      if (task == nullptr || task->stage() != TaskStage::kBlocked) continue;
+      tables.tasks_.Put(
+          key, JobTask::Builder(*task).stage(TaskStage::kReady).Build());
+      tables.placement_due_ = true;
+    }
+  }
+}
+
+void EraseQuietTasks(std::uint64_t job, SchedulerTables& tables) {
+  const JobRow* row = tables.jobs_.Find(job);
+  if (row == nullptr || !row->closed()) return;
+  std::vector<TaskKey> keys;
+  bool quiet = true;
+  ForEachTask(job, *row->record()->definition(), [&](const TaskKey& key) {
+    const JobTask* task = tables.tasks_.Find(key);
+    if (task != nullptr && task->stage() == TaskStage::kAssigned) quiet = false;
+    keys.push_back(key);
+  });
+  if (!quiet) return;
+  for (const TaskKey& key : keys) {
+    tables.tasks_.Erase(key);
+    tables.steps_.Erase(StepOf(key));
+  }
+  tables.jobs_.Put(job, JobRow::Builder(*row).record(JobRecord()).Build());
+}
+
+JobProgress ProgressOf(std::uint64_t job, const SchedulerTables& tables) {
+  const JobRow* row = tables.jobs_.Find(job);
+  if (row == nullptr) return JobProgress();
+  std::vector<TaskProgress> tasks;
+  if (!IsOver(row->state())) {
+    ForEachTask(job, *row->record()->definition(), [&](const TaskKey& key) {
+      const JobTask* task = tables.tasks_.Find(key);
+      if (task == nullptr) return;
+      const bool done = task->stage() == TaskStage::kDone;
+      if (!done && task->failures() == 0 && task->checkpoint().empty()) return;
+      tasks.push_back(TaskProgress::Builder()
+                          .occurrence(key.occurrence())
+                          .step(key.step())
+                          .index(key.index())
+                          .done(done)
+                          .failures(task->failures())
+                          .last_run(task->run())
+                          .checkpoint(done ? "" : task->checkpoint())
+                          .Build());
+    });
+  }
+  return JobProgress::Builder()
+      .state(row->state())
+      .tasks(std::move(tasks))
+      .Build();
+}
+
+void RefreshQueues(SchedulerTables& tables) {
+  std::vector<std::pair<std::uint64_t, JobRow>> changed;
+  for (const auto& [job, row] : tables.jobs_) {
+    if (IsOver(row.state())) continue;
+    const JobQueue* queue =
+        FindQueue(row.record()->definition()->queue(), tables.configuration_);
+    if (queue == nullptr || *queue == *row.queue()) continue;
+    changed.emplace_back(job, JobRow::Builder(row).queue(*queue).Build());
+  }
+  for (auto& [job, row] : changed) tables.jobs_.Put(job, std::move(row));
+}
+
+}  // namespace quetzalline
--- /dev/null
+++ b/src/systems/scheduler/place_runs.cc
@@ -0,0 +1,157 @@
+#include "systems/scheduler/place_runs.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "systems/cell/log_fields.h"
+#include "systems/scheduler/campaign.h"
+#include "systems/scheduler/choose_worker.h"
+#include "systems/scheduler/conclude_job.h"
+#include "systems/scheduler/open_job.h"
+
+namespace quetzalline {
+namespace {
+
+// Numbers of runs that one holder may use for a task, so that a later holder
+// never uses one that an earlier holder used.
+constexpr std::int64_t kRunsInEpoch = 1000;
+// A job that took this many times what it may take earns nothing any more.
+constexpr int kHopelessFactor = 3;
+// Placement is repeated at this interval while work waits.
+constexpr Duration kPlacementInterval = std::chrono::milliseconds(200);
+
+// Lower comes first.
+enum class Urgency : std::uint8_t { kServing, kUrgent, kFilling, kHopeless };
+
+struct ReadyStep {
+  Urgency urgency_;
+  std::int32_t priority_;
+  Instant due_;
+  StepKey key_;
+
+  friend auto operator<=>(const ReadyStep&, const ReadyStep&) = default;
+};
+
+const JobStep& StepAt(const JobRow& job, std::int32_t step) {
+  return job.record()->definition()->steps()[static_cast<std::size_t>(step)];
+}
+
+ReadyStep Rank(const StepKey& key, const JobRow& job, Instant now) {
+  const JobStep& step = StepAt(job, key.step());
+  const Duration allowed = job.due() - job.accepted_at();
+  const bool hopeless = now - job.accepted_at() > kHopelessFactor * allowed;
+  Urgency urgency = step.fills() ? Urgency::kFilling : Urgency::kUrgent;
+  if (hopeless) urgency = Urgency::kHopeless;
+  if (step.long_running()) urgency = Urgency::kServing;
+  return ReadyStep{urgency, job.queue()->priority(), job.due(), key};
+}
+
+std::vector<ReadyStep> RankReadySteps(const SchedulerTables& tables,
+                                      Instant now) {
+  std::vector<ReadyStep> ranked;
+  for (const auto& [key, indexes] : tables.tasks_.ready()) {
+    const JobRow* job = tables.jobs_.Find(key.job());
+    if (job == nullptr) continue;
+    ranked.push_back(Rank(key, *job, now));
+  }
+  std::sort(ranked.begin(), ranked.end());
+  return ranked;
+}
+
+void MarkBegun(std::uint64_t job, SchedulerTables& tables,
+               SchedulerTick& tick) {
+  const JobRow* row = tables.jobs_.Find(job);
+  if (row->began()) return;
+  LogLine(tick, "job-began", job,
+          {FieldMs("wait_ms", tick.now() - row->accepted_at())});
+  tables.jobs_.Put(
+      job, JobRow::Builder(*row).began(true).state(JobState::kRunning).Build());
+}
+
+void Start(const TaskKey& key, const MemberName& worker,
+           SchedulerTables& tables, SchedulerTick& tick) {
+  const JobTask* task = tables.tasks_.Find(key);
+  const std::int64_t floor = (tables.term_.epoch() - 1) * kRunsInEpoch;
+  const JobTask started = JobTask::Builder(*task)
+                              .stage(TaskStage::kAssigned)
+                              .run(std::max(task->run(), floor) + 1)
+                              .worker(worker)
+                              .assigned_at(tick.now())
+                              .percent(0)
+                              .stopping(false)
+                              .Build();
+  tables.tasks_.Put(key, started);
+  tick.counters().Add(Counter::kTasksAssigned);
+  MarkBegun(key.job(), tables, tick);
+  const JobRow* job = tables.jobs_.Find(key.job());
+  const WorkerUse& use = tables.tasks_.UseOf(worker);
+  LogLine(tick, "task-placed", key.job(),
+          {Field("step", key.step()), Field("index", key.index()),
+           Field("run", started.run()), Field("worker", worker.value()),
+           Field("use_cpu", use.cpu()), Field("use_fill", use.fill_cpu())});
+  tick.Emit(
+      SendToRunner::Builder()
+          .connection(*tables.members_.Find(worker)->connection())
+          .message(
+              StartRun::Builder()
+                  .run(RunKey::Builder().task(key).run(started.run()).Build())
+                  .spec(job->record()->definition()->spec())
+                  .checkpoint(started.checkpoint())
+                  .target(started.step()->target())
+                  .fills(started.step()->fills())
+                  .Build())
+          .Build());
+}
+
+void PlaceStep(const StepKey& key, const std::vector<MemberName>& open,
+               SchedulerTables& tables, SchedulerTick& tick) {
+  const JobRow* job = tables.jobs_.Find(key.job());
+  const Shared<JobRecord> record = job->record();
+  const ServiceName service = job->queue()->service();
+  const JobStep& step =
+      record->definition()->steps()[static_cast<std::size_t>(key.step())];
+  const auto ready = tables.tasks_.ready().find(key);
+  const std::set<std::int32_t> indexes = ready->second;
+  for (const std::int32_t index : indexes) {
+    const auto worker = ChooseWorker(key, step, service, open, tables);
+    if (!worker) return;
+    Start(TaskKey::Builder()
+              .job(key.job())
+              .occurrence(key.occurrence())
+              .step(key.step())
+              .index(index)
+              .Build(),
+          *worker, tables, tick);
+  }
+}
+
+}  // namespace
+
+void PlaceRuns(SchedulerTables& tables, SchedulerTick& tick) {
+  if (!IsActing(tables) || tables.tasks_.ready().empty()) return;
+  if (!tables.placement_due_ && tick.now() < tables.next_placement_) {
+    return tick.WakeAt(tables.next_placement_);
+  }
+  tables.placement_due_ = false;
+  tables.next_placement_ = tick.now() + kPlacementInterval;
+  const std::vector<MemberName> open = OpenWorkers(tables, tick.now());
+  for (const ReadyStep& step : RankReadySteps(tables, tick.now())) {
+    PlaceStep(step.key_, open, tables, tick);
+  }
+  if (!tables.tasks_.ready().empty()) tick.WakeAt(tables.next_placement_);
+}
+
+void LeaveDrainingWorkers(SchedulerTables& tables, SchedulerTick& tick) {
+  if (!IsActing(tables)) return;
+  for (const auto& [name, worker] : tables.workers_) {
+    if (!worker.facts() || !worker.facts()->draining()) continue;
+    const std::set<TaskKey> tasks = tables.tasks_.OnWorker(name);
+    for (const TaskKey& key : tasks) {
+      const JobTask* task = tables.tasks_.Find(key);
+      if (!task->step()->long_running()) continue;
+      StopTask(key, Reason::kDrain, tables, tick);
+    }
+  }
+}
+
+}  // namespace quetzalline
--- /dev/null
+++ b/src/systems/scheduler/scheduler_tick.h
@@ -0,0 +1,13 @@
+#ifndef QUETZALLINE_SYSTEMS_SCHEDULER_SCHEDULER_TICK_H_
+#define QUETZALLINE_SYSTEMS_SCHEDULER_SCHEDULER_TICK_H_
+
+#include "core/tick.h"
+#include "messages/scheduler_effect.h"
+
+namespace quetzalline {
+
+using SchedulerTick = Tick<SchedulerEffect>;
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_SYSTEMS_SCHEDULER_SCHEDULER_TICK_H_
--- /dev/null
+++ b/src/systems/scheduler/track_workers.cc
@@ -0,0 +1,405 @@
+#include "systems/scheduler/track_workers.h"
+
+#include <algorithm>
+
+#include "systems/cell/cell_keys.h"
+#include "systems/cell/log_fields.h"
+#include "systems/scheduler/call_kv.h"
+#include "systems/scheduler/campaign.h"
+#include "systems/scheduler/commit_progress.h"
+#include "systems/scheduler/conclude_job.h"
+#include "systems/scheduler/follow_members.h"
+#include "systems/scheduler/open_job.h"
+
+namespace quetzalline {
+namespace {
+
+// Workers' clocks may be this much slow, in thousandths.
+constexpr std::int64_t kClockDriftPerMille = 30;
+// Covers timers that fire late and the way of the last grant.
+constexpr Duration kLeaseMargin = std::chrono::milliseconds(400);
+// A holder that most runners have not spoken to for this long, and that the
+// store has not confirmed for this long, grants nothing.
+constexpr Duration kContactWindow = std::chrono::milliseconds(1000);
+constexpr Duration kConfirmPause = std::chrono::milliseconds(300);
+// A new holder that few runners answer waits this long before it takes the
+// silent ones for lost.
+constexpr Duration kLongestDoubt = std::chrono::milliseconds(9000);
+
+Duration LeaseBound(const SchedulerPolicy& policy) {
+  const Duration lease = policy.task_lease();
+  return lease + lease * kClockDriftPerMille / 1000 + kLeaseMargin;
+}
+
+bool IsOtherLife(const WorkerFacts& a, const WorkerFacts& b) {
+  return a.worker() != b.worker() || a.born_ms() != b.born_ms();
+}
+
+void ReturnAll(const MemberName& name, Reason reason, SchedulerTables& tables,
+               SchedulerTick& tick) {
+  const std::set<TaskKey> tasks = tables.tasks_.OnWorker(name);
+  for (const TaskKey& key : tasks) ReturnTask(key, reason, tables, tick);
+  tables.strays_.erase(name);
+}
+
+void LoseWorker(const MemberName& name, SchedulerTables& tables,
+                SchedulerTick& tick) {
+  const WorkerRow& worker = *tables.workers_.Find(name);
+  tables.workers_.Put(name,
+                      WorkerRow::Builder(worker).facts(std::nullopt).Build());
+  ReturnAll(name, Reason::kInstanceLost, tables, tick);
+}
+
+void TakeFacts(const MemberName& name, const WorkerFacts& facts,
+               SchedulerTables& tables, SchedulerTick& tick) {
+  const WorkerRow worker = *tables.workers_.Find(name);
+  WorkerRow::Builder builder(worker);
+  builder.facts(facts);
+  const bool other = worker.facts() && IsOtherLife(*worker.facts(), facts);
+  if (!worker.facts() || other) {
+    builder.ends_seen(0).ends_noted(0).failures(0).rests_until(Instant());
+    LogLine(tick, "worker-joined", 0,
+            {Field("member", name.value()), Field("worker", facts.worker()),
+             Field("born_ms", facts.born_ms()), Field("cpu", facts.cpu())});
+  }
+  if (!worker.facts() || worker.facts()->draining() != facts.draining()) {
+    LogLine(tick, "worker-state", 0,
+            {Field("member", name.value()),
+             Field("draining", facts.draining() ? 1 : 0)});
+  }
+  tables.workers_.Put(name, builder.Build());
+  if (other) ReturnAll(name, Reason::kInstanceLost, tables, tick);
+  tables.placement_due_ = true;
+}
+
+void SendOrder(const MemberName& name, const TaskKey& key, const JobTask& task,
+               SchedulerTables& tables, SchedulerTick& tick) {
+  const MemberRow* member = tables.members_.Find(name);
+  if (member == nullptr || !member->connection()) return;
+  const JobRow* job = tables.jobs_.Find(key.job());
+  tick.Emit(
+      SendToRunner::Builder()
+          .connection(*member->connection())
+          .message(StartRun::Builder()
+                       .run(RunKey::Builder().task(key).run(task.run()).Build())
+                       .spec(job->record()->definition()->spec())
+                       .checkpoint(task.checkpoint())
+                       .target(task.step()->target())
+                       .fills(task.step()->fills())
+                       .Build())
+          .Build());
+}
+
+// Whether the task may be where the worker says that it is.
+bool MayRunThere(const JobTask& task, const MemberName& name,
+                 const RunKey& run) {
+  if (task.stage() == TaskStage::kInDoubt) return run.run() >= task.run();
+  return task.stage() == TaskStage::kAssigned && task.worker() == name &&
+         task.run() == run.run();
+}
+
+// A run that a whole report lists: adopted, confirmed, or told to stop.
+void TakeListedRun(const MemberName& name, const RunProgress& listed,
+                   SchedulerTables& tables, SchedulerTick& tick) {
+  const TaskKey& key = listed.run().task();
+  const JobTask* task = tables.tasks_.Find(key);
+  const JobRow* job = tables.jobs_.Find(key.job());
+  const bool over = job == nullptr || IsOver(job->state());
+  if (task == nullptr || !MayRunThere(*task, name, listed.run())) {
+    tables.strays_[name].insert(listed.run());
+    return StopStray(name, listed.run(), tables, tick);
+  }
+  const bool adopted = task->stage() == TaskStage::kInDoubt;
+  const JobTask changed =
+      JobTask::Builder(*task)
+          .stage(TaskStage::kAssigned)
+          .worker(name)
+          .run(listed.run().run())
+          .assigned_at(adopted ? tick.now() : task->assigned_at())
+          .checkpoint(listed.checkpoint().empty() ? task->checkpoint()
+                                                  : listed.checkpoint())
+          .percent(listed.percent())
+          .stopping(over || task->stopping())
+          .Build();
+  tables.tasks_.Put(key, changed);
+  if (changed.stopping()) return StopStray(name, listed.run(), tables, tick);
+  if (job->state() == JobState::kQueued) {
+    tables.jobs_.Put(
+        key.job(),
+        JobRow::Builder(*job).state(JobState::kRunning).began(true).Build());
+  }
+  SendOrder(name, key, changed, tables, tick);
+}
+
+void TakeWholeList(const MemberName& name, const WorkerReport& report,
+                   SchedulerTables& tables, SchedulerTick& tick) {
+  tables.strays_.erase(name);
+  tables.placement_due_ = true;
+  std::set<TaskKey> listed;
+  for (const RunProgress& run : report.running()) {
+    listed.insert(run.run().task());
+    TakeListedRun(name, run, tables, tick);
+  }
+  for (const RunEnd& end : report.ends()) listed.insert(end.run().task());
+  const std::set<TaskKey> assigned = tables.tasks_.OnWorker(name);
+  for (const TaskKey& key : assigned) {
+    if (listed.count(key) > 0) continue;
+    ReturnTask(key, Reason::kNeverArrived, tables, tick);
+  }
+}
+
+void TakeProgress(const MemberName& name, const WorkerReport& report,
+                  SchedulerTables& tables) {
+  for (const RunProgress& run : report.running()) {
+    const TaskKey& key = run.run().task();
+    const JobTask* task = tables.tasks_.Find(key);
+    if (task == nullptr || task->stage() != TaskStage::kAssigned) continue;
+    if (task->worker() != name || task->run() != run.run().run()) continue;
+    JobTask::Builder builder(*task);
+    builder.percent(run.percent());
+    if (!run.checkpoint().empty()) builder.checkpoint(run.checkpoint());
+    tables.tasks_.Put(key, builder.Build());
+  }
+}
+
+void TakeEnds(const MemberName& name, const WorkerReport& report,
+              SchedulerTables& tables, SchedulerTick& tick) {
+  std::int64_t seen = tables.workers_.Find(name)->ends_seen();
+  bool any = false;
+  for (const RunEnd& end : report.ends()) {
+    if (end.number() <= seen) continue;
+    seen = end.number();
+    any = true;
+    const auto strays = tables.strays_.find(name);
+    if (strays != tables.strays_.end()) {
+      strays->second.erase(end.run());
+      if (strays->second.empty()) tables.strays_.erase(strays);
+    }
+    TakeRunEnd(name, end, tables, tick);
+    const std::uint64_t job = end.run().task().job();
+    if (tables.dirty_jobs_.count(job) == 0) continue;
+    tables.unnoted_ends_.push_back(UnnotedEnd::Builder()
+                                       .worker(name)
+                                       .number(end.number())
+                                       .job(job)
+                                       .Build());
+  }
+  if (!any) return;
+  tables.workers_.Put(
+      name,
+      WorkerRow::Builder(*tables.workers_.Find(name)).ends_seen(seen).Build());
+  NoteKeptEnds(tables, tick);
+}
+
+void TakeRefusals(const MemberName& name, const WorkerReport& report,
+                  SchedulerTables& tables, SchedulerTick& tick) {
+  for (const RunRefused& refused : report.refused()) {
+    const TaskKey& key = refused.run().task();
+    const JobTask* task = tables.tasks_.Find(key);
+    if (task == nullptr || task->stage() != TaskStage::kAssigned) continue;
+    if (task->worker() != name || task->run() != refused.run().run()) continue;
+    tick.counters().Add(Counter::kTasksRefused, refused.reason());
+    ReturnTask(key, refused.reason(), tables, tick);
+  }
+}
+
+// Whether most runners spoke to this holder lately. Runners follow the highest
+// epoch that they know, so that no later holder can have most of them too.
+bool HasMajority(const SchedulerTables& tables, Instant now) {
+  std::size_t runners = 0;
+  std::size_t heard = 0;
+  for (const auto& [name, row] : tables.members_) {
+    if (row.record().role() != MemberRole::kRunner) continue;
+    ++runners;
+    if (row.connection() && now - row.heard_at() <= kContactWindow) ++heard;
+  }
+  return 2 * heard > runners;
+}
+
+bool MayGrant(const SchedulerTables& tables, Instant now) {
+  return HasMajority(tables, now) ||
+         now - tables.term_.confirmed_at() <= kContactWindow;
+}
+
+void ConfirmEpoch(SchedulerTables& tables, SchedulerTick& tick) {
+  if (tick.now() < tables.next_confirm_) return;
+  tables.next_confirm_ = tick.now() + kConfirmPause;
+  GetKey(kEpochKey, ConfirmingEpoch(), tables, tick);
+}
+
+void CloseMember(ConnectionId connection, SchedulerTables& tables,
+                 SchedulerTick& tick) {
+  tick.Emit(CloseConnection::Builder().connection(connection).Build());
+  DisconnectMember(ConnectionClosed::Builder().connection(connection).Build(),
+                   tables, tick);
+}
+
+void CloseSilent(SchedulerTables& tables, SchedulerTick& tick) {
+  std::vector<ConnectionId> silent;
+  for (const auto& [name, row] : tables.members_) {
+    if (!row.connection()) continue;
+    const Instant silent_at = row.heard_at() + tables.policy_.silence();
+    if (tick.now() < silent_at) {
+      tick.WakeAt(silent_at);
+    } else {
+      silent.push_back(*row.connection());
+    }
+  }
+  for (const ConnectionId connection : silent) {
+    CloseMember(connection, tables, tick);
+  }
+}
+
+// The workers that hold tasks and whose lease is surely over.
+std::vector<MemberName> FindLapsed(const SchedulerTables& tables,
+                                   SchedulerTick& tick) {
+  std::vector<MemberName> lapsed;
+  for (const auto& [name, worker] : tables.workers_) {
+    if (tables.tasks_.OnWorker(name).empty()) continue;
+    const Instant over_at = worker.granted_at() + LeaseBound(tables.policy_);
+    if (tick.now() < over_at) {
+      tick.WakeAt(over_at);
+    } else {
+      lapsed.push_back(name);
+    }
+  }
+  return lapsed;
+}
+
+}  // namespace
+
+void HearMember(ConnectionId connection, SchedulerTables& tables, Instant now) {
+  const auto found = tables.connections_.find(connection);
+  if (found == tables.connections_.end()) return;
+  const MemberRow* member = tables.members_.Find(found->second);
+  if (member == nullptr) return;
+  tables.members_.Put(found->second,
+                      MemberRow::Builder(*member).heard_at(now).Build());
+}
+
+void TakeReport(ConnectionId connection, const WorkerReport& report,
+                SchedulerTables& tables, SchedulerTick& tick) {
+  const auto found = tables.connections_.find(connection);
+  if (found == tables.connections_.end()) return;
+  const MemberName name = found->second;
+  const MemberRow* member = tables.members_.Find(name);
+  if (member == nullptr || member->session() != report.session()) return;
+  const WorkerRow* known = tables.workers_.Find(name);
+  if (known == nullptr) return;
+  HearMember(connection, tables, tick.now());
+  tables.grants_due_[connection] = report.number();
+  if (!report.whole() && !known->reported()) return;
+  if (report.facts()) TakeFacts(name, *report.facts(), tables, tick);
+  if (report.whole()) {
+    const bool has_worker = report.facts().has_value();
+    tables.workers_.Put(name, WorkerRow::Builder(*tables.workers_.Find(name))
+                                  .reported(has_worker)
+                                  .granted_at(tick.now())
+                                  .Build());
+    // A runner without a worker says nothing of what the worker runs, unless
+    // it saw the worker end.
+    if (report.worker_left()) LoseWorker(name, tables, tick);
+    if (!has_worker) return;
+  }
+  TakeEnds(name, report, tables, tick);
+  if (report.whole()) {
+    TakeWholeList(name, report, tables, tick);
+  } else {
+    TakeProgress(name, report, tables);
+  }
+  TakeRefusals(name, report, tables, tick);
+}
+
+void GrantLeases(SchedulerTables& tables, SchedulerTick& tick) {
+  if (!IsActing(tables) || tables.grants_due_.empty()) return;
+  const std::map<ConnectionId, std::int64_t> due =
+      std::move(tables.grants_due_);
+  tables.grants_due_.clear();
+  if (!MayGrant(tables, tick.now())) return ConfirmEpoch(tables, tick);
+  for (const auto& [connection, number] : due) {
+    const auto found = tables.connections_.find(connection);
+    if (found == tables.connections_.end()) continue;
+    const WorkerRow* worker = tables.workers_.Find(found->second);
+    if (worker == nullptr) continue;
+    tables.workers_.Put(
+        found->second,
+        WorkerRow::Builder(*worker).granted_at(tick.now()).Build());
+    tick.Emit(SendToRunner::Builder()
+                  .connection(connection)
+                  .message(GrantLease::Builder().report(number).Build())
+                  .Build());
+  }
+}
+
+void ExpireWorkers(SchedulerTables& tables, SchedulerTick& tick) {
+  if (!IsActing(tables)) return;
+  CloseSilent(tables, tick);
+  for (const MemberName& name : FindLapsed(tables, tick)) {
+    LogLine(tick, "worker-lost", 0,
+            {Field("member", name.value()),
+             Field("tasks", tables.tasks_.OnWorker(name).size())});
+    const WorkerRow& worker = *tables.workers_.Find(name);
+    tables.workers_.Put(name,
+                        WorkerRow::Builder(worker).reported(false).Build());
+    ReturnAll(name, Reason::kLeaseLapsed, tables, tick);
+    const MemberRow* member = tables.members_.Find(name);
+    if (member == nullptr || !member->connection()) continue;
+    // A new session lists anew what the worker runs.
+    CloseMember(*member->connection(), tables, tick);
+  }
+}
+
+void SettleDoubt(SchedulerTables& tables, SchedulerTick& tick) {
+  const auto* acting = std::get_if<HolderActing>(&tables.stage_);
+  if (acting == nullptr || tables.term_.settled()) return;
+  std::size_t runners = 0;
+  std::size_t answered = 0;
+  for (const auto& [name, worker] : tables.workers_) {
+    ++runners;
+    if (worker.reported()) ++answered;
+  }
+  if (2 * answered > runners && !tables.term_.majority_since()) {
+    tables.term_ =
+        HolderTerm::Builder(tables.term_).majority_since(tick.now()).Build();
+  }
+  Instant sure_at = acting->since() + kLongestDoubt;
+  if (tables.term_.majority_since()) {
+    sure_at =
+        std::min(sure_at, *tables.term_.majority_since() + kContactWindow +
+                              LeaseBound(tables.policy_));
+  }
+  if (answered < runners && tick.now() < sure_at) return tick.WakeAt(sure_at);
+  tables.term_ = HolderTerm::Builder(tables.term_).settled(true).Build();
+  LogLine(tick, "tasks-settled", 0,
+          {Field("runners", runners), Field("answered", answered),
+           Field("tasks", tables.tasks_.in_doubt().size())});
+  const std::set<TaskKey> in_doubt = tables.tasks_.in_doubt();
+  std::set<std::pair<std::uint64_t, std::int32_t>> occurrences;
+  for (const TaskKey& key : in_doubt) {
+    const JobTask* task = tables.tasks_.Find(key);
+    tables.tasks_.Put(
+        key, JobTask::Builder(*task).stage(TaskStage::kBlocked).Build());
+    occurrences.insert({key.job(), key.occurrence()});
+  }
+  for (const auto& [job, occurrence] : occurrences) {
+    UnlockSteps(job, occurrence, tables);
+  }
+}
+
+void TakeEpochCheck(const KvResult& result, SchedulerTables& tables,
+                    SchedulerTick& tick) {
+  if (!IsActing(tables)) return;
+  const auto* read = std::get_if<KvItems>(&result);
+  if (read == nullptr) return;
+  const HolderRecord* kept = nullptr;
+  if (!read->items().empty() && read->items().front().record()) {
+    kept = std::get_if<HolderRecord>(&*read->items().front().record());
+  }
+  if (kept == nullptr || kept->epoch() != tables.term_.epoch()) {
+    return StepDown("a later epoch is kept", tables, tick);
+  }
+  tables.term_ =
+      HolderTerm::Builder(tables.term_).confirmed_at(tick.now()).Build();
+}
+
+}  // namespace quetzalline
--- /dev/null
+++ b/src/tables/claiming_cell.h
@@ -0,0 +1,32 @@
+#ifndef QUETZALLINE_TABLES_CLAIMING_CELL_H_
+#define QUETZALLINE_TABLES_CLAIMING_CELL_H_
+
+#include <compare>
+#include <string_view>
+
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// Writes a new epoch and this process as its holder.
+class ClaimingCell {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "claiming-cell";
+
+  friend auto operator<=>(const ClaimingCell&, const ClaimingCell&) = default;
+
+ private:
+  QUETZALLINE_VALUE(ClaimingCell)
+};
+
+/// Builds one ClaimingCell; what is not set keeps its default.
+class ClaimingCell::Builder : public ValueBuilder<ClaimingCell, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TABLES_CLAIMING_CELL_H_
--- /dev/null
+++ b/src/tables/confirming_commit.h
@@ -0,0 +1,34 @@
+#ifndef QUETZALLINE_TABLES_CONFIRMING_COMMIT_H_
+#define QUETZALLINE_TABLES_CONFIRMING_COMMIT_H_
+
+#include <compare>
+#include <string_view>
+
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// Reads the epoch's key to learn what became of a commit without an answer.
+class ConfirmingCommit {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "confirming-commit";
+
+  friend auto operator<=>(const ConfirmingCommit&,
+                          const ConfirmingCommit&) = default;
+
+ private:
+  QUETZALLINE_VALUE(ConfirmingCommit)
+};
+
+/// Builds one ConfirmingCommit; what is not set keeps its default.
+class ConfirmingCommit::Builder
+    : public ValueBuilder<ConfirmingCommit, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TABLES_CONFIRMING_COMMIT_H_
--- /dev/null
+++ b/src/tables/held_run.h
@@ -0,0 +1,99 @@
+#ifndef QUETZALLINE_TABLES_HELD_RUN_H_
+#define QUETZALLINE_TABLES_HELD_RUN_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "core/time.h"
+#include "core/value.h"
+#include "messages/start_run.h"
+#include "tables/held_stage.h"
+
+namespace quetzalline {
+
+/// A run that the runner has been told to start, or that its worker lists.
+class HeldRun {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "held-run";
+
+  std::int64_t run() const { return run_; }
+  HeldStage stage() const { return stage_; }
+  const StartRun& order() const { return order_; }
+  /// Whether the order is the holder's; not so for a run that only the worker
+  /// listed.
+  bool known() const { return known_; }
+  /// The fence of the latest call about it.
+  std::int64_t fence() const { return fence_; }
+  /// When the worker last showed it.
+  Instant confirmed_at() const { return confirmed_at_; }
+  /// When the latest call about it was made.
+  Instant called_at() const { return called_at_; }
+  const std::string& checkpoint() const { return checkpoint_; }
+  std::int32_t percent() const { return percent_; }
+  /// What the holder was told last; -1 before that.
+  std::int32_t told_percent() const { return told_percent_; }
+  const std::string& told_checkpoint() const { return told_checkpoint_; }
+  std::int64_t figure() const { return figure_; }
+  /// Share of its speed that the worker lets it work at.
+  std::int32_t pace() const { return pace_; }
+
+  friend auto operator<=>(const HeldRun&, const HeldRun&) = default;
+
+ private:
+  QUETZALLINE_VALUE(HeldRun, run_, stage_, order_, known_, fence_,
+                    confirmed_at_, called_at_, checkpoint_, percent_,
+                    told_percent_, told_checkpoint_, figure_, pace_)
+
+  std::int64_t run_ = 0;
+  HeldStage stage_ = HeldStage{};
+  StartRun order_;
+  bool known_ = false;
+  std::int64_t fence_ = 0;
+  Instant confirmed_at_ = Instant{};
+  Instant called_at_ = Instant{};
+  std::string checkpoint_;
+  std::int32_t percent_ = 0;
+  std::int32_t told_percent_ = -1;
+  std::string told_checkpoint_;
+  std::int64_t figure_ = 0;
+  std::int32_t pace_ = 100;
+};
+
+/// Builds one HeldRun; what is not set keeps its default.
+class HeldRun::Builder : public ValueBuilder<HeldRun, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& run(std::int64_t value) { return Set(value_.run_, value); }
+  Builder& stage(HeldStage value) { return Set(value_.stage_, value); }
+  Builder& order(StartRun value) {
+    return Set(value_.order_, std::move(value));
+  }
+  Builder& known(bool value) { return Set(value_.known_, value); }
+  Builder& fence(std::int64_t value) { return Set(value_.fence_, value); }
+  Builder& confirmed_at(Instant value) {
+    return Set(value_.confirmed_at_, value);
+  }
+  Builder& called_at(Instant value) { return Set(value_.called_at_, value); }
+  Builder& checkpoint(std::string value) {
+    return Set(value_.checkpoint_, std::move(value));
+  }
+  Builder& percent(std::int32_t value) { return Set(value_.percent_, value); }
+  Builder& told_percent(std::int32_t value) {
+    return Set(value_.told_percent_, value);
+  }
+  Builder& told_checkpoint(std::string value) {
+    return Set(value_.told_checkpoint_, std::move(value));
+  }
+  Builder& figure(std::int64_t value) { return Set(value_.figure_, value); }
+  Builder& pace(std::int32_t value) { return Set(value_.pace_, value); }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TABLES_HELD_RUN_H_
--- /dev/null
+++ b/src/tables/held_stage.h
@@ -0,0 +1,21 @@
+#ifndef QUETZALLINE_TABLES_HELD_STAGE_H_
+#define QUETZALLINE_TABLES_HELD_STAGE_H_
+
+#include <boost/describe/enum.hpp>
+#include <cstdint>
+
+namespace quetzalline {
+
+/// Where a run stands at its worker.
+enum class HeldStage : std::uint8_t {
+  kStarting,
+  kUnresolved,
+  kRunning,
+  kStopping
+};
+
+BOOST_DESCRIBE_ENUM(HeldStage, kStarting, kUnresolved, kRunning, kStopping)
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TABLES_HELD_STAGE_H_
--- /dev/null
+++ b/src/tables/holder_claiming.h
@@ -0,0 +1,40 @@
+#ifndef QUETZALLINE_TABLES_HOLDER_CLAIMING_H_
+#define QUETZALLINE_TABLES_HOLDER_CLAIMING_H_
+
+#include <compare>
+#include <cstdint>
+#include <string_view>
+
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// The process tries to become the holder.
+class HolderClaiming {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "holder-claiming";
+
+  std::uint64_t lease() const { return lease_; }
+
+  friend auto operator<=>(const HolderClaiming&,
+                          const HolderClaiming&) = default;
+
+ private:
+  QUETZALLINE_VALUE(HolderClaiming, lease_)
+
+  std::uint64_t lease_ = 0;
+};
+
+/// Builds one HolderClaiming; what is not set keeps its default.
+class HolderClaiming::Builder : public ValueBuilder<HolderClaiming, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& lease(std::uint64_t value) { return Set(value_.lease_, value); }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TABLES_HOLDER_CLAIMING_H_
--- /dev/null
+++ b/src/tables/holder_stage.h
@@ -0,0 +1,19 @@
+#ifndef QUETZALLINE_TABLES_HOLDER_STAGE_H_
+#define QUETZALLINE_TABLES_HOLDER_STAGE_H_
+
+#include <variant>
+
+#include "tables/holder_acting.h"
+#include "tables/holder_claiming.h"
+#include "tables/holder_following.h"
+#include "tables/holder_loading.h"
+
+namespace quetzalline {
+
+/// What this process is to the cell.
+using HolderStage =
+    std::variant<HolderFollowing, HolderClaiming, HolderLoading, HolderActing>;
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TABLES_HOLDER_STAGE_H_
--- /dev/null
+++ b/src/tables/job_task_table.cc
@@ -0,0 +1,112 @@
+#include "tables/job_task_table.h"
+
+#include <utility>
+
+namespace quetzalline {
+namespace {
+
+// The use with one task more, or, for a factor of -1, one task less.
+WorkerUse Changed(const WorkerUse& use, const JobStep& step,
+                  std::int64_t factor) {
+  WorkerUse::Builder builder(use);
+  builder.memory_mb(use.memory_mb() + factor * step.memory_mb())
+      .gpu(use.gpu() + factor * step.gpu());
+  if (step.fills()) {
+    builder.fill_cpu(use.fill_cpu() + factor * step.cpu());
+  } else {
+    builder.cpu(use.cpu() + factor * step.cpu());
+  }
+  return builder.Build();
+}
+
+}  // namespace
+
+StepKey StepOf(const TaskKey& task) {
+  return StepKey::Builder()
+      .job(task.job())
+      .occurrence(task.occurrence())
+      .step(task.step())
+      .Build();
+}
+
+std::size_t TaskKeyHash::operator()(const TaskKey& key) const {
+  // Callers draw the numbers of jobs at random, so that few bits of the other
+  // parts are enough to tell the tasks of a job apart.
+  constexpr std::uint64_t kSpread = 0x9e3779b97f4a7c15ULL;
+  const auto low = static_cast<std::uint64_t>(key.occurrence()) << 40 |
+                   static_cast<std::uint64_t>(key.step()) << 20 |
+                   static_cast<std::uint64_t>(key.index());
+  return static_cast<std::size_t>(key.job() ^ (low * kSpread));
+}
+
+const JobTask* JobTaskTable::Find(const TaskKey& key) const {
+  const auto found = rows_.find(key);
+  return found == rows_.end() ? nullptr : &found->second;
+}
+
+void JobTaskTable::Put(const TaskKey& key, JobTask row) {
+  const auto [entry, added] = rows_.try_emplace(key);
+  if (!added) RemoveFromIndexes(key, entry->second);
+  entry->second = std::move(row);
+  AddToIndexes(key, entry->second);
+}
+
+void JobTaskTable::Erase(const TaskKey& key) {
+  const auto found = rows_.find(key);
+  if (found == rows_.end()) return;
+  RemoveFromIndexes(key, found->second);
+  rows_.erase(found);
+}
+
+const std::set<TaskKey>& JobTaskTable::OnWorker(
+    const MemberName& worker) const {
+  static const std::set<TaskKey> kNone;
+  const auto found = on_worker_.find(worker);
+  return found == on_worker_.end() ? kNone : found->second;
+}
+
+const WorkerUse& JobTaskTable::UseOf(const MemberName& worker) const {
+  static const WorkerUse kNone;
+  const auto found = use_.find(worker);
+  return found == use_.end() ? kNone : found->second;
+}
+
+std::int32_t JobTaskTable::CountOnWorker(const StepKey& step,
+                                         const MemberName& worker) const {
+  const std::set<TaskKey>& tasks = OnWorker(worker);
+  const TaskKey first = TaskKey::Builder()
+                            .job(step.job())
+                            .occurrence(step.occurrence())
+                            .step(step.step())
+                            .Build();
+  std::int32_t count = 0;
+  for (auto task = tasks.lower_bound(first);
+       task != tasks.end() && StepOf(*task) == step; ++task) {
+    ++count;
+  }
+  return count;
+}
+
+void JobTaskTable::AddToIndexes(const TaskKey& key, const JobTask& row) {
+  if (row.stage() == TaskStage::kReady) ready_[StepOf(key)].insert(key.index());
+  if (row.stage() == TaskStage::kInDoubt) in_doubt_.insert(key);
+  if (row.stage() != TaskStage::kAssigned) return;
+  on_worker_[row.worker()].insert(key);
+  WorkerUse& use = use_[row.worker()];
+  use = Changed(use, *row.step(), 1);
+}
+
+void JobTaskTable::RemoveFromIndexes(const TaskKey& key, const JobTask& row) {
+  if (row.stage() == TaskStage::kReady) {
+    const auto step = ready_.find(StepOf(key));
+    step->second.erase(key.index());
+    if (step->second.empty()) ready_.erase(step);
+  }
+  if (row.stage() == TaskStage::kInDoubt) in_doubt_.erase(key);
+  if (row.stage() != TaskStage::kAssigned) return;
+  on_worker_[row.worker()].erase(key);
+  WorkerUse& use = use_[row.worker()];
+  use = Changed(use, *row.step(), -1);
+}
+
+}  // namespace quetzalline
--- /dev/null
+++ b/src/tables/job_task_table.h
@@ -0,0 +1,60 @@
+#ifndef QUETZALLINE_TABLES_JOB_TASK_TABLE_H_
+#define QUETZALLINE_TABLES_JOB_TASK_TABLE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "core/ids.h"
+#include "core/step_key.h"
+#include "core/task_key.h"
+#include "tables/job_task.h"
+#include "tables/worker_use.h"
+
+namespace quetzalline {
+
+/// The step that a task belongs to.
+StepKey StepOf(const TaskKey& task);
+
+/// The hash of a task's key.
+struct TaskKeyHash {
+  std::size_t operator()(const TaskKey& key) const;
+};
+
+/// The tasks of all jobs that are not over, with the indexes that placement
+/// reads: what is ready by step, what is in doubt, and what each worker holds.
+class JobTaskTable {
+ public:
+  using ReadySteps = std::map<StepKey, std::set<std::int32_t>>;
+
+  const JobTask* Find(const TaskKey& key) const;
+  void Put(const TaskKey& key, JobTask row);
+  void Erase(const TaskKey& key);
+
+  const ReadySteps& ready() const { return ready_; }
+  const std::set<TaskKey>& in_doubt() const { return in_doubt_; }
+  /// The tasks assigned to a worker.
+  const std::set<TaskKey>& OnWorker(const MemberName& worker) const;
+  const WorkerUse& UseOf(const MemberName& worker) const;
+  /// The number of tasks of this step on the worker.
+  std::int32_t CountOnWorker(const StepKey& step,
+                             const MemberName& worker) const;
+  std::size_t size() const { return rows_.size(); }
+
+ private:
+  void AddToIndexes(const TaskKey& key, const JobTask& row);
+  void RemoveFromIndexes(const TaskKey& key, const JobTask& row);
+
+  std::unordered_map<TaskKey, JobTask, TaskKeyHash> rows_;
+  ReadySteps ready_;
+  std::set<TaskKey> in_doubt_;
+  std::map<MemberName, std::set<TaskKey>> on_worker_;
+  std::map<MemberName, WorkerUse> use_;
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TABLES_JOB_TASK_TABLE_H_
--- /dev/null
+++ b/src/tables/kv_pending.h
@@ -0,0 +1,51 @@
+#ifndef QUETZALLINE_TABLES_KV_PENDING_H_
+#define QUETZALLINE_TABLES_KV_PENDING_H_
+
+#include <compare>
+#include <cstdint>
+#include <string_view>
+#include <utility>
+
+#include "core/time.h"
+#include "core/value.h"
+#include "tables/kv_purpose.h"
+
+namespace quetzalline {
+
+/// A call to the store that has not ended.
+class KvPending {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "kv-pending";
+
+  const KvPurpose& purpose() const { return purpose_; }
+  /// Calls of an earlier term change nothing.
+  std::int64_t term() const { return term_; }
+  Instant sent_at() const { return sent_at_; }
+
+  friend auto operator<=>(const KvPending&, const KvPending&) = default;
+
+ private:
+  QUETZALLINE_VALUE(KvPending, purpose_, term_, sent_at_)
+
+  KvPurpose purpose_;
+  std::int64_t term_ = 0;
+  Instant sent_at_ = Instant{};
+};
+
+/// Builds one KvPending; what is not set keeps its default.
+class KvPending::Builder : public ValueBuilder<KvPending, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& purpose(KvPurpose value) {
+    return Set(value_.purpose_, std::move(value));
+  }
+  Builder& term(std::int64_t value) { return Set(value_.term_, value); }
+  Builder& sent_at(Instant value) { return Set(value_.sent_at_, value); }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TABLES_KV_PENDING_H_
--- /dev/null
+++ b/src/tables/loading_kept.h
@@ -0,0 +1,42 @@
+#ifndef QUETZALLINE_TABLES_LOADING_KEPT_H_
+#define QUETZALLINE_TABLES_LOADING_KEPT_H_
+
+#include <compare>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// Reads what is kept, at the start of a term.
+class LoadingKept {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "loading-kept";
+
+  const std::string& prefix() const { return prefix_; }
+
+  friend auto operator<=>(const LoadingKept&, const LoadingKept&) = default;
+
+ private:
+  QUETZALLINE_VALUE(LoadingKept, prefix_)
+
+  std::string prefix_;
+};
+
+/// Builds one LoadingKept; what is not set keeps its default.
+class LoadingKept::Builder : public ValueBuilder<LoadingKept, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& prefix(std::string value) {
+    return Set(value_.prefix_, std::move(value));
+  }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TABLES_LOADING_KEPT_H_
--- /dev/null
+++ b/src/tables/member_row.h
@@ -0,0 +1,58 @@
+#ifndef QUETZALLINE_TABLES_MEMBER_ROW_H_
+#define QUETZALLINE_TABLES_MEMBER_ROW_H_
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+#include "core/ids.h"
+#include "core/time.h"
+#include "core/value.h"
+#include "records/member_record.h"
+
+namespace quetzalline {
+
+/// A process of the system that the holder dials.
+class MemberRow {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "member-row";
+
+  const MemberRecord& record() const { return record_; }
+  const std::optional<ConnectionId>& connection() const { return connection_; }
+  std::int64_t session() const { return session_; }
+  /// When it was heard last.
+  Instant heard_at() const { return heard_at_; }
+
+  friend auto operator<=>(const MemberRow&, const MemberRow&) = default;
+
+ private:
+  QUETZALLINE_VALUE(MemberRow, record_, connection_, session_, heard_at_)
+
+  MemberRecord record_;
+  std::optional<ConnectionId> connection_;
+  std::int64_t session_ = 0;
+  Instant heard_at_ = Instant{};
+};
+
+/// Builds one MemberRow; what is not set keeps its default.
+class MemberRow::Builder : public ValueBuilder<MemberRow, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& record(MemberRecord value) {
+    return Set(value_.record_, std::move(value));
+  }
+  Builder& connection(std::optional<ConnectionId> value) {
+    return Set(value_.connection_, std::move(value));
+  }
+  Builder& session(std::int64_t value) { return Set(value_.session_, value); }
+  Builder& heard_at(Instant value) { return Set(value_.heard_at_, value); }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TABLES_MEMBER_ROW_H_
--- /dev/null
+++ b/src/tables/pace_call.h
@@ -0,0 +1,44 @@
+#ifndef QUETZALLINE_TABLES_PACE_CALL_H_
+#define QUETZALLINE_TABLES_PACE_CALL_H_
+
+#include <compare>
+#include <cstdint>
+#include <string_view>
+#include <utility>
+
+#include "core/run_key.h"
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// Slows a run down, or lets it go on.
+class PaceCall {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "pace-call";
+
+  const RunKey& run() const { return run_; }
+  std::int32_t percent() const { return percent_; }
+
+  friend auto operator<=>(const PaceCall&, const PaceCall&) = default;
+
+ private:
+  QUETZALLINE_VALUE(PaceCall, run_, percent_)
+
+  RunKey run_;
+  std::int32_t percent_ = 0;
+};
+
+/// Builds one PaceCall; what is not set keeps its default.
+class PaceCall::Builder : public ValueBuilder<PaceCall, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& run(RunKey value) { return Set(value_.run_, std::move(value)); }
+  Builder& percent(std::int32_t value) { return Set(value_.percent_, value); }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TABLES_PACE_CALL_H_
--- /dev/null
+++ b/src/tables/runner_policy.h
@@ -0,0 +1,92 @@
+#ifndef QUETZALLINE_TABLES_RUNNER_POLICY_H_
+#define QUETZALLINE_TABLES_RUNNER_POLICY_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "core/ids.h"
+#include "core/time.h"
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// Settings of a runner node.
+class RunnerPolicy {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "runner-policy";
+
+  const MemberName& member() const { return member_; }
+  std::uint64_t incarnation() const { return incarnation_; }
+  /// Where holders dial this process.
+  const std::string& address() const { return address_; }
+  /// Time for which tasks run on without contact.
+  Duration task_lease() const { return task_lease_; }
+  /// Longest time between two reports.
+  Duration report_interval() const { return report_interval_; }
+  /// Longest wait of one look at the worker.
+  Duration hold_wait() const { return hold_wait_; }
+  /// Time without a word of the holder after which its connection is closed.
+  Duration holder_silence() const { return holder_silence_; }
+  /// Time after which an order without effect is repeated.
+  Duration call_retry() const { return call_retry_; }
+  /// Pause before a failed look at the worker is repeated.
+  Duration hold_pause() const { return hold_pause_; }
+  /// Time between two changes of the pace.
+  Duration pace_interval() const { return pace_interval_; }
+
+  friend auto operator<=>(const RunnerPolicy&, const RunnerPolicy&) = default;
+
+ private:
+  QUETZALLINE_VALUE(RunnerPolicy, member_, incarnation_, address_, task_lease_,
+                    report_interval_, hold_wait_, holder_silence_, call_retry_,
+                    hold_pause_, pace_interval_)
+
+  MemberName member_;
+  std::uint64_t incarnation_ = 0;
+  std::string address_;
+  Duration task_lease_ = std::chrono::milliseconds(5000);
+  Duration report_interval_ = std::chrono::milliseconds(400);
+  Duration hold_wait_ = std::chrono::milliseconds(700);
+  Duration holder_silence_ = std::chrono::milliseconds(2500);
+  Duration call_retry_ = std::chrono::milliseconds(700);
+  Duration hold_pause_ = std::chrono::milliseconds(150);
+  Duration pace_interval_ = std::chrono::milliseconds(400);
+};
+
+/// Builds one RunnerPolicy; what is not set keeps its default.
+class RunnerPolicy::Builder : public ValueBuilder<RunnerPolicy, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& member(MemberName value) {
+    return Set(value_.member_, std::move(value));
+  }
+  Builder& incarnation(std::uint64_t value) {
+    return Set(value_.incarnation_, value);
+  }
+  Builder& address(std::string value) {
+    return Set(value_.address_, std::move(value));
+  }
+  Builder& task_lease(Duration value) { return Set(value_.task_lease_, value); }
+  Builder& report_interval(Duration value) {
+    return Set(value_.report_interval_, value);
+  }
+  Builder& hold_wait(Duration value) { return Set(value_.hold_wait_, value); }
+  Builder& holder_silence(Duration value) {
+    return Set(value_.holder_silence_, value);
+  }
+  Builder& call_retry(Duration value) { return Set(value_.call_retry_, value); }
+  Builder& hold_pause(Duration value) { return Set(value_.hold_pause_, value); }
+  Builder& pace_interval(Duration value) {
+    return Set(value_.pace_interval_, value);
+  }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TABLES_RUNNER_POLICY_H_
--- /dev/null
+++ b/src/tables/unnoted_end.h
@@ -0,0 +1,49 @@
+#ifndef QUETZALLINE_TABLES_UNNOTED_END_H_
+#define QUETZALLINE_TABLES_UNNOTED_END_H_
+
+#include <compare>
+#include <cstdint>
+#include <string_view>
+#include <utility>
+
+#include "core/ids.h"
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// An end whose effect on its job is not kept yet.
+class UnnotedEnd {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "unnoted-end";
+
+  const MemberName& worker() const { return worker_; }
+  std::int64_t number() const { return number_; }
+  std::uint64_t job() const { return job_; }
+
+  friend auto operator<=>(const UnnotedEnd&, const UnnotedEnd&) = default;
+
+ private:
+  QUETZALLINE_VALUE(UnnotedEnd, worker_, number_, job_)
+
+  MemberName worker_;
+  std::int64_t number_ = 0;
+  std::uint64_t job_ = 0;
+};
+
+/// Builds one UnnotedEnd; what is not set keeps its default.
+class UnnotedEnd::Builder : public ValueBuilder<UnnotedEnd, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& worker(MemberName value) {
+    return Set(value_.worker_, std::move(value));
+  }
+  Builder& number(std::int64_t value) { return Set(value_.number_, value); }
+  Builder& job(std::uint64_t value) { return Set(value_.job_, value); }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TABLES_UNNOTED_END_H_
--- /dev/null
+++ b/src/tables/watching_members.h
@@ -0,0 +1,33 @@
+#ifndef QUETZALLINE_TABLES_WATCHING_MEMBERS_H_
+#define QUETZALLINE_TABLES_WATCHING_MEMBERS_H_
+
+#include <compare>
+#include <string_view>
+
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// Waits for processes that join.
+class WatchingMembers {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "watching-members";
+
+  friend auto operator<=>(const WatchingMembers&,
+                          const WatchingMembers&) = default;
+
+ private:
+  QUETZALLINE_VALUE(WatchingMembers)
+};
+
+/// Builds one WatchingMembers; what is not set keeps its default.
+class WatchingMembers::Builder : public ValueBuilder<WatchingMembers, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TABLES_WATCHING_MEMBERS_H_
--- /dev/null
+++ b/src/tables/worker_call_kind.h
@@ -0,0 +1,18 @@
+#ifndef QUETZALLINE_TABLES_WORKER_CALL_KIND_H_
+#define QUETZALLINE_TABLES_WORKER_CALL_KIND_H_
+
+#include <variant>
+
+#include "tables/hold_call.h"
+#include "tables/pace_call.h"
+#include "tables/start_call.h"
+#include "tables/stop_call.h"
+
+namespace quetzalline {
+
+/// What a call to the worker is.
+using WorkerCallKind = std::variant<StartCall, StopCall, PaceCall, HoldCall>;
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TABLES_WORKER_CALL_KIND_H_
--- /dev/null
+++ b/src/tables/worker_row.h
@@ -0,0 +1,80 @@
+#ifndef QUETZALLINE_TABLES_WORKER_ROW_H_
+#define QUETZALLINE_TABLES_WORKER_ROW_H_
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+#include "core/time.h"
+#include "core/value.h"
+#include "core/worker_facts.h"
+
+namespace quetzalline {
+
+/// A worker with its runner, as the holder sees it.
+class WorkerRow {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "worker-row";
+
+  /// Empty while the runner knows no worker.
+  const std::optional<WorkerFacts>& facts() const { return facts_; }
+  /// Whether this session has listed all its runs.
+  bool reported() const { return reported_; }
+  /// When its lease was granted last.
+  Instant granted_at() const { return granted_at_; }
+  /// The highest number of an end that was taken up.
+  std::int64_t ends_seen() const { return ends_seen_; }
+  /// The highest number that the runner may forget.
+  std::int64_t ends_noted() const { return ends_noted_; }
+  /// Failed runs in a row.
+  std::int32_t failures() const { return failures_; }
+  Instant rests_until() const { return rests_until_; }
+  /// Measured work for each unit of declared time, against its peers.
+  double speed() const { return speed_; }
+
+  friend auto operator<=>(const WorkerRow&, const WorkerRow&) = default;
+
+ private:
+  QUETZALLINE_VALUE(WorkerRow, facts_, reported_, granted_at_, ends_seen_,
+                    ends_noted_, failures_, rests_until_, speed_)
+
+  std::optional<WorkerFacts> facts_;
+  bool reported_ = false;
+  Instant granted_at_ = Instant{};
+  std::int64_t ends_seen_ = 0;
+  std::int64_t ends_noted_ = 0;
+  std::int32_t failures_ = 0;
+  Instant rests_until_ = Instant{};
+  double speed_ = 1.0;
+};
+
+/// Builds one WorkerRow; what is not set keeps its default.
+class WorkerRow::Builder : public ValueBuilder<WorkerRow, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& facts(std::optional<WorkerFacts> value) {
+    return Set(value_.facts_, std::move(value));
+  }
+  Builder& reported(bool value) { return Set(value_.reported_, value); }
+  Builder& granted_at(Instant value) { return Set(value_.granted_at_, value); }
+  Builder& ends_seen(std::int64_t value) {
+    return Set(value_.ends_seen_, value);
+  }
+  Builder& ends_noted(std::int64_t value) {
+    return Set(value_.ends_noted_, value);
+  }
+  Builder& failures(std::int32_t value) { return Set(value_.failures_, value); }
+  Builder& rests_until(Instant value) {
+    return Set(value_.rests_until_, value);
+  }
+  Builder& speed(double value) { return Set(value_.speed_, value); }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TABLES_WORKER_ROW_H_
--- /dev/null
+++ b/src/tables/worker_use.h
@@ -0,0 +1,52 @@
+#ifndef QUETZALLINE_TABLES_WORKER_USE_H_
+#define QUETZALLINE_TABLES_WORKER_USE_H_
+
+#include <compare>
+#include <cstdint>
+#include <string_view>
+
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// What the tasks assigned to a worker take of it.
+class WorkerUse {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "worker-use";
+
+  /// Thousandths of a core, without the tasks that fill.
+  std::int64_t cpu() const { return cpu_; }
+  std::int64_t memory_mb() const { return memory_mb_; }
+  std::int64_t gpu() const { return gpu_; }
+  /// Thousandths of a core that the tasks that fill ask for.
+  std::int64_t fill_cpu() const { return fill_cpu_; }
+
+  friend auto operator<=>(const WorkerUse&, const WorkerUse&) = default;
+
+ private:
+  QUETZALLINE_VALUE(WorkerUse, cpu_, memory_mb_, gpu_, fill_cpu_)
+
+  std::int64_t cpu_ = 0;
+  std::int64_t memory_mb_ = 0;
+  std::int64_t gpu_ = 0;
+  std::int64_t fill_cpu_ = 0;
+};
+
+/// Builds one WorkerUse; what is not set keeps its default.
+class WorkerUse::Builder : public ValueBuilder<WorkerUse, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& cpu(std::int64_t value) { return Set(value_.cpu_, value); }
+  Builder& memory_mb(std::int64_t value) {
+    return Set(value_.memory_mb_, value);
+  }
+  Builder& gpu(std::int64_t value) { return Set(value_.gpu_, value); }
+  Builder& fill_cpu(std::int64_t value) { return Set(value_.fill_cpu_, value); }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TABLES_WORKER_USE_H_
--- a/src/wire/message_codec.h
+++ b/src/wire/message_codec.h
@@ -7,16 +7,25 @@
 
 #include "messages/agent_message.h"
 #include "messages/entry_message.h"
+#include "messages/gateway_message.h"
+#include "messages/holder_message.h"
+#include "messages/runner_message.h"
 
 namespace quetzalline {
 
 /// The payload of a frame with this message.
 std::string EncodeMessage(const AgentMessage& message);
 std::string EncodeMessage(const EntryMessage& message);
+std::string EncodeMessage(const HolderMessage& message);
+std::string EncodeMessage(const RunnerMessage& message);
+std::string EncodeMessage(const GatewayMessage& message);
 
 /// The message in a payload; empty where it is malformed.
 std::optional<AgentMessage> DecodeAgentMessage(std::string_view payload);
 std::optional<EntryMessage> DecodeEntryMessage(std::string_view payload);
+std::optional<HolderMessage> DecodeHolderMessage(std::string_view payload);
+std::optional<RunnerMessage> DecodeRunnerMessage(std::string_view payload);
+std::optional<GatewayMessage> DecodeGatewayMessage(std::string_view payload);
 
 }  // namespace quetzalline
 
--- a/test/standin/standin_worker.h
+++ b/test/standin/standin_worker.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "adapters/http_server.h"
-#include "platform/memory_worker.h"
+#include "standin/memory_worker.h"
 
 namespace quetzalline {
 
--- a/test/support/virtual_fleet.h
+++ b/test/support/virtual_fleet.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "messages/command_result.h"
-#include "platform/memory_worker.h"
+#include "standin/memory_worker.h"
 #include "support/event_queue.h"
 #include "support/fake_endpoint.h"
 #include "support/promise_log.h"
--- a/test/support/virtual_store.h
+++ b/test/support/virtual_store.h
@@ -9,7 +9,7 @@
 #include "messages/store_read.h"
 #include "messages/store_watch.h"
 #include "messages/store_write.h"
-#include "platform/memory_store.h"
+#include "standin/memory_store.h"
 #include "support/event_queue.h"
 
 namespace quetzalline {
