Serving tasks are packed, fills go elsewhere; old sessions' orders are left open

Cause 1: a start that the worker found fenced was sent again after the holder had opened a new session, whose list had been taken without it: the task ran twice. Such orders are now settled by the first look under the new fence.

--- a/src/systems/runner/follow_holder.cc
+++ b/src/systems/runner/follow_holder.cc
@@ -76,6 +76,18 @@
                 .Build());
 }
 
+// Orders of the session before are settled by the first look under the new
+// fence, and are not sent again: the new session decides anew.
+void LeaveOrdersOpen(RunnerTables& tables) {
+  std::vector<std::pair<TaskKey, HeldRun>> open;
+  for (const auto& [key, run] : tables.runs_) {
+    if (run.stage() != HeldStage::kStarting) continue;
+    open.emplace_back(
+        key, HeldRun::Builder(run).stage(HeldStage::kUnresolved).Build());
+  }
+  for (auto& [key, run] : open) tables.runs_.Put(key, std::move(run));
+}
+
 }  // namespace
 
 void TakeAttach(ConnectionId connection, const AttachRunner& attach,
@@ -115,6 +127,7 @@
   tables.fence_raises_ = 0;
   tables.report_times_.clear();
   tables.refusals_.clear();
+  LeaveOrdersOpen(tables);
   // Without a worker there is nothing to list first.
   tables.whole_report_due_ = !tables.facts_.has_value();
 }
--- a/src/systems/scheduler/choose_worker.cc
+++ b/src/systems/scheduler/choose_worker.cc
@@ -9,6 +9,9 @@
 constexpr Duration kFreshReport = std::chrono::milliseconds(900);
 // What it is worth to run next to the data, in shares of a worker.
 constexpr double kDataRackBonus = 0.4;
+// What it costs a task that fills to have a neighbour that serves, in shares of
+// a worker: more than any load.
+constexpr double kServingCost = 4.0;
 
 bool HasLabel(const WorkerFacts& facts, const std::string& label) {
   return std::find(facts.labels().begin(), facts.labels().end(), label) !=
@@ -24,14 +27,24 @@
   return taken + step.cpu() <= facts.cpu();
 }
 
-// The share of the worker that is taken; less is better.
+// Less is better. Answers two patterns: noisy neighbours, by keeping tasks that
+// serve together on few workers and tasks that fill on the others; and data
+// that is far away, by the rack.
 double Cost(const JobStep& step, const WorkerFacts& facts,
             const WorkerUse& use) {
   const auto cpu = static_cast<double>(std::max<std::int64_t>(facts.cpu(), 1));
-  const auto taken = static_cast<double>(use.cpu() + use.fill_cpu());
-  const bool near =
-      !step.data_rack().empty() && HasLabel(facts, step.data_rack());
-  return taken / cpu - (near ? kDataRackBonus : 0.0);
+  const auto reserved = static_cast<double>(use.cpu()) / cpu;
+  const auto filled = static_cast<double>(use.fill_cpu()) / cpu;
+  const auto serving = static_cast<double>(use.serving_cpu()) / cpu;
+  const bool near = !step.data_rack().empty() &&
+                    HasLabel(facts, step.data_rack());
+  const double far = near ? -kDataRackBonus : 0.0;
+  if (step.fills()) {
+    return far + reserved + filled + (serving > 0.0 ? kServingCost : 0.0);
+  }
+  // What reserves room is packed where tasks serve already.
+  if (step.target() > Duration()) return far + filled - serving;
+  return far + filled - (serving > 0.0 ? kServingCost : 0.0) + reserved;
 }
 
 bool IsOpen(const MemberName& name, const WorkerRow& worker,
--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -21,6 +21,8 @@
 // A holder that most runners have not spoken to for this long, and that the
 // store has not confirmed for this long, grants nothing.
 constexpr Duration kContactWindow = std::chrono::milliseconds(1000);
+// A worker that refused a start is asked again after this.
+constexpr Duration kRefusalRest = std::chrono::milliseconds(250);
 constexpr Duration kConfirmPause = std::chrono::milliseconds(300);
 // A new holder that few runners answer waits this long before it takes the
 // silent ones for lost.
@@ -200,6 +202,9 @@
     if (task->worker() != name || task->run() != refused.run().run()) continue;
     tick.counters().Add(Counter::kTasksRefused, refused.reason());
     ReturnTask(key, refused.reason(), tables, tick);
+    tables.workers_.Put(name, WorkerRow::Builder(*tables.workers_.Find(name))
+                                  .rests_until(tick.now() + kRefusalRest)
+                                  .Build());
   }
 }
 
--- a/src/tables/job_task_table.cc
+++ b/src/tables/job_task_table.cc
@@ -16,6 +16,9 @@
   } else {
     builder.cpu(use.cpu() + factor * step.cpu());
   }
+  if (step.target() > Duration()) {
+    builder.serving_cpu(use.serving_cpu() + factor * step.cpu());
+  }
   return builder.Build();
 }
 
--- a/src/tables/worker_use.h
+++ b/src/tables/worker_use.h
@@ -22,16 +22,19 @@
   std::int64_t gpu() const { return gpu_; }
   /// Thousandths of a core that the tasks that fill ask for.
   std::int64_t fill_cpu() const { return fill_cpu_; }
+  /// The part of cpu that tasks with a tail target take.
+  std::int64_t serving_cpu() const { return serving_cpu_; }
 
   friend auto operator<=>(const WorkerUse&, const WorkerUse&) = default;
 
  private:
-  QUETZALLINE_VALUE(WorkerUse, cpu_, memory_mb_, gpu_, fill_cpu_)
+  QUETZALLINE_VALUE(WorkerUse, cpu_, memory_mb_, gpu_, fill_cpu_, serving_cpu_)
 
   std::int64_t cpu_ = 0;
   std::int64_t memory_mb_ = 0;
   std::int64_t gpu_ = 0;
   std::int64_t fill_cpu_ = 0;
+  std::int64_t serving_cpu_ = 0;
 };
 
 /// Builds one WorkerUse; what is not set keeps its default.
@@ -45,6 +48,9 @@
   }
   Builder& gpu(std::int64_t value) { return Set(value_.gpu_, value); }
   Builder& fill_cpu(std::int64_t value) { return Set(value_.fill_cpu_, value); }
+  Builder& serving_cpu(std::int64_t value) {
+    return Set(value_.serving_cpu_, value);
+  }
 };
 
 }  // namespace quetzalline
