--- a/src/messages/start_run.h
+++ b/src/messages/start_run.h
@@ -2,6 +2,7 @@
 #define QUETZALLINE_MESSAGES_START_RUN_H_
 
 #include <compare>
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -27,17 +28,21 @@
   /// Tail latency to hold; zero where the task has none.
   Duration target() const { return target_; }
   bool fills() const { return fills_; }
+  /// The life of the worker that the order is meant for.
+  std::int64_t born_ms() const { return born_ms_; }
 
   friend auto operator<=>(const StartRun&, const StartRun&) = default;
 
  private:
-  QUETZALLINE_VALUE(StartRun, run_, spec_, checkpoint_, target_, fills_)
+  QUETZALLINE_VALUE(StartRun, run_, spec_, checkpoint_, target_, fills_,
+                    born_ms_)
 
   RunKey run_;
   Shared<std::string> spec_;
   std::string checkpoint_;
   Duration target_ = Duration{};
   bool fills_ = false;
+  std::int64_t born_ms_ = 0;
 };
 
 /// Builds one StartRun; what is not set keeps its default.
@@ -54,6 +59,7 @@
   }
   Builder& target(Duration value) { return Set(value_.target_, value); }
   Builder& fills(bool value) { return Set(value_.fills_, value); }
+  Builder& born_ms(std::int64_t value) { return Set(value_.born_ms_, value); }
 };
 
 }  // namespace quetzalline
--- a/src/systems/runner/order_runs.cc
+++ b/src/systems/runner/order_runs.cc
@@ -103,7 +103,9 @@
 
 void TakeStart(const StartRun& order, RunnerTables& tables, RunnerTick& tick) {
   const TaskKey key = order.run().task();
-  if (!tables.facts_ || !tables.session_.synced()) {
+  const bool known =
+      tables.facts_ && tables.facts_->born_ms() == order.born_ms();
+  if (!known || !tables.session_.synced()) {
     return RefuseRun(order.run(), Reason::kInstanceLost, tables, tick);
   }
   if (const HeldRun* held = tables.runs_.Find(key)) {
--- a/src/systems/scheduler/place_runs.cc
+++ b/src/systems/scheduler/place_runs.cc
@@ -8,6 +8,7 @@
 #include "systems/scheduler/choose_worker.h"
 #include "systems/scheduler/conclude_job.h"
 #include "systems/scheduler/open_job.h"
+#include "systems/scheduler/send_start.h"
 
 namespace quetzalline {
 namespace {
@@ -83,24 +84,12 @@
   tables.tasks_.Put(key, started);
   tick.counters().Add(Counter::kTasksAssigned);
   MarkBegun(key.job(), tables, tick);
-  const JobRow* job = tables.jobs_.Find(key.job());
   const WorkerUse& use = tables.tasks_.UseOf(worker);
   LogLine(tick, "task-placed", key.job(),
           {Field("step", key.step()), Field("index", key.index()),
            Field("run", started.run()), Field("worker", worker.value()),
            Field("use_cpu", use.cpu()), Field("use_fill", use.fill_cpu())});
-  tick.Emit(
-      SendToRunner::Builder()
-          .connection(*tables.members_.Find(worker)->connection())
-          .message(
-              StartRun::Builder()
-                  .run(RunKey::Builder().task(key).run(started.run()).Build())
-                  .spec(job->record()->definition()->spec())
-                  .checkpoint(started.checkpoint())
-                  .target(started.step()->target())
-                  .fills(started.step()->fills())
-                  .Build())
-          .Build());
+  SendStart(worker, key, tables, tick);
 }
 
 void PlaceStep(const StepKey& key, const std::vector<MemberName>& open,
--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -10,6 +10,7 @@
 #include "systems/scheduler/conclude_job.h"
 #include "systems/scheduler/follow_members.h"
 #include "systems/scheduler/open_job.h"
+#include "systems/scheduler/send_start.h"
 
 namespace quetzalline {
 namespace {
@@ -69,29 +70,14 @@
             {Field("member", name.value()),
              Field("draining", facts.draining() ? 1 : 0)});
   }
+  // What was ordered from the life before may have met the new one: nothing is
+  // placed there until it has listed what it runs.
+  if (other) builder.reported(false);
   tables.workers_.Put(name, builder.Build());
   if (other) ReturnAll(name, Reason::kInstanceLost, tables, tick);
   tables.placement_due_ = true;
 }
 
-void SendOrder(const MemberName& name, const TaskKey& key, const JobTask& task,
-               SchedulerTables& tables, SchedulerTick& tick) {
-  const MemberRow* member = tables.members_.Find(name);
-  if (member == nullptr || !member->connection()) return;
-  const JobRow* job = tables.jobs_.Find(key.job());
-  tick.Emit(
-      SendToRunner::Builder()
-          .connection(*member->connection())
-          .message(StartRun::Builder()
-                       .run(RunKey::Builder().task(key).run(task.run()).Build())
-                       .spec(job->record()->definition()->spec())
-                       .checkpoint(task.checkpoint())
-                       .target(task.step()->target())
-                       .fills(task.step()->fills())
-                       .Build())
-          .Build());
-}
-
 // Whether the task may be where the worker says that it is.
 bool MayRunThere(const JobTask& task, const MemberName& name,
                  const RunKey& run) {
@@ -130,11 +116,13 @@
         key.job(),
         JobRow::Builder(*job).state(JobState::kRunning).began(true).Build());
   }
-  SendOrder(name, key, changed, tables, tick);
+  SendStart(name, key, tables, tick);
 }
 
+// Orders cross with a list that comes unasked, so that only the first list of a
+// session, before which nothing was ordered, says what never arrived.
 void TakeWholeList(const MemberName& name, const WorkerReport& report,
-                   SchedulerTables& tables, SchedulerTick& tick) {
+                   bool first, SchedulerTables& tables, SchedulerTick& tick) {
   tables.strays_.erase(name);
   tables.placement_due_ = true;
   std::set<TaskKey> listed;
@@ -143,6 +131,7 @@
     TakeListedRun(name, run, tables, tick);
   }
   for (const RunEnd& end : report.ends()) listed.insert(end.run().task());
+  if (!first) return;
   const std::set<TaskKey> assigned = tables.tasks_.OnWorker(name);
   for (const TaskKey& key : assigned) {
     if (listed.count(key) > 0) continue;
@@ -295,6 +284,7 @@
   tables.grants_due_[connection] = report.number();
   if (!report.whole() && !known->reported()) return;
   if (report.facts()) TakeFacts(name, *report.facts(), tables, tick);
+  const bool first = !tables.workers_.Find(name)->reported();
   if (report.whole()) {
     const bool has_worker = report.facts().has_value();
     tables.workers_.Put(name, WorkerRow::Builder(*tables.workers_.Find(name))
@@ -308,7 +298,7 @@
   }
   TakeEnds(name, report, tables, tick);
   if (report.whole()) {
-    TakeWholeList(name, report, tables, tick);
+    TakeWholeList(name, report, first, tables, tick);
   } else {
     TakeProgress(name, report, tables);
   }
