--- a/src/messages/worker_report.h
+++ b/src/messages/worker_report.h
@@ -35,12 +35,17 @@
   const std::vector<RunProgress>& running() const { return running_; }
   const std::vector<RunEnd>& ends() const { return ends_; }
   const std::vector<RunRefused>& refused() const { return refused_; }
+  /// The worst tail of the tasks that serve, in percent of its target.
+  std::int32_t tail_percent() const { return tail_percent_; }
+  /// Share of their speed that tasks that fill work at.
+  std::int32_t fill_pace() const { return fill_pace_; }
 
   friend auto operator<=>(const WorkerReport&, const WorkerReport&) = default;
 
  private:
   QUETZALLINE_VALUE(WorkerReport, session_, number_, whole_, facts_,
-                    worker_left_, running_, ends_, refused_)
+                    worker_left_, running_, ends_, refused_, tail_percent_,
+                    fill_pace_)
 
   std::int64_t session_ = 0;
   std::int64_t number_ = 0;
@@ -50,6 +55,8 @@
   std::vector<RunProgress> running_;
   std::vector<RunEnd> ends_;
   std::vector<RunRefused> refused_;
+  std::int32_t tail_percent_ = 0;
+  std::int32_t fill_pace_ = 100;
 };
 
 /// Builds one WorkerReport; what is not set keeps its default.
@@ -73,6 +80,12 @@
   Builder& refused(std::vector<RunRefused> value) {
     return Set(value_.refused_, std::move(value));
   }
+  Builder& tail_percent(std::int32_t value) {
+    return Set(value_.tail_percent_, value);
+  }
+  Builder& fill_pace(std::int32_t value) {
+    return Set(value_.fill_pace_, value);
+  }
 };
 
 }  // namespace quetzalline
--- a/src/systems/runner/follow_holder.cc
+++ b/src/systems/runner/follow_holder.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "systems/cell/log_fields.h"
+#include "systems/runner/set_pace.h"
 
 namespace quetzalline {
 namespace {
@@ -65,7 +66,9 @@
       .running(ListProgress(whole, tables))
       .ends(ListEnds(whole, tables))
       .refused(std::exchange(tables.refusals_, {}))
-      .worker_left(tables.worker_left_);
+      .worker_left(tables.worker_left_)
+      .tail_percent(static_cast<std::int32_t>(WorstTail(tables)))
+      .fill_pace(tables.fill_pace_);
   if (whole || tables.facts_due_) report.facts(tables.facts_);
   tables.facts_due_ = false;
   tables.worker_left_ = false;
--- a/src/systems/runner/set_pace.cc
+++ b/src/systems/runner/set_pace.cc
@@ -20,19 +20,6 @@
 // A tail this far over its target stops the tasks that fill at once.
 constexpr std::int64_t kStopPercent = 150;
 
-// The worst tail of the tasks that serve, in percent of its target.
-std::int64_t WorstTail(const RunnerTables& tables) {
-  std::int64_t worst = 0;
-  for (const auto& [key, run] : tables.runs_) {
-    const auto target = std::chrono::duration_cast<std::chrono::milliseconds>(
-                            run.order().target())
-                            .count();
-    if (target <= 0 || run.stage() != HeldStage::kRunning) continue;
-    worst = std::max(worst, run.figure() * 100 / target);
-  }
-  return worst;
-}
-
 std::int32_t NextPace(std::int32_t pace, std::int64_t worst) {
   if (worst > kStopPercent) return 0;
   if (worst > kSlowPercent) {
@@ -60,6 +47,18 @@
 
 }  // namespace
 
+std::int64_t WorstTail(const RunnerTables& tables) {
+  std::int64_t worst = 0;
+  for (const auto& [key, run] : tables.runs_) {
+    const auto target = std::chrono::duration_cast<std::chrono::milliseconds>(
+                            run.order().target())
+                            .count();
+    if (target <= 0 || run.stage() != HeldStage::kRunning) continue;
+    worst = std::max(worst, run.figure() * 100 / target);
+  }
+  return worst;
+}
+
 void SetPace(RunnerTables& tables, RunnerTick& tick) {
   if (!tables.facts_ || !tables.session_.synced()) return;
   if (tick.now() < tables.next_pace_) return;
--- a/src/systems/runner/set_pace.h
+++ b/src/systems/runner/set_pace.h
@@ -1,6 +1,8 @@
 #ifndef QUETZALLINE_SYSTEMS_RUNNER_SET_PACE_H_
 #define QUETZALLINE_SYSTEMS_RUNNER_SET_PACE_H_
 
+#include <cstdint>
+
 #include "systems/runner/runner_tick.h"
 #include "tables/runner_tables.h"
 
@@ -11,6 +13,9 @@
 /// step by step once there is room below every target.
 void SetPace(RunnerTables& tables, RunnerTick& tick);
 
+/// The worst tail of the tasks that serve, in percent of its target.
+std::int64_t WorstTail(const RunnerTables& tables);
+
 }  // namespace quetzalline
 
 #endif  // QUETZALLINE_SYSTEMS_RUNNER_SET_PACE_H_
--- a/src/systems/scheduler/choose_worker.cc
+++ b/src/systems/scheduler/choose_worker.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "systems/scheduler/learn_neighbours.h"
+
 namespace quetzalline {
 namespace {
 
@@ -12,18 +14,29 @@
 // What it costs a task that fills to have a neighbour that serves, in shares of
 // a worker: more than any load.
 constexpr double kServingCost = 4.0;
+// Tails up to this share of their targets leave room for one more neighbour.
+constexpr double kHighestExpectedTail = 80.0;
+// A task that adds less than this to a tail, in percent of the target, is
+// quiet.
+constexpr double kQuietPress = 4.0;
 
 bool HasLabel(const WorkerFacts& facts, const std::string& label) {
   return std::find(facts.labels().begin(), facts.labels().end(), label) !=
          facts.labels().end();
 }
 
+// What tasks that serve reserve and are expected to leave unused.
+std::int64_t UnusedCpu(const WorkerUse& use) {
+  constexpr std::int64_t kUnusedPercent = 50;
+  return use.serving_cpu() * kUnusedPercent / 100;
+}
+
 bool Fits(const JobStep& step, const WorkerFacts& facts, const WorkerUse& use) {
   if (use.memory_mb() + step.memory_mb() > facts.memory_mb()) return false;
   if (use.gpu() + step.gpu() > facts.gpu()) return false;
   // What fills takes only what is left over, but takes no room of its own.
   const std::int64_t taken =
-      step.fills() ? use.cpu() + use.fill_cpu() : use.cpu();
+      step.fills() ? use.cpu() + use.fill_cpu() - UnusedCpu(use) : use.cpu();
   return taken + step.cpu() <= facts.cpu();
 }
 
@@ -31,7 +44,7 @@
 // serve together on few workers and tasks that fill on the others; and data
 // that is far away, by the rack.
 double Cost(const JobStep& step, const WorkerFacts& facts,
-            const WorkerUse& use) {
+            const WorkerUse& use, bool quiet) {
   const auto cpu = static_cast<double>(std::max<std::int64_t>(facts.cpu(), 1));
   const auto reserved = static_cast<double>(use.cpu()) / cpu;
   const auto filled = static_cast<double>(use.fill_cpu()) / cpu;
@@ -40,13 +53,23 @@
                     HasLabel(facts, step.data_rack());
   const double far = near ? -kDataRackBonus : 0.0;
   if (step.fills()) {
-    return far + reserved + filled + (serving > 0.0 ? kServingCost : 0.0);
+    // Quiet tasks leave the workers without neighbours to the others.
+    const double neighbour = quiet ? -kServingCost : kServingCost;
+    return far + reserved + filled + (serving > 0.0 ? neighbour : 0.0);
   }
   // What reserves room is packed where tasks serve already.
   if (step.target() > Duration()) return far + filled - serving;
   return far + filled - (serving > 0.0 ? kServingCost : 0.0) + reserved;
 }
 
+// Whether the tails on the worker leave room for one more task that fills.
+bool MayDisturb(const MemberName& name, const JobStep& step,
+                const SchedulerTables& tables) {
+  constexpr std::int32_t kFullPace = 100;
+  return tables.workers_.Find(name)->fill_pace() == kFullPace &&
+         ExpectedTail(name, step, tables) <= kHighestExpectedTail;
+}
+
 bool IsOpen(const MemberName& name, const WorkerRow& worker,
             const SchedulerTables& tables, Instant now) {
   if (!worker.reported() || !worker.facts()) return false;
@@ -75,6 +98,7 @@
                                        const SchedulerTables& tables) {
   std::optional<MemberName> best;
   double least = 0.0;
+  const bool quiet = ExpectedPress(step, tables) < kQuietPress;
   for (const MemberName& name : open) {
     const WorkerFacts& facts = *tables.workers_.Find(name)->facts();
     if (facts.service() != service) continue;
@@ -88,7 +112,11 @@
         tables.tasks_.CountOnWorker(key, name) >= step.most_per_worker()) {
       continue;
     }
-    const double cost = Cost(step, facts, use);
+    if (step.fills() && use.serving_cpu() > 0 &&
+        !MayDisturb(name, step, tables)) {
+      continue;
+    }
+    const double cost = Cost(step, facts, use, quiet);
     if (best && cost >= least) continue;
     best = name;
     least = cost;
--- a/src/systems/scheduler/place_runs.cc
+++ b/src/systems/scheduler/place_runs.cc
@@ -88,7 +88,11 @@
   LogLine(tick, "task-placed", key.job(),
           {Field("step", key.step()), Field("index", key.index()),
            Field("run", started.run()), Field("worker", worker.value()),
-           Field("use_cpu", use.cpu()), Field("use_fill", use.fill_cpu())});
+           Field("use_cpu", use.cpu()), Field("use_fill", use.fill_cpu()),
+           Field("use_serving", use.serving_cpu()),
+           Field("fills", started.step()->fills() ? 1 : 0),
+           FieldMs("estimate_ms", started.step()->estimate()),
+           Field("step_cpu", started.step()->cpu())});
   SendStart(worker, key, tables, tick);
 }
 
--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -9,6 +9,7 @@
 #include "systems/scheduler/commit_progress.h"
 #include "systems/scheduler/conclude_job.h"
 #include "systems/scheduler/follow_members.h"
+#include "systems/scheduler/learn_neighbours.h"
 #include "systems/scheduler/open_job.h"
 #include "systems/scheduler/send_start.h"
 
@@ -296,6 +297,7 @@
     if (report.worker_left()) LoseWorker(name, tables, tick);
     if (!has_worker) return;
   }
+  LearnNeighbours(name, report, tick.now(), tables);
   TakeEnds(name, report, tables, tick);
   if (report.whole()) {
     TakeWholeList(name, report, first, tables, tick);
--- a/src/tables/scheduler_tables.h
+++ b/src/tables/scheduler_tables.h
@@ -18,6 +18,7 @@
 #include "tables/commit_batch.h"
 #include "tables/holder_stage.h"
 #include "tables/holder_term.h"
+#include "tables/image_press.h"
 #include "tables/job_row.h"
 #include "tables/job_task_table.h"
 #include "tables/kv_pending.h"
@@ -61,6 +62,8 @@
   std::optional<Instant> members_retry_at_;
   std::optional<Instant> configuration_retry_at_;
   Table<MemberName, WorkerRow> workers_;
+  /// What is learnt of neighbours, by image.
+  Table<std::string, ImagePress> press_;
   Table<std::uint64_t, JobRow> jobs_;
   Table<StepKey, StepRow> steps_;
   JobTaskTable tasks_;
