--- /dev/null
+++ b/src/messages/image_cores.h
@@ -0,0 +1,49 @@
+#ifndef QUETZALLINE_MESSAGES_IMAGE_CORES_H_
+#define QUETZALLINE_MESSAGES_IMAGE_CORES_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// What the tasks of an image that fills take.
+class ImageCores {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "image-cores";
+
+  const std::string& image() const { return image_; }
+  /// At the pace at which they work.
+  std::int64_t millicores() const { return millicores_; }
+
+  friend auto operator<=>(const ImageCores&, const ImageCores&) = default;
+
+ private:
+  QUETZALLINE_VALUE(ImageCores, image_, millicores_)
+
+  std::string image_;
+  std::int64_t millicores_ = 0;
+};
+
+/// Builds one ImageCores; what is not set keeps its default.
+class ImageCores::Builder : public ValueBuilder<ImageCores, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& image(std::string value) {
+    return Set(value_.image_, std::move(value));
+  }
+  Builder& millicores(std::int64_t value) {
+    return Set(value_.millicores_, value);
+  }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_IMAGE_CORES_H_
--- /dev/null
+++ b/src/messages/image_tail.h
@@ -0,0 +1,47 @@
+#ifndef QUETZALLINE_MESSAGES_IMAGE_TAIL_H_
+#define QUETZALLINE_MESSAGES_IMAGE_TAIL_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// The worst tail of the tasks of an image that serves.
+class ImageTail {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "image-tail";
+
+  const std::string& image() const { return image_; }
+  /// In percent of the target.
+  std::int32_t percent() const { return percent_; }
+
+  friend auto operator<=>(const ImageTail&, const ImageTail&) = default;
+
+ private:
+  QUETZALLINE_VALUE(ImageTail, image_, percent_)
+
+  std::string image_;
+  std::int32_t percent_ = 0;
+};
+
+/// Builds one ImageTail; what is not set keeps its default.
+class ImageTail::Builder : public ValueBuilder<ImageTail, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& image(std::string value) {
+    return Set(value_.image_, std::move(value));
+  }
+  Builder& percent(std::int32_t value) { return Set(value_.percent_, value); }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_IMAGE_TAIL_H_
--- a/src/messages/start_run.h
+++ b/src/messages/start_run.h
@@ -30,12 +30,16 @@
   bool fills() const { return fills_; }
   /// The life of the worker that the order is meant for.
   std::int64_t born_ms() const { return born_ms_; }
+  /// What the task runs; tasks of one image behave alike.
+  const std::string& image() const { return image_; }
+  /// Thousandths of a core that the task asks for.
+  std::int64_t cpu() const { return cpu_; }
 
   friend auto operator<=>(const StartRun&, const StartRun&) = default;
 
  private:
   QUETZALLINE_VALUE(StartRun, run_, spec_, checkpoint_, target_, fills_,
-                    born_ms_)
+                    born_ms_, image_, cpu_)
 
   RunKey run_;
   Shared<std::string> spec_;
@@ -43,6 +47,8 @@
   Duration target_ = Duration{};
   bool fills_ = false;
   std::int64_t born_ms_ = 0;
+  std::string image_;
+  std::int64_t cpu_ = 0;
 };
 
 /// Builds one StartRun; what is not set keeps its default.
@@ -60,6 +66,10 @@
   Builder& target(Duration value) { return Set(value_.target_, value); }
   Builder& fills(bool value) { return Set(value_.fills_, value); }
   Builder& born_ms(std::int64_t value) { return Set(value_.born_ms_, value); }
+  Builder& image(std::string value) {
+    return Set(value_.image_, std::move(value));
+  }
+  Builder& cpu(std::int64_t value) { return Set(value_.cpu_, value); }
 };
 
 }  // namespace quetzalline
--- a/src/messages/worker_report.h
+++ b/src/messages/worker_report.h
@@ -12,6 +12,7 @@
 #include "core/run_progress.h"
 #include "core/value.h"
 #include "core/worker_facts.h"
+#include "messages/neighbour_sample.h"
 #include "messages/run_refused.h"
 
 namespace quetzalline {
@@ -35,8 +36,10 @@
   const std::vector<RunProgress>& running() const { return running_; }
   const std::vector<RunEnd>& ends() const { return ends_; }
   const std::vector<RunRefused>& refused() const { return refused_; }
-  /// The worst tail of the tasks that serve, in percent of its target.
-  std::int32_t tail_percent() const { return tail_percent_; }
+  /// Set where the worker was looked at since the last report.
+  const std::optional<NeighbourSample>& neighbours() const {
+    return neighbours_;
+  }
   /// Share of their speed that tasks that fill work at.
   std::int32_t fill_pace() const { return fill_pace_; }
 
@@ -44,7 +47,7 @@
 
  private:
   QUETZALLINE_VALUE(WorkerReport, session_, number_, whole_, facts_,
-                    worker_left_, running_, ends_, refused_, tail_percent_,
+                    worker_left_, running_, ends_, refused_, neighbours_,
                     fill_pace_)
 
   std::int64_t session_ = 0;
@@ -55,7 +58,7 @@
   std::vector<RunProgress> running_;
   std::vector<RunEnd> ends_;
   std::vector<RunRefused> refused_;
-  std::int32_t tail_percent_ = 0;
+  std::optional<NeighbourSample> neighbours_;
   std::int32_t fill_pace_ = 100;
 };
 
@@ -80,8 +83,8 @@
   Builder& refused(std::vector<RunRefused> value) {
     return Set(value_.refused_, std::move(value));
   }
-  Builder& tail_percent(std::int32_t value) {
-    return Set(value_.tail_percent_, value);
+  Builder& neighbours(std::optional<NeighbourSample> value) {
+    return Set(value_.neighbours_, std::move(value));
   }
   Builder& fill_pace(std::int32_t value) {
     return Set(value_.fill_pace_, value);
--- a/src/systems/runner/follow_holder.cc
+++ b/src/systems/runner/follow_holder.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "systems/cell/log_fields.h"
-#include "systems/runner/set_pace.h"
 
 namespace quetzalline {
 namespace {
@@ -67,7 +66,7 @@
       .ends(ListEnds(whole, tables))
       .refused(std::exchange(tables.refusals_, {}))
       .worker_left(tables.worker_left_)
-      .tail_percent(static_cast<std::int32_t>(WorstTail(tables)))
+      .neighbours(std::exchange(tables.neighbours_, std::nullopt))
       .fill_pace(tables.fill_pace_);
   if (whole || tables.facts_due_) report.facts(tables.facts_);
   tables.facts_due_ = false;
@@ -159,6 +158,7 @@
   tables.ends_noted_ = std::max(tables.ends_noted_, noted.up_to());
   tables.ends_.erase(tables.ends_.begin(),
                      tables.ends_.upper_bound(tables.ends_noted_));
+  if (tables.ends_.empty()) tables.next_hold_ = Instant();
 }
 
 void LoseConnection(const ConnectionClosed& closed, RunnerTables& tables) {
--- a/src/systems/runner/order_runs.cc
+++ b/src/systems/runner/order_runs.cc
@@ -144,7 +144,7 @@
                           held->stage() == HeldStage::kUnresolved;
     HeldRun::Builder builder(*held);
     builder.confirmed_at(tick.now());
-    if (starting) builder.stage(HeldStage::kRunning);
+    if (starting) builder.stage(HeldStage::kRunning).steady_since(tick.now());
     tables.runs_.Put(key, builder.Build());
     return;
   }
--- a/src/systems/runner/set_pace.cc
+++ b/src/systems/runner/set_pace.cc
@@ -1,6 +1,9 @@
 #include "systems/runner/set_pace.h"
 
 #include <algorithm>
+#include <map>
+#include <string>
+#include <utility>
 
 #include "systems/cell/log_fields.h"
 #include "systems/runner/order_runs.h"
@@ -15,10 +18,31 @@
 constexpr std::int32_t kLowestPace = 12;
 // Tails over this share of the target slow the others down, and under the
 // second one let them go on; between the two nothing changes.
-constexpr std::int64_t kSlowPercent = 85;
-constexpr std::int64_t kRecoverPercent = 60;
+constexpr std::int64_t kSlowPercent = 92;
+constexpr std::int64_t kRecoverPercent = 80;
 // A tail this far over its target stops the tasks that fill at once.
-constexpr std::int64_t kStopPercent = 150;
+constexpr std::int64_t kStopPercent = 130;
+// Figures cover the last half second: what began later shows too little in a
+// good tail, but a tail that is far too high shows its cause sooner.
+constexpr Duration kSettleTime = std::chrono::milliseconds(700);
+constexpr Duration kShortSettleTime = std::chrono::milliseconds(150);
+constexpr std::int64_t kTooHighPercent = 100;
+
+// The tail of a task that serves, in percent of its target; 0 for any other.
+std::int64_t TailPercent(const HeldRun& run) {
+  const auto target = std::chrono::duration_cast<std::chrono::milliseconds>(
+      run.order().target());
+  return target.count() > 0 ? run.figure() * 100 / target.count() : 0;
+}
+
+std::int64_t WorstTail(const RunnerTables& tables) {
+  std::int64_t worst = 0;
+  for (const auto& [key, run] : tables.runs_) {
+    if (run.stage() != HeldStage::kRunning) continue;
+    worst = std::max(worst, TailPercent(run));
+  }
+  return worst;
+}
 
 std::int32_t NextPace(std::int32_t pace, std::int64_t worst) {
   if (worst > kStopPercent) return 0;
@@ -32,7 +56,10 @@
 void Apply(const TaskKey& key, RunnerTables& tables, RunnerTick& tick) {
   const HeldRun held = *tables.runs_.Find(key);
   const RunKey run = RunKey::Builder().task(key).run(held.run()).Build();
-  tables.runs_.Put(key, HeldRun::Builder(held).pace(tables.fill_pace_).Build());
+  tables.runs_.Put(key, HeldRun::Builder(held)
+                            .pace(tables.fill_pace_)
+                            .steady_since(tick.now())
+                            .Build());
   tick.Emit(
       WorkerPace::Builder()
           .call(OpenWorkerCall(
@@ -47,16 +74,50 @@
 
 }  // namespace
 
-std::int64_t WorstTail(const RunnerTables& tables) {
-  std::int64_t worst = 0;
+std::optional<NeighbourSample> SampleNeighbours(const RunnerTables& tables,
+                                                Instant now) {
+  const bool too_high = WorstTail(tables) > kTooHighPercent;
+  const Duration settle_time = too_high ? kShortSettleTime : kSettleTime;
+  std::map<std::string, std::int32_t> tails;
+  std::map<std::string, std::int64_t> fills;
   for (const auto& [key, run] : tables.runs_) {
-    const auto target = std::chrono::duration_cast<std::chrono::milliseconds>(
-                            run.order().target())
-                            .count();
-    if (target <= 0 || run.stage() != HeldStage::kRunning) continue;
-    worst = std::max(worst, run.figure() * 100 / target);
+    if (run.stage() != HeldStage::kRunning) continue;
+    const StartRun& order = run.order();
+    if (const std::int64_t percent = TailPercent(run); percent > 0) {
+      std::int32_t& worst = tails[order.image()];
+      worst = std::max(worst, static_cast<std::int32_t>(percent));
+    }
+    if (!order.fills()) continue;
+    const bool settled = now - run.steady_since() >= settle_time;
+    if (!settled && !too_high) return std::nullopt;
+    if (settled && run.pace() > 0) {
+      fills[order.image()] += order.cpu() * run.pace() / kFullPace;
+    }
   }
-  return worst;
+  std::vector<ImageTail> tail_rows;
+  for (const auto& [image, percent] : tails) {
+    tail_rows.push_back(
+        ImageTail::Builder().image(image).percent(percent).Build());
+  }
+  std::vector<ImageCores> fill_rows;
+  for (const auto& [image, millicores] : fills) {
+    fill_rows.push_back(
+        ImageCores::Builder().image(image).millicores(millicores).Build());
+  }
+  return NeighbourSample::Builder()
+      .tails(std::move(tail_rows))
+      .fills(std::move(fill_rows))
+      .Build();
+}
+
+bool IsMixed(const RunnerTables& tables) {
+  bool serves = false;
+  bool fills = false;
+  for (const auto& [key, run] : tables.runs_) {
+    fills = fills || run.order().fills();
+    serves = serves || run.order().target() > Duration();
+  }
+  return serves && fills;
 }
 
 void SetPace(RunnerTables& tables, RunnerTick& tick) {
--- a/src/systems/runner/set_pace.h
+++ b/src/systems/runner/set_pace.h
@@ -1,8 +1,9 @@
 #ifndef QUETZALLINE_SYSTEMS_RUNNER_SET_PACE_H_
 #define QUETZALLINE_SYSTEMS_RUNNER_SET_PACE_H_
 
-#include <cstdint>
+#include <optional>
 
+#include "messages/neighbour_sample.h"
 #include "systems/runner/runner_tick.h"
 #include "tables/runner_tables.h"
 
@@ -13,8 +14,13 @@
 /// step by step once there is room below every target.
 void SetPace(RunnerTables& tables, RunnerTick& tick);
 
-/// The worst tail of the tasks that serve, in percent of its target.
-std::int64_t WorstTail(const RunnerTables& tables);
+/// The tails on the worker and what fills beside them; empty where what fills
+/// has not been at work for long enough to show in the tails.
+std::optional<NeighbourSample> SampleNeighbours(const RunnerTables& tables,
+                                                Instant now);
+
+/// Whether tasks fill beside tasks that serve.
+bool IsMixed(const RunnerTables& tables);
 
 }  // namespace quetzalline
 
--- a/src/systems/runner/watch_worker.cc
+++ b/src/systems/runner/watch_worker.cc
@@ -4,6 +4,7 @@
 
 #include "systems/cell/log_fields.h"
 #include "systems/runner/order_runs.h"
+#include "systems/runner/set_pace.h"
 
 namespace quetzalline {
 namespace {
@@ -29,6 +30,11 @@
       HolderSession::Builder(tables.session_).synced(false).Build();
 }
 
+Duration HoldWait(const RunnerTables& tables) {
+  return IsMixed(tables) ? tables.policy_.mixed_hold_wait()
+                         : tables.policy_.hold_wait();
+}
+
 void Hold(bool raises_fence, RunnerTables& tables, RunnerTick& tick) {
   (raises_fence ? tables.fencing_ : tables.holding_) = true;
   tick.Emit(WorkerHold::Builder()
@@ -39,7 +45,7 @@
                 .until_ms(tables.until_ms_)
                 .last_seen(tables.ends_noted_)
                 .fence(CurrentFence(tables))
-                .wait(raises_fence ? Duration() : tables.policy_.hold_wait())
+                .wait(raises_fence ? Duration() : HoldWait(tables))
                 .Build());
 }
 
@@ -188,6 +194,14 @@
   const bool fenced =
       hold.raises_fence() && call.fence() == CurrentFence(tables);
   DropMissing(fenced, call, answer, tables, tick);
+  // A look returns at once while ends are listed that the holder has not noted.
+  if (!answer.ends().empty()) {
+    tables.next_hold_ = tick.now() + tables.policy_.noting_pause();
+  }
+  if (IsMixed(tables)) {
+    tables.neighbours_ = SampleNeighbours(tables, tick.now());
+    if (tables.neighbours_) tables.report_due_ = true;
+  }
   if (!fenced || tables.session_.synced()) return;
   tables.session_ =
       HolderSession::Builder(tables.session_).synced(true).Build();
--- a/src/systems/scheduler/choose_worker.cc
+++ b/src/systems/scheduler/choose_worker.cc
@@ -15,10 +15,10 @@
 // a worker: more than any load.
 constexpr double kServingCost = 4.0;
 // Tails up to this share of their targets leave room for one more neighbour.
-constexpr double kHighestExpectedTail = 80.0;
+constexpr double kHighestExpectedTail = 85.0;
 // A task that adds less than this to a tail, in percent of the target, is
 // quiet.
-constexpr double kQuietPress = 4.0;
+constexpr double kQuietPress = 6.0;
 
 bool HasLabel(const WorkerFacts& facts, const std::string& label) {
   return std::find(facts.labels().begin(), facts.labels().end(), label) !=
@@ -62,12 +62,24 @@
   return far + filled - (serving > 0.0 ? kServingCost : 0.0) + reserved;
 }
 
+// Whether one task that fills is on the worker of which nothing is known yet.
+bool HasNewcomer(const MemberName& name, const SchedulerTables& tables) {
+  for (const TaskKey& key : tables.tasks_.OnWorker(name)) {
+    const JobTask& task = *tables.tasks_.Find(key);
+    if (!task.step()->fills()) continue;
+    if (ExpectNeighbours(name, *task.step(), tables).unknown_) return true;
+  }
+  return false;
+}
+
 // Whether the tails on the worker leave room for one more task that fills.
-bool MayDisturb(const MemberName& name, const JobStep& step,
+// What nothing is known of is tried one task at a time.
+bool MayDisturb(const MemberName& name, const NeighbourOutlook& outlook,
                 const SchedulerTables& tables) {
   constexpr std::int32_t kFullPace = 100;
-  return tables.workers_.Find(name)->fill_pace() == kFullPace &&
-         ExpectedTail(name, step, tables) <= kHighestExpectedTail;
+  if (tables.workers_.Find(name)->fill_pace() != kFullPace) return false;
+  if (outlook.tail_ > kHighestExpectedTail) return false;
+  return !outlook.unknown_ || !HasNewcomer(name, tables);
 }
 
 bool IsOpen(const MemberName& name, const WorkerRow& worker,
@@ -98,7 +110,6 @@
                                        const SchedulerTables& tables) {
   std::optional<MemberName> best;
   double least = 0.0;
-  const bool quiet = ExpectedPress(step, tables) < kQuietPress;
   for (const MemberName& name : open) {
     const WorkerFacts& facts = *tables.workers_.Find(name)->facts();
     if (facts.service() != service) continue;
@@ -112,9 +123,11 @@
         tables.tasks_.CountOnWorker(key, name) >= step.most_per_worker()) {
       continue;
     }
-    if (step.fills() && use.serving_cpu() > 0 &&
-        !MayDisturb(name, step, tables)) {
-      continue;
+    bool quiet = false;
+    if (step.fills() && use.serving_cpu() > 0) {
+      const NeighbourOutlook outlook = ExpectNeighbours(name, step, tables);
+      if (!MayDisturb(name, outlook, tables)) continue;
+      quiet = !outlook.unknown_ && outlook.press_ < kQuietPress;
     }
     const double cost = Cost(step, facts, use, quiet);
     if (best && cost >= least) continue;
--- a/src/systems/scheduler/learn_neighbours.cc
+++ b/src/systems/scheduler/learn_neighbours.cc
@@ -2,103 +2,169 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <string>
 
+#include "systems/cell/log_fields.h"
+#include "systems/scheduler/conclude_job.h"
+
 namespace quetzalline {
 namespace {
 
-// Presses of an image that nothing is known of, in percent of the target for
-// each core: a task of seven cores is tried where there is room below it.
+// What an image presses that nothing is known of, in percent of the target for
+// each core.
 constexpr double kUnknownPress = 2.0;
-// Share of the error that one report corrects.
-constexpr double kLearningRate = 0.25;
-constexpr double kBaseRate = 0.1;
+// Share of the error that one look corrects.
+constexpr double kLearningRate = 0.5;
+constexpr double kBaseRate = 0.15;
 // Beyond this a tail says only that it is far too high.
-constexpr double kHighestTail = 400.0;
-// Figures cover the last half second, so that tasks count once they have run
-// for as long.
-constexpr Duration kSettleTime = std::chrono::milliseconds(600);
+constexpr double kHighestTail = 300.0;
+// Tails over this are too high: something beside them is to blame.
+constexpr double kTailTooHigh = 100.0;
+// An image with this press is taken away where its neighbours suffer.
+constexpr double kHeavyPress = 4.0;
 constexpr double kMillicores = 1000.0;
 
-double PressOf(const std::string& image, const SchedulerTables& tables) {
-  const ImagePress* press = tables.press_.Find(image);
-  return press == nullptr ? kUnknownPress : press->percent_per_core();
+using Cores = std::map<std::string, double>;
+
+const ImagePress* FindPress(const std::string& filling,
+                            const std::string& serving,
+                            const SchedulerTables& tables) {
+  return tables.press_.Find(
+      ImagePair::Builder().filling(filling).serving(serving).Build());
 }
 
-// Cores at work by image, among the tasks that fill.
-std::map<std::string, double> FillingCores(const MemberName& name,
-                                           std::int32_t pace, Instant before,
-                                           const SchedulerTables& tables) {
-  std::map<std::string, double> cores;
-  for (const TaskKey& key : tables.tasks_.OnWorker(name)) {
-    const JobTask& task = *tables.tasks_.Find(key);
-    if (!task.step()->fills() || task.assigned_at() > before) continue;
-    cores[task.step()->image()] +=
-        static_cast<double>(task.step()->cpu()) / kMillicores * pace / 100.0;
-  }
-  return cores;
+double PressOf(const std::string& filling, const std::string& serving,
+               const SchedulerTables& tables) {
+  const ImagePress* press = FindPress(filling, serving, tables);
+  return press == nullptr ? kUnknownPress : press->percent_per_core();
 }
 
-double Predict(double base, const std::map<std::string, double>& cores,
+double Predict(double base, const Cores& cores, const std::string& serving,
                const SchedulerTables& tables) {
   double tail = base;
   for (const auto& [image, count] : cores) {
-    tail += count * PressOf(image, tables);
+    tail += count * PressOf(image, serving, tables);
   }
   return tail;
 }
 
-void Correct(double error, const std::map<std::string, double>& cores,
+// Spreads the error over the images that fill: those that less is known of
+// take the larger part.
+void Correct(double error, const Cores& cores, const std::string& serving,
              SchedulerTables& tables) {
-  double square = 1.0;
-  for (const auto& [image, count] : cores) square += count * count;
+  double sum = 0.0;
+  std::map<std::string, double> weights;
   for (const auto& [image, count] : cores) {
-    const ImagePress* known = tables.press_.Find(image);
-    const double press =
-        PressOf(image, tables) + kLearningRate * error * count / square;
+    const ImagePress* known = FindPress(image, serving, tables);
+    const int samples = known == nullptr ? 0 : known->samples();
+    weights[image] = count / (1.0 + samples);
+    sum += weights[image] * count;
+  }
+  for (const auto& [image, count] : cores) {
+    const ImagePress* known = FindPress(image, serving, tables);
+    const double press = PressOf(image, serving, tables) +
+                         kLearningRate * error * weights[image] / sum;
     tables.press_.Put(
-        image, ImagePress::Builder()
-                   .percent_per_core(std::max(press, 0.0))
-                   .samples(known == nullptr ? 1 : known->samples() + 1)
-                   .Build());
+        ImagePair::Builder().filling(image).serving(serving).Build(),
+        ImagePress::Builder()
+            .percent_per_core(std::clamp(press, 0.0, kHighestTail))
+            .samples(known == nullptr ? 1 : known->samples() + 1)
+            .Build());
   }
 }
 
-}  // namespace
+void LearnTail(const MemberName& name, const ImageTail& seen,
+               const Cores& cores, SchedulerTables& tables, Instant now) {
+  const TailKey key =
+      TailKey::Builder().worker(name).image(seen.image()).Build();
+  const ServingTail* known = tables.tails_.Find(key);
+  const ServingTail row = known == nullptr ? ServingTail() : *known;
+  const double tail = std::min<double>(seen.percent(), kHighestTail);
+  double base = row.base();
+  if (cores.empty()) {
+    base += kBaseRate * (tail - base);
+  } else {
+    Correct(tail - Predict(base, cores, seen.image(), tables), cores,
+            seen.image(), tables);
+  }
+  tables.tails_.Put(key, ServingTail::Builder()
+                             .latest(tail)
+                             .base(base)
+                             .seen_at(now)
+                             .Build());
+}
 
-void LearnNeighbours(const MemberName& name, const WorkerReport& report,
-                     Instant now, SchedulerTables& tables) {
-  const WorkerRow& worker = *tables.workers_.Find(name);
-  const double tail =
-      std::min<double>(report.tail_percent(), kHighestTail);
-  const auto cores =
-      FillingCores(name, report.fill_pace(), now - kSettleTime, tables);
-  WorkerRow::Builder builder(worker);
-  builder.tail_percent(tail).fill_pace(report.fill_pace());
-  if (tail > 0.0) {
-    const double error = tail - Predict(worker.tail_base(), cores, tables);
-    if (cores.empty()) {
-      builder.tail_base(worker.tail_base() + kBaseRate * error);
-    } else {
-      Correct(error, cores, tables);
-    }
+// Tasks that press on a tail that is too high go elsewhere: here they would
+// only stand still.
+void TakeAway(const MemberName& name, const std::string& serving,
+              SchedulerTables& tables, SchedulerTick& tick) {
+  const std::set<TaskKey> tasks = tables.tasks_.OnWorker(name);
+  for (const TaskKey& key : tasks) {
+    const JobTask* task = tables.tasks_.Find(key);
+    if (!task->step()->fills() || task->stopping()) continue;
+    const std::string& image = task->step()->image();
+    if (PressOf(image, serving, tables) < kHeavyPress) continue;
+    StopTask(key, Reason::kLatency, tables, tick);
+  }
+}
+
+// The images that serve on the worker.
+std::set<std::string> ServingImages(const MemberName& name,
+                                    const SchedulerTables& tables) {
+  std::set<std::string> images;
+  for (const TaskKey& key : tables.tasks_.OnWorker(name)) {
+    const JobStep& step = *tables.tasks_.Find(key)->step();
+    if (step.target() > Duration()) images.insert(step.image());
   }
-  tables.workers_.Put(name, builder.Build());
+  return images;
 }
 
-double ExpectedPress(const JobStep& step, const SchedulerTables& tables) {
-  return static_cast<double>(step.cpu()) / kMillicores *
-         PressOf(step.image(), tables);
+Cores FillingCores(const MemberName& name, const SchedulerTables& tables) {
+  Cores cores;
+  for (const TaskKey& key : tables.tasks_.OnWorker(name)) {
+    const JobStep& step = *tables.tasks_.Find(key)->step();
+    if (!step.fills()) continue;
+    cores[step.image()] += static_cast<double>(step.cpu()) / kMillicores;
+  }
+  return cores;
 }
 
-double ExpectedTail(const MemberName& name, const JobStep& step,
-                    const SchedulerTables& tables) {
-  const WorkerRow& worker = *tables.workers_.Find(name);
-  constexpr std::int32_t kFullPace = 100;
-  const auto cores = FillingCores(name, kFullPace, Instant::max(), tables);
-  const double expected = Predict(worker.tail_base(), cores, tables);
-  return std::max(expected, worker.tail_percent()) +
-         ExpectedPress(step, tables);
+}  // namespace
+
+void LearnNeighbours(const MemberName& name, const NeighbourSample& sample,
+                     SchedulerTables& tables, SchedulerTick& tick) {
+  Cores cores;
+  for (const ImageCores& fill : sample.fills()) {
+    cores[fill.image()] = static_cast<double>(fill.millicores()) / kMillicores;
+  }
+  for (const ImageTail& tail : sample.tails()) {
+    LearnTail(name, tail, cores, tables, tick.now());
+    if (tail.percent() > kTailTooHigh) {
+      TakeAway(name, tail.image(), tables, tick);
+    }
+  }
+}
+
+NeighbourOutlook ExpectNeighbours(const MemberName& name, const JobStep& step,
+                                  const SchedulerTables& tables) {
+  NeighbourOutlook outlook;
+  const Cores cores = FillingCores(name, tables);
+  const double count = static_cast<double>(step.cpu()) / kMillicores;
+  for (const std::string& serving : ServingImages(name, tables)) {
+    const ServingTail* seen = tables.tails_.Find(
+        TailKey::Builder().worker(name).image(serving).Build());
+    const ServingTail tail = seen == nullptr ? ServingTail() : *seen;
+    const double press = count * PressOf(step.image(), serving, tables);
+    const double expected =
+        std::max(Predict(tail.base(), cores, serving, tables), tail.latest());
+    outlook.tail_ = std::max(outlook.tail_, expected + press);
+    outlook.press_ = std::max(outlook.press_, press);
+    if (FindPress(step.image(), serving, tables) == nullptr) {
+      outlook.unknown_ = true;
+    }
+  }
+  return outlook;
 }
 
 }  // namespace quetzalline
--- a/src/systems/scheduler/learn_neighbours.h
+++ b/src/systems/scheduler/learn_neighbours.h
@@ -2,23 +2,30 @@
 #define QUETZALLINE_SYSTEMS_SCHEDULER_LEARN_NEIGHBOURS_H_
 
 #include "core/job_step.h"
-#include "messages/worker_report.h"
+#include "messages/neighbour_sample.h"
+#include "systems/scheduler/scheduler_tick.h"
 #include "tables/scheduler_tables.h"
 
 namespace quetzalline {
 
-/// Answers noisy neighbours: learns from each report how much the images that
-/// fill beside tasks that serve raise their tails.
-void LearnNeighbours(const MemberName& name, const WorkerReport& report,
-                     Instant now, SchedulerTables& tables);
+/// Answers noisy neighbours: learns from each look at a worker how much each
+/// image that fills raises the tail of each image that serves, and takes those
+/// away that stand still for the sake of their neighbours.
+void LearnNeighbours(const MemberName& name, const NeighbourSample& sample,
+                     SchedulerTables& tables, SchedulerTick& tick);
 
-/// The tail that is expected on the worker with one more task of this step, in
-/// percent of the target.
-double ExpectedTail(const MemberName& name, const JobStep& step,
-                    const SchedulerTables& tables);
+/// How a task that fills would fit beside what serves on a worker.
+struct NeighbourOutlook {
+  /// The worst tail that is expected, in percent of its target.
+  double tail_ = 0.0;
+  /// What the task adds to the worst of the tails.
+  double press_ = 0.0;
+  /// Whether nothing is known of the task beside one of them.
+  bool unknown_ = false;
+};
 
-/// What one more task of this step is expected to add to the tail.
-double ExpectedPress(const JobStep& step, const SchedulerTables& tables);
+NeighbourOutlook ExpectNeighbours(const MemberName& name, const JobStep& step,
+                                  const SchedulerTables& tables);
 
 }  // namespace quetzalline
 
--- a/src/systems/scheduler/send_start.cc
+++ b/src/systems/scheduler/send_start.cc
@@ -18,6 +18,8 @@
           .target(task->step()->target())
           .fills(task->step()->fills())
           .born_ms(row->facts()->born_ms())
+          .image(task->step()->image())
+          .cpu(task->step()->cpu())
           .Build();
   tick.Emit(SendToRunner::Builder()
                 .connection(*member->connection())
--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -297,7 +297,12 @@
     if (report.worker_left()) LoseWorker(name, tables, tick);
     if (!has_worker) return;
   }
-  LearnNeighbours(name, report, tick.now(), tables);
+  tables.workers_.Put(name, WorkerRow::Builder(*tables.workers_.Find(name))
+                                .fill_pace(report.fill_pace())
+                                .Build());
+  if (report.neighbours()) {
+    LearnNeighbours(name, *report.neighbours(), tables, tick);
+  }
   TakeEnds(name, report, tables, tick);
   if (report.whole()) {
     TakeWholeList(name, report, first, tables, tick);
--- a/src/tables/image_press.h
+++ b/src/tables/image_press.h
@@ -9,7 +9,7 @@
 
 namespace quetzalline {
 
-/// How much tasks of an image that fill raise the tails of their neighbours.
+/// How much tasks of an image that fills raise the tail of one that serves.
 class ImagePress {
  public:
   class Builder;
--- a/src/tables/runner_policy.h
+++ b/src/tables/runner_policy.h
@@ -28,12 +28,16 @@
   Duration task_lease() const { return task_lease_; }
   /// Longest time between two reports.
   Duration report_interval() const { return report_interval_; }
+  /// The same where tasks fill beside tasks that serve.
+  Duration mixed_hold_wait() const { return mixed_hold_wait_; }
   /// Longest wait of one look at the worker.
   Duration hold_wait() const { return hold_wait_; }
   /// Time without a word of the holder after which its connection is closed.
   Duration holder_silence() const { return holder_silence_; }
   /// Time after which an order without effect is repeated.
   Duration call_retry() const { return call_retry_; }
+  /// Pause before the next look while listed ends are not noted.
+  Duration noting_pause() const { return noting_pause_; }
   /// Pause before a failed look at the worker is repeated.
   Duration hold_pause() const { return hold_pause_; }
   /// Time between two changes of the pace.
@@ -43,17 +47,20 @@
 
  private:
   QUETZALLINE_VALUE(RunnerPolicy, member_, incarnation_, address_, task_lease_,
-                    report_interval_, hold_wait_, holder_silence_, call_retry_,
-                    hold_pause_, pace_interval_)
+                    report_interval_, mixed_hold_wait_, hold_wait_,
+                    holder_silence_, call_retry_, noting_pause_, hold_pause_,
+                    pace_interval_)
 
   MemberName member_;
   std::uint64_t incarnation_ = 0;
   std::string address_;
   Duration task_lease_ = std::chrono::milliseconds(5000);
   Duration report_interval_ = std::chrono::milliseconds(400);
+  Duration mixed_hold_wait_ = std::chrono::milliseconds(350);
   Duration hold_wait_ = std::chrono::milliseconds(700);
   Duration holder_silence_ = std::chrono::milliseconds(2500);
   Duration call_retry_ = std::chrono::milliseconds(700);
+  Duration noting_pause_ = std::chrono::milliseconds(80);
   Duration hold_pause_ = std::chrono::milliseconds(150);
   Duration pace_interval_ = std::chrono::milliseconds(400);
 };
@@ -76,11 +83,17 @@
   Builder& report_interval(Duration value) {
     return Set(value_.report_interval_, value);
   }
+  Builder& mixed_hold_wait(Duration value) {
+    return Set(value_.mixed_hold_wait_, value);
+  }
   Builder& hold_wait(Duration value) { return Set(value_.hold_wait_, value); }
   Builder& holder_silence(Duration value) {
     return Set(value_.holder_silence_, value);
   }
   Builder& call_retry(Duration value) { return Set(value_.call_retry_, value); }
+  Builder& noting_pause(Duration value) {
+    return Set(value_.noting_pause_, value);
+  }
   Builder& hold_pause(Duration value) { return Set(value_.hold_pause_, value); }
   Builder& pace_interval(Duration value) {
     return Set(value_.pace_interval_, value);
--- a/src/tables/runner_tables.h
+++ b/src/tables/runner_tables.h
@@ -11,6 +11,7 @@
 #include "core/table.h"
 #include "core/task_key.h"
 #include "core/worker_facts.h"
+#include "messages/neighbour_sample.h"
 #include "messages/run_refused.h"
 #include "systems/cell/registration.h"
 #include "tables/held_run.h"
@@ -63,6 +64,8 @@
   /// Share of their speed that tasks that fill work at.
   std::int32_t fill_pace_ = 100;
   Instant next_pace_;
+  /// The latest look at neighbours, until it is told.
+  std::optional<NeighbourSample> neighbours_;
 };
 
 }  // namespace quetzalline
--- a/src/tables/scheduler_tables.h
+++ b/src/tables/scheduler_tables.h
@@ -18,13 +18,16 @@
 #include "tables/commit_batch.h"
 #include "tables/holder_stage.h"
 #include "tables/holder_term.h"
+#include "tables/image_pair.h"
 #include "tables/image_press.h"
 #include "tables/job_row.h"
 #include "tables/job_task_table.h"
 #include "tables/kv_pending.h"
 #include "tables/member_row.h"
 #include "tables/scheduler_policy.h"
+#include "tables/serving_tail.h"
 #include "tables/step_row.h"
+#include "tables/tail_key.h"
 #include "tables/unnoted_end.h"
 #include "tables/worker_row.h"
 
@@ -63,7 +66,8 @@
   std::optional<Instant> configuration_retry_at_;
   Table<MemberName, WorkerRow> workers_;
   /// What is learnt of neighbours, by image.
-  Table<std::string, ImagePress> press_;
+  Table<ImagePair, ImagePress> press_;
+  Table<TailKey, ServingTail> tails_;
   Table<std::uint64_t, JobRow> jobs_;
   Table<StepKey, StepRow> steps_;
   JobTaskTable tasks_;
--- a/src/tables/worker_row.h
+++ b/src/tables/worker_row.h
@@ -35,10 +35,6 @@
   Instant rests_until() const { return rests_until_; }
   /// Measured work for each unit of declared time, against its peers.
   double speed() const { return speed_; }
-  /// The worst tail of the tasks that serve, in percent of its target.
-  double tail_percent() const { return tail_percent_; }
-  /// The tail without tasks that fill, as learnt.
-  double tail_base() const { return tail_base_; }
   /// Share of their speed that tasks that fill work at.
   std::int32_t fill_pace() const { return fill_pace_; }
 
@@ -46,8 +42,7 @@
 
  private:
   QUETZALLINE_VALUE(WorkerRow, facts_, reported_, granted_at_, ends_seen_,
-                    ends_noted_, failures_, rests_until_, speed_, tail_percent_,
-                    tail_base_, fill_pace_)
+                    ends_noted_, failures_, rests_until_, speed_, fill_pace_)
 
   std::optional<WorkerFacts> facts_;
   bool reported_ = false;
@@ -57,8 +52,6 @@
   std::int32_t failures_ = 0;
   Instant rests_until_ = Instant{};
   double speed_ = 1.0;
-  double tail_percent_ = 0.0;
-  double tail_base_ = 55.0;
   std::int32_t fill_pace_ = 100;
 };
 
@@ -83,10 +76,6 @@
     return Set(value_.rests_until_, value);
   }
   Builder& speed(double value) { return Set(value_.speed_, value); }
-  Builder& tail_percent(double value) {
-    return Set(value_.tail_percent_, value);
-  }
-  Builder& tail_base(double value) { return Set(value_.tail_base_, value); }
   Builder& fill_pace(std::int32_t value) {
     return Set(value_.fill_pace_, value);
   }
