Serving tasks are packed, by image where load allows; presses learnt by pair, newcomers on trial

Cause: with three serving images on a worker nearly every image that fills pressed on one of them, so that the leftover of nine workers of eleven stood idle.

--- a/src/messages/start_run.h
+++ b/src/messages/start_run.h
@@ -34,12 +34,15 @@
   const std::string& image() const { return image_; }
   /// Thousandths of a core that the task asks for.
   std::int64_t cpu() const { return cpu_; }
+  /// Share of its speed that the task works at until its neighbours are seen to
+  /// bear it.
+  std::int32_t first_pace() const { return first_pace_; }
 
   friend auto operator<=>(const StartRun&, const StartRun&) = default;
 
  private:
   QUETZALLINE_VALUE(StartRun, run_, spec_, checkpoint_, target_, fills_,
-                    born_ms_, image_, cpu_)
+                    born_ms_, image_, cpu_, first_pace_)
 
   RunKey run_;
   Shared<std::string> spec_;
@@ -49,6 +52,7 @@
   std::int64_t born_ms_ = 0;
   std::string image_;
   std::int64_t cpu_ = 0;
+  std::int32_t first_pace_ = 100;
 };
 
 /// Builds one StartRun; what is not set keeps its default.
@@ -70,6 +74,9 @@
     return Set(value_.image_, std::move(value));
   }
   Builder& cpu(std::int64_t value) { return Set(value_.cpu_, value); }
+  Builder& first_pace(std::int32_t value) {
+    return Set(value_.first_pace_, value);
+  }
 };
 
 }  // namespace quetzalline
--- a/src/systems/runner/order_runs.cc
+++ b/src/systems/runner/order_runs.cc
@@ -121,6 +121,7 @@
                             .order(order)
                             .known(true)
                             .checkpoint(order.checkpoint())
+                            .pace_limit(order.first_pace())
                             .Build());
   tick.counters().Add(Counter::kTasksStarted);
   SendStart(key, tables, tick);
--- a/src/systems/runner/set_pace.cc
+++ b/src/systems/runner/set_pace.cc
@@ -13,7 +13,7 @@
 
 constexpr std::int32_t kFullPace = 100;
 // Steps up, in percent of full speed.
-constexpr std::int32_t kPaceStep = 15;
+constexpr std::int32_t kPaceStep = 34;
 // Below this share the tasks that fill stand still.
 constexpr std::int32_t kLowestPace = 12;
 // Tails over this share of the target slow the others down, and under the
@@ -53,23 +53,40 @@
   return pace;
 }
 
+std::int32_t WantedPace(const HeldRun& run, std::int32_t fill_pace) {
+  return std::min(fill_pace, run.pace_limit());
+}
+
+// Lifts the limit of newcomers that their neighbours have borne for a while.
+void LiftLimits(std::int64_t worst, RunnerTables& tables, Instant now) {
+  if (worst >= kRecoverPercent) return;
+  std::vector<std::pair<TaskKey, HeldRun>> proven;
+  for (const auto& [key, run] : tables.runs_) {
+    if (run.pace_limit() == kFullPace || run.pace() != run.pace_limit()) {
+      continue;
+    }
+    if (now - run.steady_since() < kSettleTime) continue;
+    proven.emplace_back(key,
+                        HeldRun::Builder(run).pace_limit(kFullPace).Build());
+  }
+  for (auto& [key, run] : proven) tables.runs_.Put(key, std::move(run));
+}
+
 void Apply(const TaskKey& key, RunnerTables& tables, RunnerTick& tick) {
   const HeldRun held = *tables.runs_.Find(key);
+  const std::int32_t pace = WantedPace(held, tables.fill_pace_);
   const RunKey run = RunKey::Builder().task(key).run(held.run()).Build();
-  tables.runs_.Put(key, HeldRun::Builder(held)
-                            .pace(tables.fill_pace_)
-                            .steady_since(tick.now())
-                            .Build());
-  tick.Emit(
-      WorkerPace::Builder()
-          .call(OpenWorkerCall(
-              PaceCall::Builder().run(run).percent(tables.fill_pace_).Build(),
-              tables, tick.now()))
-          .worker(tables.facts_->worker())
-          .run(run)
-          .percent(tables.fill_pace_)
-          .fence(CurrentFence(tables))
-          .Build());
+  tables.runs_.Put(
+      key, HeldRun::Builder(held).pace(pace).steady_since(tick.now()).Build());
+  tick.Emit(WorkerPace::Builder()
+                .call(OpenWorkerCall(
+                    PaceCall::Builder().run(run).percent(pace).Build(), tables,
+                    tick.now()))
+                .worker(tables.facts_->worker())
+                .run(run)
+                .percent(pace)
+                .fence(CurrentFence(tables))
+                .Build());
 }
 
 }  // namespace
@@ -88,12 +105,15 @@
       worst = std::max(worst, static_cast<std::int32_t>(percent));
     }
     if (!order.fills()) continue;
-    const bool settled = now - run.steady_since() >= settle_time;
-    if (!settled && !too_high) return std::nullopt;
+    // A task that was just stopped still shows in the tails.
+    const Duration needed = run.pace() == 0 ? kSettleTime : settle_time;
+    const bool settled = now - run.steady_since() >= needed;
+    if (!settled && (!too_high || run.pace() == 0)) return std::nullopt;
     if (settled && run.pace() > 0) {
       fills[order.image()] += order.cpu() * run.pace() / kFullPace;
     }
   }
+  if (tails.empty()) return std::nullopt;
   std::vector<ImageTail> tail_rows;
   for (const auto& [image, percent] : tails) {
     tail_rows.push_back(
@@ -122,19 +142,24 @@
 
 void SetPace(RunnerTables& tables, RunnerTick& tick) {
   if (!tables.facts_ || !tables.session_.synced()) return;
-  if (tick.now() < tables.next_pace_) return;
-  tables.next_pace_ = tick.now() + tables.policy_.pace_interval();
-  const std::int64_t worst = WorstTail(tables);
-  const std::int32_t pace = NextPace(tables.fill_pace_, worst);
-  if (pace != tables.fill_pace_) {
-    LogLine(tick, "pace-changed", 0,
-            {Field("pace", pace), Field("worst_tail_percent", worst)});
+  if (tick.now() >= tables.next_pace_) {
+    tables.next_pace_ = tick.now() + tables.policy_.pace_interval();
+    const std::int64_t worst = WorstTail(tables);
+    const std::int32_t pace = NextPace(tables.fill_pace_, worst);
+    if (pace != tables.fill_pace_) {
+      LogLine(tick, "pace-changed", 0,
+              {Field("pace", pace), Field("worst_tail_percent", worst)});
+    }
+    tables.fill_pace_ = pace;
+    LiftLimits(worst, tables, tick.now());
   }
-  tables.fill_pace_ = pace;
   std::vector<TaskKey> due;
   for (const auto& [key, run] : tables.runs_) {
     if (!run.order().fills() || run.stage() != HeldStage::kRunning) continue;
-    if (run.pace() != tables.fill_pace_) due.push_back(key);
+    // A change that failed is tried again after a pause.
+    const bool failed = run.pace() < 0;
+    if (failed && tick.now() < run.steady_since() + kSettleTime) continue;
+    if (run.pace() != WantedPace(run, tables.fill_pace_)) due.push_back(key);
   }
   for (const TaskKey& key : due) Apply(key, tables, tick);
 }
--- a/src/systems/runner/watch_worker.cc
+++ b/src/systems/runner/watch_worker.cc
@@ -198,10 +198,8 @@
   if (!answer.ends().empty()) {
     tables.next_hold_ = tick.now() + tables.policy_.noting_pause();
   }
-  if (IsMixed(tables)) {
-    tables.neighbours_ = SampleNeighbours(tables, tick.now());
-    if (tables.neighbours_) tables.report_due_ = true;
-  }
+  tables.neighbours_ = SampleNeighbours(tables, tick.now());
+  if (tables.neighbours_ && IsMixed(tables)) tables.report_due_ = true;
   if (!fenced || tables.session_.synced()) return;
   tables.session_ =
       HolderSession::Builder(tables.session_).synced(true).Build();
--- a/src/systems/scheduler/choose_worker.cc
+++ b/src/systems/scheduler/choose_worker.cc
@@ -14,6 +14,9 @@
 // What it costs a task that fills to have a neighbour that serves, in shares of
 // a worker: more than any load.
 constexpr double kServingCost = 4.0;
+// What it costs a task that serves to join tasks of another image: more than
+// any load, less than a neighbour that fills.
+constexpr double kOtherImageCost = 0.3;
 // Tails up to this share of their targets leave room for one more neighbour.
 constexpr double kHighestExpectedTail = 85.0;
 // A task that adds less than this to a tail, in percent of the target, is
@@ -43,25 +46,38 @@
 // Less is better. Answers two patterns: noisy neighbours, by keeping tasks that
 // serve together on few workers and tasks that fill on the others; and data
 // that is far away, by the rack.
-double Cost(const JobStep& step, const WorkerFacts& facts,
-            const WorkerUse& use, bool quiet) {
+double Cost(const JobStep& step, const WorkerFacts& facts, const WorkerUse& use,
+            bool quiet, bool other_images) {
   const auto cpu = static_cast<double>(std::max<std::int64_t>(facts.cpu(), 1));
   const auto reserved = static_cast<double>(use.cpu()) / cpu;
   const auto filled = static_cast<double>(use.fill_cpu()) / cpu;
   const auto serving = static_cast<double>(use.serving_cpu()) / cpu;
-  const bool near = !step.data_rack().empty() &&
-                    HasLabel(facts, step.data_rack());
+  const bool near =
+      !step.data_rack().empty() && HasLabel(facts, step.data_rack());
   const double far = near ? -kDataRackBonus : 0.0;
   if (step.fills()) {
     // Quiet tasks leave the workers without neighbours to the others.
     const double neighbour = quiet ? -kServingCost : kServingCost;
     return far + reserved + filled + (serving > 0.0 ? neighbour : 0.0);
   }
-  // What reserves room is packed where tasks serve already.
-  if (step.target() > Duration()) return far + filled - serving;
+  // What serves is packed by image: the fewer images serve on a worker, the
+  // more of what fills gets on with all of them.
+  if (step.target() > Duration()) {
+    return far + filled - serving + (other_images ? kOtherImageCost : 0.0);
+  }
   return far + filled - (serving > 0.0 ? kServingCost : 0.0) + reserved;
 }
 
+// Whether tasks of another image serve on the worker.
+bool ServesOthers(const MemberName& name, const std::string& image,
+                  const SchedulerTables& tables) {
+  for (const TaskKey& key : tables.tasks_.OnWorker(name)) {
+    const JobStep& step = *tables.tasks_.Find(key)->step();
+    if (step.target() > Duration() && step.image() != image) return true;
+  }
+  return false;
+}
+
 // Whether one task that fills is on the worker of which nothing is known yet.
 bool HasNewcomer(const MemberName& name, const SchedulerTables& tables) {
   for (const TaskKey& key : tables.tasks_.OnWorker(name)) {
@@ -129,7 +145,9 @@
       if (!MayDisturb(name, outlook, tables)) continue;
       quiet = !outlook.unknown_ && outlook.press_ < kQuietPress;
     }
-    const double cost = Cost(step, facts, use, quiet);
+    const bool other_images =
+        step.target() > Duration() && ServesOthers(name, step.image(), tables);
+    const double cost = Cost(step, facts, use, quiet, other_images);
     if (best && cost >= least) continue;
     best = name;
     least = cost;
--- a/src/systems/scheduler/learn_neighbours.cc
+++ b/src/systems/scheduler/learn_neighbours.cc
@@ -13,10 +13,16 @@
 
 // What an image presses that nothing is known of, in percent of the target for
 // each core.
-constexpr double kUnknownPress = 2.0;
-// Share of the error that one look corrects.
-constexpr double kLearningRate = 0.5;
+constexpr double kUnknownPress = 1.0;
+// Share of the error that one look corrects; too little is corrected at once,
+// too much slowly.
+constexpr double kRaiseRate = 1.0;
+constexpr double kLowerRate = 0.2;
 constexpr double kBaseRate = 0.15;
+// How fast what is known of an image outweighs a new look.
+constexpr double kTrust = 0.3;
+// Keeps the swings of a tail from being blamed on a task that takes little.
+constexpr double kTailNoise = 4.0;
 // Beyond this a tail says only that it is far too high.
 constexpr double kHighestTail = 300.0;
 // Tails over this are too high: something beside them is to blame.
@@ -53,18 +59,19 @@
 // take the larger part.
 void Correct(double error, const Cores& cores, const std::string& serving,
              SchedulerTables& tables) {
-  double sum = 0.0;
+  const double rate = error > 0.0 ? kRaiseRate : kLowerRate;
+  double sum = kTailNoise;
   std::map<std::string, double> weights;
   for (const auto& [image, count] : cores) {
     const ImagePress* known = FindPress(image, serving, tables);
     const int samples = known == nullptr ? 0 : known->samples();
-    weights[image] = count / (1.0 + samples);
+    weights[image] = count / (1.0 + kTrust * samples);
     sum += weights[image] * count;
   }
   for (const auto& [image, count] : cores) {
     const ImagePress* known = FindPress(image, serving, tables);
-    const double press = PressOf(image, serving, tables) +
-                         kLearningRate * error * weights[image] / sum;
+    const double press =
+        PressOf(image, serving, tables) + rate * error * weights[image] / sum;
     tables.press_.Put(
         ImagePair::Builder().filling(image).serving(serving).Build(),
         ImagePress::Builder()
@@ -88,11 +95,8 @@
     Correct(tail - Predict(base, cores, seen.image(), tables), cores,
             seen.image(), tables);
   }
-  tables.tails_.Put(key, ServingTail::Builder()
-                             .latest(tail)
-                             .base(base)
-                             .seen_at(now)
-                             .Build());
+  tables.tails_.Put(
+      key, ServingTail::Builder().latest(tail).base(base).seen_at(now).Build());
 }
 
 // Tasks that press on a tail that is too high go elsewhere: here they would
--- a/src/systems/scheduler/send_start.cc
+++ b/src/systems/scheduler/send_start.cc
@@ -1,6 +1,25 @@
 #include "systems/scheduler/send_start.h"
 
+#include "systems/scheduler/learn_neighbours.h"
+
 namespace quetzalline {
+namespace {
+
+// Share of its speed at which a task shows how it disturbs its neighbours
+// without harming them much.
+constexpr std::int32_t kTrialPace = 30;
+constexpr std::int32_t kFullPace = 100;
+
+std::int32_t FirstPace(const MemberName& worker, const JobStep& step,
+                       const SchedulerTables& tables) {
+  if (!step.fills() || tables.tasks_.UseOf(worker).serving_cpu() == 0) {
+    return kFullPace;
+  }
+  const bool unknown = ExpectNeighbours(worker, step, tables).unknown_;
+  return unknown ? kTrialPace : kFullPace;
+}
+
+}  // namespace
 
 void SendStart(const MemberName& worker, const TaskKey& key,
                SchedulerTables& tables, SchedulerTick& tick) {
@@ -20,6 +39,7 @@
           .born_ms(row->facts()->born_ms())
           .image(task->step()->image())
           .cpu(task->step()->cpu())
+          .first_pace(FirstPace(worker, *task->step(), tables))
           .Build();
   tick.Emit(SendToRunner::Builder()
                 .connection(*member->connection())
--- a/src/tables/held_run.h
+++ b/src/tables/held_run.h
@@ -41,6 +41,9 @@
   std::int64_t figure() const { return figure_; }
   /// Share of its speed that the worker lets it work at.
   std::int32_t pace() const { return pace_; }
+  /// Share of its speed that it is held to until its neighbours are seen to
+  /// bear it.
+  std::int32_t pace_limit() const { return pace_limit_; }
   /// When it began to work, or its pace was last changed.
   Instant steady_since() const { return steady_since_; }
 
@@ -50,7 +53,7 @@
   QUETZALLINE_VALUE(HeldRun, run_, stage_, order_, known_, fence_,
                     confirmed_at_, called_at_, checkpoint_, percent_,
                     told_percent_, told_checkpoint_, figure_, pace_,
-                    steady_since_)
+                    pace_limit_, steady_since_)
 
   std::int64_t run_ = 0;
   HeldStage stage_ = HeldStage{};
@@ -65,6 +68,7 @@
   std::string told_checkpoint_;
   std::int64_t figure_ = 0;
   std::int32_t pace_ = 100;
+  std::int32_t pace_limit_ = 100;
   Instant steady_since_ = Instant{};
 };
 
@@ -96,6 +100,9 @@
   }
   Builder& figure(std::int64_t value) { return Set(value_.figure_, value); }
   Builder& pace(std::int32_t value) { return Set(value_.pace_, value); }
+  Builder& pace_limit(std::int32_t value) {
+    return Set(value_.pace_limit_, value);
+  }
   Builder& steady_since(Instant value) {
     return Set(value_.steady_since_, value);
   }
