--- a/src/systems/scheduler/admit_jobs.cc
+++ b/src/systems/scheduler/admit_jobs.cc
@@ -10,9 +10,6 @@
 namespace quetzalline {
 namespace {
 
-// A store that has not kept anything for this long takes no new jobs: a caller
-// is better told at once than left waiting.
-constexpr Duration kStorePatience = std::chrono::milliseconds(400);
 // Callers refused for the store's sake come back between once and twice this.
 constexpr Duration kStoreRetryAfter = std::chrono::milliseconds(1000);
 
@@ -33,31 +30,31 @@
   return tables.commit_ && now - tables.commit_->since_ > kStorePatience;
 }
 
-void Refuse(ConnectionId connection, const HandInJob& message,
-            SchedulerTick& tick) {
+void Probe(const CallerWaiting& caller, SchedulerTables& tables,
+           SchedulerTick& tick) {
+  GetKey(ProgressKey(caller.job()),
+         ProbingJob::Builder().caller(caller).Build(), tables, tick);
+}
+
+}  // namespace
+
+void RefuseForStore(ConnectionId connection, std::uint64_t ticket,
+                    std::uint64_t job, SchedulerTick& tick) {
   const Duration retry_after =
       kStoreRetryAfter +
       Duration(Draw(tick.random(), kStoreRetryAfter.count()));
-  LogLine(tick, "job-refused", message.job(),
+  LogLine(tick, "job-refused", job,
           {Field("reason", Reason::kStoreFailed),
            FieldMs("retry_after_ms", retry_after)});
   AnswerEntry(connection,
               JobRefused::Builder()
-                  .ticket(message.ticket())
+                  .ticket(ticket)
                   .reason(Reason::kStoreFailed)
                   .retry_after(retry_after)
                   .Build(),
               tick);
 }
 
-void Probe(const CallerWaiting& caller, SchedulerTables& tables,
-           SchedulerTick& tick) {
-  GetKey(ProgressKey(caller.job()),
-         ProbingJob::Builder().caller(caller).Build(), tables, tick);
-}
-
-}  // namespace
-
 void AnswerEntry(ConnectionId connection, const GatewayMessage& message,
                  SchedulerTick& tick) {
   tick.Emit(
@@ -75,7 +72,7 @@
   }
   if (known == nullptr) {
     if (StoreIsFailing(tables, tick.now())) {
-      return Refuse(connection, message, tick);
+      return RefuseForStore(connection, message.ticket(), message.job(), tick);
     }
     OpenNewJob(message.job(), message.record(), tick.now(), tables);
     tables.dirty_jobs_.insert(message.job());
--- a/src/systems/scheduler/admit_jobs.h
+++ b/src/systems/scheduler/admit_jobs.h
@@ -33,6 +33,14 @@
 void TakeProbe(const CallerWaiting& caller, const KvResult& result,
                SchedulerTables& tables, SchedulerTick& tick);
 
+/// A store that has not kept anything for this long takes no new jobs: a caller
+/// is better told at once than left waiting.
+inline constexpr Duration kStorePatience = std::chrono::milliseconds(400);
+
+/// Tells a caller that its job was not accepted since the store is away.
+void RefuseForStore(ConnectionId connection, std::uint64_t ticket,
+                    std::uint64_t job, SchedulerTick& tick);
+
 /// Sends an answer to an entry.
 void AnswerEntry(ConnectionId connection, const GatewayMessage& message,
                  SchedulerTick& tick);
--- a/src/systems/scheduler/commit_progress.cc
+++ b/src/systems/scheduler/commit_progress.cc
@@ -17,6 +17,9 @@
 constexpr std::size_t kMostJobsInCommit = 14;
 // Pause before a commit that failed is tried again, up to twice this.
 constexpr Duration kRetryPause = std::chrono::milliseconds(120);
+// Callers wait this long for a commit whose outcome is unknown: less than half
+// of what the most patient of them allow.
+constexpr Duration kCallerPatience = std::chrono::milliseconds(900);
 
 void AddJobToBatch(std::uint64_t job, SchedulerTables& tables,
                    CommitBatch& batch) {
@@ -175,6 +178,48 @@
   GetKey(kEpochKey, ConfirmingCommit(), tables, tick);
 }
 
+// While the store does not answer, jobs that no commit holds yet are refused:
+// they never run, and their callers can come back in time.
+void RefuseWaiting(SchedulerTables& tables, SchedulerTick& tick) {
+  std::vector<CallerWaiting> kept;
+  std::set<std::uint64_t> refused;
+  for (const CallerWaiting& caller : std::exchange(tables.callers_, {})) {
+    const JobRow* row = tables.jobs_.Find(caller.job());
+    const bool tried =
+        row == nullptr || row->stored() ||
+        std::find(tables.commit_->jobs_.begin(), tables.commit_->jobs_.end(),
+                  caller.job()) != tables.commit_->jobs_.end();
+    if (tried || caller.withdraws() || IsOver(row->state())) {
+      kept.push_back(caller);
+      continue;
+    }
+    refused.insert(caller.job());
+    RefuseForStore(caller.connection(), caller.ticket(), caller.job(), tick);
+  }
+  tables.callers_ = std::move(kept);
+  for (const std::uint64_t job : refused) ForgetJob(job, tables);
+}
+
+// Callers whose jobs a commit holds whose outcome is unknown are told so in
+// time to ask again.
+void TellUndecided(SchedulerTables& tables, SchedulerTick& tick) {
+  for (const CallerWaiting& caller :
+       std::exchange(tables.commit_->callers_, {})) {
+    AnswerEntry(caller.connection(),
+                JobUndecided::Builder().ticket(caller.ticket()).Build(), tick);
+  }
+}
+
+// A commit that takes long is a sign that the store is away.
+void LookAfterCallers(SchedulerTables& tables, SchedulerTick& tick) {
+  const Instant refuse_at = tables.commit_->since_ + kStorePatience;
+  const Instant undecided_at = tables.commit_->since_ + kCallerPatience;
+  if (tick.now() >= refuse_at) RefuseWaiting(tables, tick);
+  if (tick.now() >= undecided_at) TellUndecided(tables, tick);
+  if (tick.now() < refuse_at) tick.WakeAt(refuse_at);
+  if (tick.now() < undecided_at) tick.WakeAt(undecided_at);
+}
+
 }  // namespace
 
 void NoteKeptEnds(SchedulerTables& tables, SchedulerTick& tick) {
@@ -207,7 +252,10 @@
 
 void CommitProgress(SchedulerTables& tables, SchedulerTick& tick) {
   if (!IsActing(tables)) return;
-  if (tables.commit_) return ContinueCommit(tables, tick);
+  if (tables.commit_) {
+    LookAfterCallers(tables, tick);
+    return ContinueCommit(tables, tick);
+  }
   const bool wanted =
       !tables.dirty_jobs_.empty() || tables.term_.restore_holder();
   if (!wanted) return;
--- a/src/systems/scheduler/open_job.cc
+++ b/src/systems/scheduler/open_job.cc
@@ -187,6 +187,18 @@
   tables.jobs_.Put(job, JobRow::Builder(*row).record(JobRecord()).Build());
 }
 
+void ForgetJob(std::uint64_t job, SchedulerTables& tables) {
+  const JobRow* row = tables.jobs_.Find(job);
+  if (row == nullptr) return;
+  const Shared<JobRecord> record = row->record();
+  ForEachTask(job, *record->definition(), [&](const TaskKey& key) {
+    tables.tasks_.Erase(key);
+    tables.steps_.Erase(StepOf(key));
+  });
+  tables.jobs_.Erase(job);
+  tables.dirty_jobs_.erase(job);
+}
+
 JobProgress ProgressOf(std::uint64_t job, const SchedulerTables& tables) {
   const JobRow* row = tables.jobs_.Find(job);
   if (row == nullptr) return JobProgress();
--- a/src/systems/scheduler/open_job.h
+++ b/src/systems/scheduler/open_job.h
@@ -29,6 +29,9 @@
 /// holds room on a worker any more.
 void EraseQuietTasks(std::uint64_t job, SchedulerTables& tables);
 
+/// Forgets a job that was never kept.
+void ForgetJob(std::uint64_t job, SchedulerTables& tables);
+
 /// The declared core-milliseconds of one task.
 std::int64_t WorkOf(const JobStep& step);
 
