--- a/src/systems/scheduler/choose_worker.cc
+++ b/src/systems/scheduler/choose_worker.cc
@@ -9,37 +9,21 @@
 
 // A worker that was not heard for this long gets no new work.
 constexpr Duration kFreshReport = std::chrono::milliseconds(900);
-// What it is worth to run next to the data, in shares of a worker.
-constexpr double kDataRackBonus = 0.4;
-// What it costs a task that fills to have a neighbour that serves, in shares of
-// a worker: more than any load.
-constexpr double kServingCost = 4.0;
-// What it costs a task that serves to join tasks of another image: more than
-// any load, less than a neighbour that fills.
-constexpr double kOtherImageCost = 0.3;
-// Tails up to this share of their targets leave room for one more neighbour.
-constexpr double kHighestExpectedTail = 85.0;
-// A task that adds less than this to a tail, in percent of the target, is
-// quiet.
-constexpr double kQuietPress = 6.0;
 
 bool HasLabel(const WorkerFacts& facts, const std::string& label) {
   return std::find(facts.labels().begin(), facts.labels().end(), label) !=
          facts.labels().end();
 }
 
-// What tasks that serve reserve and are expected to leave unused.
-std::int64_t UnusedCpu(const WorkerUse& use) {
-  constexpr std::int64_t kUnusedPercent = 50;
-  return use.serving_cpu() * kUnusedPercent / 100;
-}
-
-bool Fits(const JobStep& step, const WorkerFacts& facts, const WorkerUse& use) {
+bool Fits(const JobStep& step, const WorkerFacts& facts, const WorkerUse& use,
+          const PlacementPolicy& policy) {
   if (use.memory_mb() + step.memory_mb() > facts.memory_mb()) return false;
   if (use.gpu() + step.gpu() > facts.gpu()) return false;
   // What fills takes only what is left over, but takes no room of its own.
+  const std::int64_t unused =
+      use.serving_cpu() * policy.unused_percent() / 100;
   const std::int64_t taken =
-      step.fills() ? use.cpu() + use.fill_cpu() - UnusedCpu(use) : use.cpu();
+      step.fills() ? use.cpu() + use.fill_cpu() - unused : use.cpu();
   return taken + step.cpu() <= facts.cpu();
 }
 
@@ -47,25 +31,26 @@
 // serve together on few workers and tasks that fill on the others; and data
 // that is far away, by the rack.
 double Cost(const JobStep& step, const WorkerFacts& facts, const WorkerUse& use,
-            bool quiet, bool other_images) {
+            const PlacementPolicy& policy, bool quiet, bool other_images) {
   const auto cpu = static_cast<double>(std::max<std::int64_t>(facts.cpu(), 1));
   const auto reserved = static_cast<double>(use.cpu()) / cpu;
   const auto filled = static_cast<double>(use.fill_cpu()) / cpu;
   const auto serving = static_cast<double>(use.serving_cpu()) / cpu;
   const bool near =
       !step.data_rack().empty() && HasLabel(facts, step.data_rack());
-  const double far = near ? -kDataRackBonus : 0.0;
+  const double far = near ? -policy.data_rack_bonus() : 0.0;
   if (step.fills()) {
     // Quiet tasks leave the workers without neighbours to the others.
-    const double neighbour = quiet ? -kServingCost : kServingCost;
+    const double neighbour =
+        quiet ? -policy.serving_cost() : policy.serving_cost();
     return far + reserved + filled + (serving > 0.0 ? neighbour : 0.0);
   }
   // What serves is packed by image: the fewer images serve on a worker, the
   // more of what fills gets on with all of them.
   if (step.target() > Duration()) {
-    return far + filled - serving + (other_images ? kOtherImageCost : 0.0);
+    return far + filled - serving + (other_images ? policy.other_image_cost() : 0.0);
   }
-  return far + filled - (serving > 0.0 ? kServingCost : 0.0) + reserved;
+  return far + filled - (serving > 0.0 ? policy.serving_cost() : 0.0) + reserved;
 }
 
 // Whether tasks of another image serve on the worker.
@@ -94,7 +79,7 @@
                 const SchedulerTables& tables) {
   constexpr std::int32_t kFullPace = 100;
   if (tables.workers_.Find(name)->fill_pace() != kFullPace) return false;
-  if (outlook.tail_ > kHighestExpectedTail) return false;
+  if (outlook.tail_ > tables.policy_.placement().highest_tail_percent()) return false;
   return !outlook.unknown_ || !HasNewcomer(name, tables);
 }
 
@@ -124,13 +109,14 @@
                                        const ServiceName& service,
                                        const std::vector<MemberName>& open,
                                        const SchedulerTables& tables) {
+  const PlacementPolicy& policy = tables.policy_.placement();
   std::optional<MemberName> best;
   double least = 0.0;
   for (const MemberName& name : open) {
     const WorkerFacts& facts = *tables.workers_.Find(name)->facts();
     if (facts.service() != service) continue;
     const WorkerUse& use = tables.tasks_.UseOf(name);
-    if (!Fits(step, facts, use)) continue;
+    if (!Fits(step, facts, use, policy)) continue;
     if (!step.required_label().empty() &&
         !HasLabel(facts, step.required_label())) {
       continue;
@@ -143,11 +129,11 @@
     if (step.fills() && use.serving_cpu() > 0) {
       const NeighbourOutlook outlook = ExpectNeighbours(name, step, tables);
       if (!MayDisturb(name, outlook, tables)) continue;
-      quiet = !outlook.unknown_ && outlook.press_ < kQuietPress;
+      quiet = !outlook.unknown_ && outlook.press_ < policy.quiet_percent();
     }
     const bool other_images =
         step.target() > Duration() && ServesOthers(name, step.image(), tables);
-    const double cost = Cost(step, facts, use, quiet, other_images);
+    const double cost = Cost(step, facts, use, policy, quiet, other_images);
     if (best && cost >= least) continue;
     best = name;
     least = cost;
--- a/src/systems/scheduler/learn_neighbours.cc
+++ b/src/systems/scheduler/learn_neighbours.cc
@@ -11,9 +11,6 @@
 namespace quetzalline {
 namespace {
 
-// What an image presses that nothing is known of, in percent of the target for
-// each core.
-constexpr double kUnknownPress = 1.0;
 // Share of the error that one look corrects; too little is corrected at once,
 // too much slowly.
 constexpr double kRaiseRate = 1.0;
@@ -43,7 +40,8 @@
 double PressOf(const std::string& filling, const std::string& serving,
                const SchedulerTables& tables) {
   const ImagePress* press = FindPress(filling, serving, tables);
-  return press == nullptr ? kUnknownPress : press->percent_per_core();
+  return press == nullptr ? tables.policy_.placement().unknown_press()
+                          : press->percent_per_core();
 }
 
 double Predict(double base, const Cores& cores, const std::string& serving,
--- a/src/systems/scheduler/send_start.cc
+++ b/src/systems/scheduler/send_start.cc
@@ -5,9 +5,6 @@
 namespace quetzalline {
 namespace {
 
-// Share of its speed at which a task shows how it disturbs its neighbours
-// without harming them much.
-constexpr std::int32_t kTrialPace = 30;
 constexpr std::int32_t kFullPace = 100;
 
 std::int32_t FirstPace(const MemberName& worker, const JobStep& step,
@@ -16,7 +13,7 @@
     return kFullPace;
   }
   const bool unknown = ExpectNeighbours(worker, step, tables).unknown_;
-  return unknown ? kTrialPace : kFullPace;
+  return unknown ? tables.policy_.placement().trial_pace() : kFullPace;
 }
 
 }  // namespace
--- a/src/tables/scheduler_policy.h
+++ b/src/tables/scheduler_policy.h
@@ -9,6 +9,7 @@
 #include "core/ids.h"
 #include "core/time.h"
 #include "core/value.h"
+#include "tables/placement_policy.h"
 
 namespace quetzalline {
 
@@ -37,6 +38,7 @@
   Duration commit_pause() const { return commit_pause_; }
   /// Time that a task may take to stop.
   Duration stop_grace() const { return stop_grace_; }
+  const PlacementPolicy& placement() const { return placement_; }
   /// Time for which the state of a finished job is told.
   Duration status_time() const { return status_time_; }
 
@@ -47,7 +49,7 @@
   QUETZALLINE_VALUE(SchedulerPolicy, member_, incarnation_, holder_lease_,
                     holder_renewal_, holder_watch_, configuration_watch_,
                     task_lease_, silence_, commit_pause_, stop_grace_,
-                    status_time_)
+                    placement_, status_time_)
 
   MemberName member_;
   std::uint64_t incarnation_ = 0;
@@ -59,6 +61,7 @@
   Duration silence_ = std::chrono::milliseconds(1200);
   Duration commit_pause_ = std::chrono::milliseconds(50);
   Duration stop_grace_ = std::chrono::milliseconds(400);
+  PlacementPolicy placement_;
   Duration status_time_ = std::chrono::seconds(120);
 };
 
@@ -91,6 +94,9 @@
     return Set(value_.commit_pause_, value);
   }
   Builder& stop_grace(Duration value) { return Set(value_.stop_grace_, value); }
+  Builder& placement(PlacementPolicy value) {
+    return Set(value_.placement_, std::move(value));
+  }
   Builder& status_time(Duration value) {
     return Set(value_.status_time_, value);
   }
