Lasting tasks make room: preempted for urgent work, consolidated for fills

Cause 2: small serving tasks left alone on workers kept images that press on them away from whole workers.

--- a/src/systems/scheduler/choose_worker.cc
+++ b/src/systems/scheduler/choose_worker.cc
@@ -20,8 +20,7 @@
   if (use.memory_mb() + step.memory_mb() > facts.memory_mb()) return false;
   if (use.gpu() + step.gpu() > facts.gpu()) return false;
   // What fills takes only what is left over, but takes no room of its own.
-  const std::int64_t unused =
-      use.serving_cpu() * policy.unused_percent() / 100;
+  const std::int64_t unused = use.serving_cpu() * policy.unused_percent() / 100;
   const std::int64_t taken =
       step.fills() ? use.cpu() + use.fill_cpu() - unused : use.cpu();
   return taken + step.cpu() <= facts.cpu();
@@ -48,9 +47,11 @@
   // What serves is packed by image: the fewer images serve on a worker, the
   // more of what fills gets on with all of them.
   if (step.target() > Duration()) {
-    return far + filled - serving + (other_images ? policy.other_image_cost() : 0.0);
+    return far + filled - serving +
+           (other_images ? policy.other_image_cost() : 0.0);
   }
-  return far + filled - (serving > 0.0 ? policy.serving_cost() : 0.0) + reserved;
+  return far + filled - (serving > 0.0 ? policy.serving_cost() : 0.0) +
+         reserved;
 }
 
 // Whether tasks of another image serve on the worker.
@@ -79,7 +80,8 @@
                 const SchedulerTables& tables) {
   constexpr std::int32_t kFullPace = 100;
   if (tables.workers_.Find(name)->fill_pace() != kFullPace) return false;
-  if (outlook.tail_ > tables.policy_.placement().highest_tail_percent()) return false;
+  if (outlook.tail_ > tables.policy_.placement().highest_tail_percent())
+    return false;
   return !outlook.unknown_ || !HasNewcomer(name, tables);
 }
 
@@ -105,8 +107,19 @@
   return open;
 }
 
+bool IsHalfFree(const std::vector<MemberName>& open,
+                const SchedulerTables& tables) {
+  std::int64_t reserved = 0;
+  std::int64_t room = 0;
+  for (const MemberName& name : open) {
+    reserved += tables.tasks_.UseOf(name).cpu();
+    room += tables.workers_.Find(name)->facts()->cpu();
+  }
+  return 2 * reserved < room;
+}
+
 std::optional<MemberName> ChooseWorker(const StepKey& key, const JobStep& step,
-                                       const ServiceName& service,
+                                       const ServiceName& service, bool overdue,
                                        const std::vector<MemberName>& open,
                                        const SchedulerTables& tables) {
   const PlacementPolicy& policy = tables.policy_.placement();
@@ -128,7 +141,7 @@
     bool quiet = false;
     if (step.fills() && use.serving_cpu() > 0) {
       const NeighbourOutlook outlook = ExpectNeighbours(name, step, tables);
-      if (!MayDisturb(name, outlook, tables)) continue;
+      if (!overdue && !MayDisturb(name, outlook, tables)) continue;
       quiet = !outlook.unknown_ && outlook.press_ < policy.quiet_percent();
     }
     const bool other_images =
--- a/src/systems/scheduler/choose_worker.h
+++ b/src/systems/scheduler/choose_worker.h
@@ -13,11 +13,16 @@
 /// The workers that take new work of any service at this time.
 std::vector<MemberName> OpenWorkers(const SchedulerTables& tables, Instant now);
 
+/// Whether less than half of what the open workers have is reserved.
+bool IsHalfFree(const std::vector<MemberName>& open,
+                const SchedulerTables& tables);
+
 /// The worker on which a task of this step is best started; empty where none
-/// has room. Tasks that serve or are urgent go where least is used; tasks that
-/// fill go where most is left over.
+/// has room. An overdue task joins tasks that serve whatever their tails. Tasks
+/// that serve or are urgent go where least is used; tasks that fill go where
+/// most is left over.
 std::optional<MemberName> ChooseWorker(const StepKey& key, const JobStep& step,
-                                       const ServiceName& service,
+                                       const ServiceName& service, bool overdue,
                                        const std::vector<MemberName>& open,
                                        const SchedulerTables& tables);
 
--- a/src/systems/scheduler/commit_progress.cc
+++ b/src/systems/scheduler/commit_progress.cc
@@ -105,7 +105,7 @@
                       static_cast<std::int64_t>(batch.jobs_.size()));
 }
 
-void MarkJobKept(std::uint64_t job, SchedulerTables& tables) {
+void MarkJobKept(std::uint64_t job, Instant now, SchedulerTables& tables) {
   const JobRow* row = tables.jobs_.Find(job);
   if (row == nullptr) return;
   const bool over = IsOver(row->state());
@@ -118,7 +118,8 @@
   if (!new_job || over) return;
   const std::int32_t occurrences =
       std::max(row->record()->definition()->repeat_count(), 1);
-  for (std::int32_t k = 0; k < occurrences; ++k) UnlockSteps(job, k, tables);
+  for (std::int32_t k = 0; k < occurrences; ++k)
+    UnlockSteps(job, k, now, tables);
 }
 
 void AnswerCallers(const CommitBatch& batch, SchedulerTick& tick) {
@@ -147,7 +148,8 @@
                      .restore_holder(false)
                      .confirmed_at(tick.now())
                      .Build();
-  for (const std::uint64_t job : batch.jobs_) MarkJobKept(job, tables);
+  for (const std::uint64_t job : batch.jobs_)
+    MarkJobKept(job, tick.now(), tables);
   auto& open = tables.unnoted_ends_;
   open.erase(std::remove_if(open.begin(), open.end(),
                             [&](const UnnotedEnd& end) {
--- a/src/systems/scheduler/conclude_job.cc
+++ b/src/systems/scheduler/conclude_job.cc
@@ -58,7 +58,7 @@
   if (changed.tasks_left() == 0) {
     ConcludeJob(key.job(), JobState::kCompleted, Reason::kNone, tables, tick);
   } else if (left == 0) {
-    UnlockSteps(key.job(), key.occurrence(), tables);
+    UnlockSteps(key.job(), key.occurrence(), tick.now(), tables);
   }
 }
 
@@ -82,6 +82,7 @@
   const bool over = job == nullptr || IsOver(job->state());
   tables.tasks_.Put(key, JobTask::Builder(*task)
                              .stage(over ? TaskStage::kDone : TaskStage::kReady)
+                             .ready_since(tick.now())
                              .stopping(false)
                              .Build());
   tables.placement_due_ = true;
@@ -171,7 +172,9 @@
   builder.checkpoint(NewerCheckpoint(*task, end))
       .run(std::max(task->run(), end.run().run()))
       .failures(task->failures() + (failed ? 1 : 0));
-  if (current) builder.stage(TaskStage::kReady).stopping(false);
+  if (current) {
+    builder.stage(TaskStage::kReady).ready_since(tick.now()).stopping(false);
+  }
   const JobTask changed = builder.Build();
   tables.tasks_.Put(key, changed);
   if (failed || !changed.checkpoint().empty()) {
--- a/src/systems/scheduler/open_job.cc
+++ b/src/systems/scheduler/open_job.cc
@@ -145,7 +145,7 @@
   tables.jobs_.Put(job, AddTasks(job, row, known, TaskStage::kInDoubt, tables));
 }
 
-void UnlockSteps(std::uint64_t job, std::int32_t occurrence,
+void UnlockSteps(std::uint64_t job, std::int32_t occurrence, Instant now,
                  SchedulerTables& tables) {
   const JobRow* row = tables.jobs_.Find(job);
   if (row == nullptr || !row->stored() || IsOver(row->state())) return;
@@ -162,8 +162,10 @@
                               .Build();
       const JobTask* task = tables.tasks_.Find(key);
       if (task == nullptr || task->stage() != TaskStage::kBlocked) continue;
-      tables.tasks_.Put(
-          key, JobTask::Builder(*task).stage(TaskStage::kReady).Build());
+      tables.tasks_.Put(key, JobTask::Builder(*task)
+                                 .stage(TaskStage::kReady)
+                                 .ready_since(now)
+                                 .Build());
       tables.placement_due_ = true;
     }
   }
--- a/src/systems/scheduler/open_job.h
+++ b/src/systems/scheduler/open_job.h
@@ -22,7 +22,7 @@
                  SchedulerTables& tables);
 
 /// Lets the tasks start whose steps have nothing before them that is not done.
-void UnlockSteps(std::uint64_t job, std::int32_t occurrence,
+void UnlockSteps(std::uint64_t job, std::int32_t occurrence, Instant now,
                  SchedulerTables& tables);
 
 /// Forgets the tasks of a job whose final state is kept, once none of them
--- a/src/systems/scheduler/place_runs.cc
+++ b/src/systems/scheduler/place_runs.cc
@@ -22,7 +22,7 @@
 constexpr Duration kPlacementInterval = std::chrono::milliseconds(200);
 
 // Lower comes first.
-enum class Urgency : std::uint8_t { kServing, kUrgent, kFilling, kHopeless };
+enum class Urgency : std::uint8_t { kUrgent, kServing, kFilling, kHopeless };
 
 struct ReadyStep {
   Urgency urgency_;
@@ -96,8 +96,9 @@
   SendStart(worker, key, tables, tick);
 }
 
-void PlaceStep(const StepKey& key, const std::vector<MemberName>& open,
-               SchedulerTables& tables, SchedulerTick& tick) {
+void PlaceStep(const StepKey& key, bool half_free,
+               const std::vector<MemberName>& open, SchedulerTables& tables,
+               SchedulerTick& tick) {
   const JobRow* job = tables.jobs_.Find(key.job());
   const Shared<JobRecord> record = job->record();
   const ServiceName service = job->queue()->service();
@@ -106,15 +107,18 @@
   const auto ready = tables.tasks_.ready().find(key);
   const std::set<std::int32_t> indexes = ready->second;
   for (const std::int32_t index : indexes) {
-    const auto worker = ChooseWorker(key, step, service, open, tables);
+    const TaskKey task = TaskKey::Builder()
+                             .job(key.job())
+                             .occurrence(key.occurrence())
+                             .step(key.step())
+                             .index(index)
+                             .Build();
+    const bool overdue =
+        half_free && tick.now() - tables.tasks_.Find(task)->ready_since() >
+                         tables.policy_.placement().longest_wait();
+    const auto worker = ChooseWorker(key, step, service, overdue, open, tables);
     if (!worker) return;
-    Start(TaskKey::Builder()
-              .job(key.job())
-              .occurrence(key.occurrence())
-              .step(key.step())
-              .index(index)
-              .Build(),
-          *worker, tables, tick);
+    Start(task, *worker, tables, tick);
   }
 }
 
@@ -128,8 +132,9 @@
   tables.placement_due_ = false;
   tables.next_placement_ = tick.now() + kPlacementInterval;
   const std::vector<MemberName> open = OpenWorkers(tables, tick.now());
+  const bool half_free = IsHalfFree(open, tables);
   for (const ReadyStep& step : RankReadySteps(tables, tick.now())) {
-    PlaceStep(step.key_, open, tables, tick);
+    PlaceStep(step.key_, half_free, open, tables, tick);
   }
   if (!tables.tasks_.ready().empty()) tick.WakeAt(tables.next_placement_);
 }
--- a/src/systems/scheduler/place_runs.h
+++ b/src/systems/scheduler/place_runs.h
@@ -6,8 +6,8 @@
 
 namespace quetzalline {
 
-/// Starts what is ready where there is room for it: first what serves, then
-/// what is urgent, then what fills; within each, what is due first.
+/// Starts what is ready where there is room for it: first what is urgent and
+/// short, then what serves, then what fills; within each, what is due first.
 void PlaceRuns(SchedulerTables& tables, SchedulerTick& tick);
 
 /// Moves lasting tasks away from workers that drain.
--- a/src/systems/scheduler/scheduler_node.cc
+++ b/src/systems/scheduler/scheduler_node.cc
@@ -4,6 +4,7 @@
 #include "systems/scheduler/commit_progress.h"
 #include "systems/scheduler/follow_members.h"
 #include "systems/scheduler/load_kept.h"
+#include "systems/scheduler/make_room.h"
 #include "systems/scheduler/place_runs.h"
 #include "systems/scheduler/take_inputs.h"
 #include "systems/scheduler/track_workers.h"
@@ -27,6 +28,8 @@
   LeaveDrainingWorkers(tables_, tick);
   GrantLeases(tables_, tick);
   PlaceRuns(tables_, tick);
+  PreemptLasting(tables_, tick);
+  ConsolidateServing(tables_, tick);
   CommitProgress(tables_, tick);
   BeatEntries(tables_, tick);
   tables_.last_tick_ = now;
--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -384,7 +384,7 @@
     occurrences.insert({key.job(), key.occurrence()});
   }
   for (const auto& [job, occurrence] : occurrences) {
-    UnlockSteps(job, occurrence, tables);
+    UnlockSteps(job, occurrence, tick.now(), tables);
   }
 }
 
--- a/src/tables/job_task.h
+++ b/src/tables/job_task.h
@@ -37,12 +37,14 @@
   bool stopping() const { return stopping_; }
   /// What the task needs.
   const Shared<JobStep>& step() const { return step_; }
+  /// When it last became ready.
+  Instant ready_since() const { return ready_since_; }
 
   friend auto operator<=>(const JobTask&, const JobTask&) = default;
 
  private:
   QUETZALLINE_VALUE(JobTask, stage_, run_, worker_, failures_, checkpoint_,
-                    assigned_at_, percent_, stopping_, step_)
+                    assigned_at_, percent_, stopping_, step_, ready_since_)
 
   TaskStage stage_ = TaskStage{};
   std::int64_t run_ = 0;
@@ -53,6 +55,7 @@
   std::int32_t percent_ = 0;
   bool stopping_ = false;
   Shared<JobStep> step_;
+  Instant ready_since_ = Instant{};
 };
 
 /// Builds one JobTask; what is not set keeps its default.
@@ -77,6 +80,9 @@
   Builder& step(Shared<JobStep> value) {
     return Set(value_.step_, std::move(value));
   }
+  Builder& ready_since(Instant value) {
+    return Set(value_.ready_since_, value);
+  }
 };
 
 }  // namespace quetzalline
--- a/src/tables/placement_policy.h
+++ b/src/tables/placement_policy.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string_view>
 
+#include "core/time.h"
 #include "core/value.h"
 
 namespace quetzalline {
@@ -35,6 +36,9 @@
   /// Share of its speed at which a task works that nothing is known of, until
   /// its neighbours are seen to bear it.
   std::int32_t trial_pace() const { return trial_pace_; }
+  /// A task that fills and has waited this long joins tasks that serve whatever
+  /// their tails, on trial, while the workers are half free.
+  Duration longest_wait() const { return longest_wait_; }
   /// What an image adds to a tail of which nothing is known, in percent of the
   /// target for each core.
   double unknown_press() const { return unknown_press_; }
@@ -45,7 +49,7 @@
  private:
   QUETZALLINE_VALUE(PlacementPolicy, highest_tail_percent_, quiet_percent_,
                     serving_cost_, other_image_cost_, data_rack_bonus_,
-                    unused_percent_, trial_pace_, unknown_press_)
+                    unused_percent_, trial_pace_, longest_wait_, unknown_press_)
 
   double highest_tail_percent_ = 85.0;
   double quiet_percent_ = 6.0;
@@ -54,6 +58,7 @@
   double data_rack_bonus_ = 0.4;
   std::int64_t unused_percent_ = 50;
   std::int32_t trial_pace_ = 30;
+  Duration longest_wait_ = std::chrono::milliseconds(1200);
   double unknown_press_ = 1.0;
 };
 
@@ -83,6 +88,9 @@
   Builder& trial_pace(std::int32_t value) {
     return Set(value_.trial_pace_, value);
   }
+  Builder& longest_wait(Duration value) {
+    return Set(value_.longest_wait_, value);
+  }
   Builder& unknown_press(double value) {
     return Set(value_.unknown_press_, value);
   }
--- a/src/tables/scheduler_tables.h
+++ b/src/tables/scheduler_tables.h
@@ -90,6 +90,8 @@
   /// Whether something changed that may let work be placed.
   bool placement_due_ = false;
   Instant next_placement_;
+  Instant next_preemption_;
+  Instant next_consolidation_;
 };
 
 }  // namespace quetzalline
