A cell in virtual time; what lasts runs on a worker that rests, if need be

Lasting failures no longer count, and lasting tasks take a resting worker if there is no other. test/support/virtual_cell runs agents, entries, store and workers in virtual time; cells/a_lasting_task_that_fails_often_is_started_again failed first.

--- a/src/systems/scheduler/choose_worker.cc
+++ b/src/systems/scheduler/choose_worker.cc
@@ -9,6 +9,8 @@
 
 // A worker that was not heard for this long gets no new work.
 constexpr Duration kFreshReport = std::chrono::milliseconds(900);
+// Keeps what lasts off a worker that fails, while there is another.
+constexpr double kRestingCost = 20.0;
 
 bool HasLabel(const WorkerFacts& facts, const std::string& label) {
   return std::find(facts.labels().begin(), facts.labels().end(), label) !=
@@ -88,7 +90,7 @@
 bool IsOpen(const MemberName& name, const WorkerRow& worker,
             const SchedulerTables& tables, Instant now) {
   if (!worker.reported() || !worker.facts()) return false;
-  if (worker.facts()->draining() || worker.rests_until() > now) return false;
+  if (worker.facts()->draining()) return false;
   if (tables.strays_.count(name) > 0) return false;
   const MemberRow* member = tables.members_.Find(name);
   return member != nullptr && member->connection() &&
@@ -146,7 +148,12 @@
     }
     const bool other_images =
         step.target() > Duration() && ServesOthers(name, step.image(), tables);
-    const double cost = Cost(step, facts, use, policy, quiet, other_images);
+    double cost = Cost(step, facts, use, policy, quiet, other_images);
+    if (tables.workers_.Find(name)->rests_until() > tables.last_tick_) {
+      // What lasts has to run somewhere; anything else can wait a little.
+      if (!step.long_running()) continue;
+      cost += kRestingCost;
+    }
     if (best && cost >= least) continue;
     best = name;
     least = cost;
--- a/src/systems/scheduler/conclude_job.cc
+++ b/src/systems/scheduler/conclude_job.cc
@@ -143,7 +143,8 @@
                 SchedulerTables& tables, SchedulerTick& tick) {
   const TaskKey& key = end.run().task();
   const JobTask* task = tables.tasks_.Find(key);
-  CountOutcome(worker, end.outcome(), tick.now(), tables);
+  const bool lasts = task != nullptr && task->step()->long_running();
+  if (!lasts) CountOutcome(worker, end.outcome(), tick.now(), tables);
   if (task == nullptr || task->stage() == TaskStage::kDone) return;
   const JobRow* job = tables.jobs_.Find(key.job());
   const bool current = task->stage() == TaskStage::kAssigned &&
--- /dev/null
+++ b/test/cell/cell_test.cc
@@ -0,0 +1,279 @@
+#include <boost/test/unit_test.hpp>
+
+#include "support/virtual_cell.h"
+
+namespace quetzalline {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+JobStep Step(std::int32_t count, std::int64_t cpu, milliseconds time) {
+  return JobStep::Builder()
+      .count(count)
+      .cpu(cpu)
+      .memory_mb(100)
+      .estimate(time)
+      .Build();
+}
+
+JobDefinition TwoSteps() {
+  const JobStep second =
+      JobStep::Builder(Step(3, 1000, milliseconds(400))).after({0}).Build();
+  return JobDefinition::Builder()
+      .spec("spec")
+      .steps({Step(4, 1000, milliseconds(500)), second})
+      .Build();
+}
+
+JobDefinition Lasting() {
+  return JobDefinition::Builder()
+      .spec("spec")
+      .steps({JobStep::Builder(Step(3, 2000, milliseconds(400)))
+                  .long_running(true)
+                  .Build()})
+      .Build();
+}
+
+// A cell that has had time to find its holder.
+struct CalmCell {
+  explicit CalmCell(std::uint64_t seed = 1) : cell_(5, 2, seed) {
+    cell_.RunFor(seconds(3));
+  }
+  ~CalmCell() {
+    for (const std::string& what : cell_.log().broken()) {
+      BOOST_ERROR(what);
+    }
+  }
+  VirtualCell cell_;
+};
+
+std::size_t RunningTasks(VirtualCell& cell) {
+  std::size_t running = 0;
+  for (std::size_t i = 0; i < cell.agents(); ++i) {
+    running += cell.worker(i).running();
+  }
+  return running;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(cells)
+
+BOOST_AUTO_TEST_CASE(a_job_of_two_steps_runs_in_order_to_its_end) {
+  CalmCell calm;
+  VirtualCell& cell = calm.cell_;
+  BOOST_REQUIRE(cell.Holder().has_value());
+  const std::uint64_t job = cell.Submit(TwoSteps());
+  cell.RunFor(milliseconds(200));
+  BOOST_TEST(cell.IsAccepted(job));
+  cell.RunFor(seconds(3));
+  cell.Ask(job);
+  cell.RunFor(milliseconds(100));
+  BOOST_TEST((cell.StateOf(job) == JobState::kCompleted));
+  BOOST_TEST(cell.log().StartsOf(job) == 7);
+}
+
+BOOST_AUTO_TEST_CASE(a_repeated_hand_in_is_one_job) {
+  CalmCell calm;
+  VirtualCell& cell = calm.cell_;
+  const std::uint64_t job = cell.Submit(TwoSteps());
+  cell.Resubmit(job, 1);
+  cell.RunFor(seconds(4));
+  cell.Resubmit(job, 0);
+  cell.RunFor(seconds(4));
+  BOOST_TEST(cell.log().StartsOf(job) == 7);
+}
+
+BOOST_AUTO_TEST_CASE(a_cancelled_job_stops_and_stays_cancelled) {
+  CalmCell calm;
+  VirtualCell& cell = calm.cell_;
+  const std::uint64_t job = cell.Submit(Lasting());
+  cell.RunFor(seconds(1));
+  BOOST_TEST(RunningTasks(cell) == 3U);
+  cell.Cancel(job);
+  cell.RunFor(seconds(1));
+  BOOST_TEST(RunningTasks(cell) == 0U);
+  cell.Ask(job);
+  cell.RunFor(milliseconds(100));
+  BOOST_TEST((cell.StateOf(job) == JobState::kCancelled));
+}
+
+BOOST_AUTO_TEST_CASE(an_unknown_job_is_told_as_unknown) {
+  CalmCell calm;
+  VirtualCell& cell = calm.cell_;
+  cell.Ask(42);
+  cell.RunFor(milliseconds(200));
+  BOOST_TEST(cell.IsUnknown(42));
+}
+
+BOOST_AUTO_TEST_CASE(work_goes_on_when_the_holder_dies) {
+  CalmCell calm;
+  VirtualCell& cell = calm.cell_;
+  const std::uint64_t lasting = cell.Submit(Lasting());
+  const std::uint64_t job = cell.Submit(TwoSteps());
+  cell.RunFor(milliseconds(300));
+  const std::size_t holder = *cell.Holder();
+  cell.KillAgent(holder);
+  cell.RunFor(seconds(4));
+  BOOST_REQUIRE(cell.Holder().has_value());
+  BOOST_TEST(*cell.Holder() != holder);
+  // The worker beside the dead agent lapses; its tasks go elsewhere.
+  cell.RunFor(seconds(8));
+  BOOST_TEST(RunningTasks(cell) == 3U);
+  cell.Ask(job);
+  cell.Ask(lasting);
+  cell.RunFor(milliseconds(100));
+  BOOST_TEST((cell.StateOf(job) == JobState::kCompleted));
+  BOOST_TEST((cell.StateOf(lasting) == JobState::kRunning));
+}
+
+BOOST_AUTO_TEST_CASE(tasks_run_on_through_a_take_over) {
+  CalmCell calm;
+  VirtualCell& cell = calm.cell_;
+  const std::uint64_t job = cell.Submit(Lasting());
+  cell.RunFor(seconds(1));
+  const std::size_t holder = *cell.Holder();
+  cell.KillAgent(holder);
+  cell.RunFor(milliseconds(300));
+  cell.StartAgent(holder);
+  cell.RunFor(seconds(10));
+  BOOST_TEST(RunningTasks(cell) == 3U);
+  BOOST_TEST(cell.log().StartsOf(job) == 3);
+}
+
+BOOST_AUTO_TEST_CASE(work_goes_on_while_the_store_is_away) {
+  CalmCell calm;
+  VirtualCell& cell = calm.cell_;
+  const std::uint64_t job = cell.Submit(TwoSteps());
+  cell.RunFor(milliseconds(100));
+  cell.kv().SetAway(true);
+  cell.RunFor(seconds(3));
+  // Both steps ran, although no end could be kept.
+  BOOST_TEST(cell.log().StartsOf(job) == 7);
+  const std::uint64_t late = cell.Submit(TwoSteps(), 1);
+  cell.RunFor(seconds(3));
+  BOOST_TEST(!cell.IsAccepted(late));
+  cell.kv().SetAway(false);
+  cell.RunFor(seconds(4));
+  cell.Ask(job);
+  cell.RunFor(milliseconds(100));
+  BOOST_TEST((cell.StateOf(job) == JobState::kCompleted));
+}
+
+BOOST_AUTO_TEST_CASE(a_holder_that_is_cut_off_grants_nothing_more) {
+  CalmCell calm;
+  VirtualCell& cell = calm.cell_;
+  cell.Submit(Lasting());
+  cell.RunFor(seconds(1));
+  const std::size_t holder = *cell.Holder();
+  cell.CutAgent(holder, true, true);
+  cell.RunFor(seconds(12));
+  BOOST_REQUIRE(cell.Holder().has_value());
+  BOOST_TEST(*cell.Holder() != holder);
+  BOOST_TEST(cell.worker(holder).running() == 0U);
+  BOOST_TEST(RunningTasks(cell) == 3U);
+  cell.CutAgent(holder, false, false);
+  cell.RunFor(seconds(5));
+  BOOST_TEST(RunningTasks(cell) == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(a_holder_whose_key_is_taken_away_is_replaced) {
+  CalmCell calm;
+  VirtualCell& cell = calm.cell_;
+  cell.Submit(Lasting());
+  cell.RunFor(seconds(1));
+  const std::size_t holder = *cell.Holder();
+  cell.kv().TurnAway("agent-" + std::to_string(holder), true);
+  cell.kv().Revoke("cell/holder");
+  cell.RunFor(seconds(2));
+  BOOST_REQUIRE(cell.Holder().has_value());
+  BOOST_TEST(*cell.Holder() != holder);
+  BOOST_TEST(RunningTasks(cell) == 3U);
+  BOOST_TEST(cell.log().starts() == 3);
+}
+
+BOOST_AUTO_TEST_CASE(a_worker_that_crashes_starts_its_tasks_again_once) {
+  CalmCell calm;
+  VirtualCell& cell = calm.cell_;
+  const std::uint64_t job = cell.Submit(Lasting());
+  cell.RunFor(seconds(1));
+  std::size_t busy = 0;
+  while (cell.worker(busy).running() == 0) ++busy;
+  const auto lost = static_cast<std::int64_t>(cell.worker(busy).running());
+  cell.worker(busy).Crash();
+  cell.RunFor(milliseconds(500));
+  cell.worker(busy).Restart();
+  cell.RunFor(seconds(8));
+  BOOST_TEST(RunningTasks(cell) == 3U);
+  BOOST_TEST(cell.log().StartsOf(job) == 3 + lost);
+}
+
+BOOST_AUTO_TEST_CASE(an_order_carried_out_late_runs_nothing_twice) {
+  CalmCell calm(7);
+  VirtualCell& cell = calm.cell_;
+  for (std::size_t i = 0; i < cell.agents(); ++i) {
+    cell.worker(i).SetLatePercent(30);
+  }
+  std::vector<std::uint64_t> jobs;
+  for (int i = 0; i < 6; ++i) {
+    jobs.push_back(cell.Submit(TwoSteps()));
+    cell.RunFor(milliseconds(500));
+  }
+  cell.RunFor(seconds(20));
+  for (const std::uint64_t job : jobs) {
+    cell.Ask(job);
+    cell.RunFor(milliseconds(100));
+    BOOST_TEST((cell.StateOf(job) == JobState::kCompleted));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_job_that_fails_for_good_is_told_as_failed) {
+  CalmCell calm;
+  VirtualCell& cell = calm.cell_;
+  for (std::size_t i = 0; i < cell.agents(); ++i) {
+    cell.worker(i).SetFailPercent(100);
+  }
+  const std::uint64_t job =
+      cell.Submit(JobDefinition::Builder()
+                      .spec("spec")
+                      .steps({Step(1, 500, milliseconds(100))})
+                      .Build());
+  cell.RunFor(seconds(10));
+  cell.Ask(job);
+  cell.RunFor(milliseconds(100));
+  BOOST_TEST((cell.StateOf(job) == JobState::kFailed));
+  BOOST_TEST(cell.log().StartsOf(job) == 3);
+}
+
+BOOST_AUTO_TEST_CASE(a_lasting_task_that_fails_often_is_started_again) {
+  VirtualCell cell(1, 1, 3);
+  cell.RunFor(seconds(3));
+  const std::uint64_t failing =
+      cell.Submit(JobDefinition::Builder()
+                      .spec("spec")
+                      .steps({Step(8, 500, milliseconds(100))})
+                      .Build());
+  cell.worker(0).SetFailPercent(100);
+  cell.RunFor(seconds(1));
+  // Its only worker rests, and takes what lasts all the same.
+  const std::uint64_t lasting = cell.Submit(Lasting());
+  cell.RunFor(seconds(1));
+  BOOST_TEST(cell.log().StartsOf(failing) >= 8);
+  BOOST_TEST(cell.log().StartsOf(lasting) == 3);
+}
+
+BOOST_AUTO_TEST_CASE(a_draining_worker_gets_no_new_work) {
+  CalmCell calm;
+  VirtualCell& cell = calm.cell_;
+  cell.worker(0).SetDraining(true);
+  cell.RunFor(seconds(2));
+  for (int i = 0; i < 4; ++i) cell.Submit(TwoSteps());
+  cell.RunFor(milliseconds(400));
+  BOOST_TEST(cell.worker(0).running() == 0U);
+  BOOST_TEST(RunningTasks(cell) > 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace quetzalline
--- /dev/null
+++ b/test/support/virtual_cell.h
@@ -0,0 +1,119 @@
+#ifndef QUETZALLINE_TEST_SUPPORT_VIRTUAL_CELL_H_
+#define QUETZALLINE_TEST_SUPPORT_VIRTUAL_CELL_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "support/event_queue.h"
+#include "support/task_log.h"
+#include "support/virtual_kv.h"
+#include "support/virtual_node.h"
+#include "support/virtual_worker.h"
+#include "systems/gateway/gateway_node.h"
+#include "systems/runner/runner_node.h"
+#include "systems/scheduler/scheduler_node.h"
+
+namespace quetzalline {
+
+/// A whole cell in virtual time: agents, each with a runner, a scheduler and a
+/// worker; entries; the store; and the connections between them. Every promise
+/// is checked by the log while it runs.
+class VirtualCell {
+ public:
+  VirtualCell(std::size_t agents, std::size_t entries, std::uint64_t seed);
+
+  void RunFor(Duration time) { events_.RunUntil(events_.now() + time); }
+  Instant now() const { return events_.now(); }
+
+  /// Hands a job in, again while the answer is unknown or a refusal, as long as
+  /// tries are left. Returns its number.
+  std::uint64_t Submit(const JobDefinition& definition, int tries = 4);
+  void Resubmit(std::uint64_t job, std::size_t entry);
+  void Cancel(std::uint64_t job);
+  void Ask(std::uint64_t job);
+
+  bool IsAccepted(std::uint64_t job) const { return accepted_.count(job) > 0; }
+  /// The state last told of the job; empty before that, or where the caller was
+  /// told that there is no such job.
+  std::optional<JobState> StateOf(std::uint64_t job) const;
+  bool IsUnknown(std::uint64_t job) const { return unknown_.count(job) > 0; }
+
+  /// The agent that acts as the holder of the highest epoch.
+  std::optional<std::size_t> Holder() const;
+  const SchedulerTables& scheduler(std::size_t agent) const;
+  const RunnerTables& runner(std::size_t agent) const;
+
+  void KillAgent(std::size_t agent);
+  void StartAgent(std::size_t agent);
+  void PauseAgent(std::size_t agent, Duration time);
+  void KillEntry(std::size_t entry);
+  void StartEntry(std::size_t entry);
+  /// Cuts an agent off from every other process and, if wanted, the store.
+  void CutAgent(std::size_t agent, bool cut, bool store_too);
+  void CloseConnections(std::size_t agent);
+  VirtualWorker& worker(std::size_t agent) { return *agents_[agent].worker_; }
+  VirtualKv& kv() { return kv_; }
+  TaskLog& log() { return log_; }
+  std::size_t agents() const { return agents_.size(); }
+  std::size_t entries() const { return entries_.size(); }
+
+ private:
+  struct Agent {
+    std::unique_ptr<VirtualWorker> worker_;
+    std::unique_ptr<VirtualNode<RunnerNode>> runner_;
+    std::unique_ptr<VirtualNode<SchedulerNode>> scheduler_;
+    std::set<MemberName> dialled_;
+    bool cut_ = false;
+  };
+  struct Connection {
+    std::size_t scheduler_ = 0;
+    MemberName peer_;
+    bool silent_ = false;
+  };
+  struct Call {
+    std::uint64_t job_ = 0;
+    JobCallKind kind_;
+    int tries_ = 0;
+  };
+
+  void Perform(std::size_t agent, const RunnerEffect& effect);
+  void Perform(std::size_t agent, const SchedulerEffect& effect);
+  void PerformEntry(std::size_t entry, const GatewayEffect& effect);
+  void Dial(std::size_t agent, const MemberName& member);
+  void CloseConnection(ConnectionId id);
+  void DropPeer(std::size_t agent, const MemberName& member);
+  bool IsCut(const Connection& connection) const;
+  void ToPeer(ConnectionId id, const std::function<void()>& deliver);
+  void Announce(std::size_t agent);
+  void Send(const Call& call, std::size_t entry);
+  void TakeAnswer(const AnswerJobCall& answer);
+  void Retry(const Call& call, Duration wait);
+  std::optional<std::size_t> AgentOf(const MemberName& member) const;
+  std::optional<std::size_t> EntryOf(const MemberName& member) const;
+
+  EventQueue events_;
+  Random random_;
+  TaskLog log_;
+  VirtualKv kv_;
+  std::vector<Agent> agents_;
+  std::vector<std::unique_ptr<VirtualNode<GatewayNode>>> entries_;
+  std::map<ConnectionId, Connection> connections_;
+  std::uint64_t last_connection_ = 0;
+  std::uint64_t last_incarnation_ = 0;
+  std::map<std::uint64_t, Shared<JobDefinition>> jobs_;
+  std::map<std::uint64_t, Call> calls_;
+  std::uint64_t last_call_ = 0;
+  std::uint64_t last_job_ = 0;
+  std::set<std::uint64_t> accepted_;
+  std::set<std::uint64_t> unknown_;
+  std::map<std::uint64_t, JobState> states_;
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TEST_SUPPORT_VIRTUAL_CELL_H_
--- /dev/null
+++ b/test/support/virtual_kv.cc
@@ -0,0 +1,262 @@
+#include "support/virtual_kv.h"
+
+#include <utility>
+
+namespace quetzalline {
+namespace {
+
+constexpr Duration kOneWay = std::chrono::milliseconds(2);
+constexpr Duration kCallTime = std::chrono::milliseconds(1000);
+constexpr std::int64_t kLatestUs = 4'000'000;
+constexpr std::int64_t kAllPercent = 99;
+
+KvAnswer AnswerOf(std::uint64_t ticket, const KvResult& result) {
+  return KvAnswer::Builder().ticket(ticket).result(result).Build();
+}
+
+KvResult Failed(bool not_done) {
+  return KvFailed::Builder().not_done(not_done).Build();
+}
+
+bool HasPrefix(const std::string& key, const std::string& prefix) {
+  return key.compare(0, prefix.size(), prefix) == 0;
+}
+
+}  // namespace
+
+void VirtualKv::TurnAway(const std::string& caller, bool away) {
+  if (away) {
+    turned_away_.insert(caller);
+  } else {
+    turned_away_.erase(caller);
+  }
+}
+
+void VirtualKv::Serve(const std::string& caller, std::uint64_t ticket,
+                      Answer answer, std::function<KvResult()> work) {
+  ++calls_;
+  events_.After(kOneWay, [this, caller, ticket, answer, work] {
+    if (turned_away_.count(caller) > 0) {
+      events_.After(kOneWay, [=] { answer(AnswerOf(ticket, Failed(true))); });
+      return;
+    }
+    if (away_) {
+      events_.After(kCallTime,
+                    [=] { answer(AnswerOf(ticket, Failed(false))); });
+      return;
+    }
+    const KvResult result = work();
+    events_.After(kOneWay, [=] { answer(AnswerOf(ticket, result)); });
+  });
+}
+
+void VirtualKv::Perform(const std::string& caller, const KvGet& call,
+                        Answer answer) {
+  Serve(caller, call.ticket(), std::move(answer), [this, call]() -> KvResult {
+    KvItems::Builder items;
+    items.revision(revision_);
+    const auto found = items_.find(call.key());
+    if (found == items_.end()) return items.Build();
+    return items
+        .items({KvItem::Builder()
+                    .key(call.key())
+                    .record(found->second.record_)
+                    .revision(found->second.revision_)
+                    .Build()})
+        .Build();
+  });
+}
+
+void VirtualKv::Perform(const std::string& caller, const KvList& call,
+                        Answer answer) {
+  Serve(caller, call.ticket(), std::move(answer), [this, call]() -> KvResult {
+    std::vector<KvItem> items;
+    for (const auto& [key, item] : items_) {
+      if (!HasPrefix(key, call.prefix())) continue;
+      items.push_back(KvItem::Builder()
+                          .key(key)
+                          .record(item.record_)
+                          .revision(item.revision_)
+                          .Build());
+    }
+    return KvItems::Builder()
+        .items(std::move(items))
+        .revision(revision_)
+        .Build();
+  });
+}
+
+KvItems VirtualKv::Changes(const KvWatch& call) const {
+  std::vector<KvItem> items;
+  std::vector<std::string> removed;
+  for (const auto& [key, item] : items_) {
+    if (!HasPrefix(key, call.prefix())) continue;
+    if (item.revision_ <= call.after()) continue;
+    items.push_back(KvItem::Builder()
+                        .key(key)
+                        .record(item.record_)
+                        .revision(item.revision_)
+                        .Build());
+  }
+  for (const auto& [key, revision] : removed_) {
+    if (!HasPrefix(key, call.prefix()) || revision <= call.after()) continue;
+    removed.push_back(key);
+  }
+  return KvItems::Builder()
+      .items(std::move(items))
+      .removed(std::move(removed))
+      .revision(revision_)
+      .Build();
+}
+
+void VirtualKv::Perform(const std::string& caller, const KvWatch& call,
+                        Answer answer) {
+  ++calls_;
+  events_.After(kOneWay, [this, caller, call, answer] {
+    if (away_ || turned_away_.count(caller) > 0) {
+      events_.After(kCallTime,
+                    [=] { answer(AnswerOf(call.ticket(), Failed(true))); });
+      return;
+    }
+    const std::uint64_t number = ++last_watch_;
+    watches_[number] = {call, answer};
+    events_.After(call.wait(), [this, number] {
+      const auto found = watches_.find(number);
+      if (found == watches_.end()) return;
+      const Waiting waiting = found->second;
+      watches_.erase(found);
+      waiting.answer_(AnswerOf(waiting.call_.ticket(), Changes(waiting.call_)));
+    });
+    WakeWatches();
+  });
+}
+
+void VirtualKv::WakeWatches() {
+  std::vector<std::uint64_t> due;
+  for (const auto& [number, waiting] : watches_) {
+    const KvItems changes = Changes(waiting.call_);
+    if (!changes.items().empty() || !changes.removed().empty()) {
+      due.push_back(number);
+    }
+  }
+  for (const std::uint64_t number : due) {
+    const Waiting waiting = watches_.at(number);
+    watches_.erase(number);
+    const KvAnswer answer =
+        AnswerOf(waiting.call_.ticket(), Changes(waiting.call_));
+    events_.After(kOneWay, [=] { waiting.answer_(answer); });
+  }
+}
+
+void VirtualKv::Write(const std::string& key, const KvRecord& record,
+                      std::uint64_t lease) {
+  items_[key] = {record, revision_, lease};
+  removed_.erase(key);
+}
+
+void VirtualKv::Remove(const std::string& key) {
+  if (items_.erase(key) > 0) removed_[key] = revision_;
+}
+
+void VirtualKv::Put(const std::string& key, const KvRecord& record) {
+  ++revision_;
+  Write(key, record, 0);
+  WakeWatches();
+}
+
+void VirtualKv::Revoke(const std::string& key) {
+  ++revision_;
+  Remove(key);
+  WakeWatches();
+}
+
+const KvRecord* VirtualKv::Find(const std::string& key) const {
+  const auto found = items_.find(key);
+  return found == items_.end() ? nullptr : &found->second.record_;
+}
+
+KvResult VirtualKv::Commit(const KvCommit& call) {
+  for (const KvExpectation& expectation : call.expectations()) {
+    const auto found = items_.find(expectation.key());
+    const std::int64_t revision =
+        found == items_.end() ? 0 : found->second.revision_;
+    if (revision != expectation.revision()) return KvConflict();
+  }
+  for (const KvPut& put : call.puts()) {
+    if (put.lease() != 0 && leases_.count(put.lease()) == 0) {
+      return KvLeaseGone();
+    }
+  }
+  ++revision_;
+  for (const KvPut& put : call.puts()) {
+    Write(put.key(), *put.record(), put.lease());
+  }
+  for (const std::string& key : call.removals()) Remove(key);
+  WakeWatches();
+  return KvCommitted::Builder().revision(revision_).Build();
+}
+
+void VirtualKv::Perform(const std::string& caller, const KvCommit& call,
+                        Answer answer) {
+  const bool lost = Draw(random_, kAllPercent) < lost_percent_;
+  if (!lost || away_ || turned_away_.count(caller) > 0) {
+    return Serve(caller, call.ticket(), std::move(answer),
+                 [this, call] { return Commit(call); });
+  }
+  ++calls_;
+  const bool late = Draw(random_, 1) == 1;
+  const Duration delay =
+      late ? Duration(Draw(random_, kLatestUs)) : Duration(kOneWay);
+  events_.After(delay, [this, call] { Commit(call); });
+  events_.After(kCallTime,
+                [=] { answer(AnswerOf(call.ticket(), Failed(false))); });
+}
+
+void VirtualKv::ArmLease(std::uint64_t lease) {
+  events_.At(leases_.at(lease).second, [this, lease] {
+    const auto found = leases_.find(lease);
+    if (found == leases_.end() || found->second.second > events_.now()) return;
+    leases_.erase(found);
+    ++revision_;
+    std::vector<std::string> gone;
+    for (const auto& [key, item] : items_) {
+      if (item.lease_ == lease) gone.push_back(key);
+    }
+    for (const std::string& key : gone) Remove(key);
+    WakeWatches();
+  });
+}
+
+void VirtualKv::Perform(const std::string& caller, const KvOpenLease& call,
+                        Answer answer) {
+  Serve(caller, call.ticket(), std::move(answer), [this, call]() -> KvResult {
+    const std::uint64_t lease = ++last_lease_;
+    leases_[lease] = {call.time(), events_.now() + call.time()};
+    ArmLease(lease);
+    return KvLeaseOpened::Builder().lease(lease).Build();
+  });
+}
+
+void VirtualKv::Perform(const std::string& caller, const KvRenewLease& call,
+                        Answer answer) {
+  Serve(caller, call.ticket(), std::move(answer), [this, call]() -> KvResult {
+    const auto found = leases_.find(call.lease());
+    if (found == leases_.end()) return KvLeaseGone();
+    found->second.second = events_.now() + found->second.first;
+    ArmLease(call.lease());
+    return KvLeaseRenewed();
+  });
+}
+
+void VirtualKv::Perform(const std::string& caller, const KvEndLease& call,
+                        Answer answer) {
+  Serve(caller, call.ticket(), std::move(answer), [this, call]() -> KvResult {
+    const auto found = leases_.find(call.lease());
+    if (found == leases_.end()) return KvLeaseGone();
+    found->second.second = events_.now();
+    ArmLease(call.lease());
+    return KvLeaseEnded();
+  });
+}
+
+}  // namespace quetzalline
