Random schedules of faults over a cell, and the faults they found

test/support/cell_schedule plays random jobs, kills, pauses, cuts, outages, lost answers, crashes and late orders in virtual time.

--- a/src/systems/runner/order_runs.cc
+++ b/src/systems/runner/order_runs.cc
@@ -116,6 +116,9 @@
                      HeldRun::Builder(*held).order(order).known(true).Build());
     return;
   }
+  if (tick.now() < tables.orders_stale_until_) {
+    return RefuseRun(order.run(), Reason::kHeartbeatMissed, tables, tick);
+  }
   tables.runs_.Put(key, HeldRun::Builder()
                             .run(order.run().run())
                             .order(order)
--- a/src/systems/runner/runner_node.cc
+++ b/src/systems/runner/runner_node.cc
@@ -1,6 +1,7 @@
 #include "systems/runner/runner_node.h"
 
 #include "core/overloaded.h"
+#include "systems/cell/log_fields.h"
 #include "systems/runner/follow_holder.h"
 #include "systems/runner/order_runs.h"
 #include "systems/runner/set_pace.h"
@@ -22,6 +23,7 @@
   if (found == tables.calls_.end()) return;
   const WorkerCall call = found->second;
   tables.calls_.erase(found);
+  if (!CheckLife(answer, tables, tick)) return;
   ReadWorkerClock(answer, tables, tick.now());
   std::visit(
       Overloaded{
@@ -72,9 +74,28 @@
   tables_.policy_ = policy;
 }
 
+namespace {
+
+// A runner ticks several times a second; a longer gap means that the process
+// stood still, and orders that waited for it are old.
+constexpr Duration kLongestTickGap = std::chrono::milliseconds(1500);
+constexpr Duration kStaleOrders = std::chrono::milliseconds(100);
+
+void NoticePause(RunnerTables& tables, RunnerTick& tick) {
+  const bool paused = tables.session_.connection() &&
+                      tick.now() - tables.last_tick_ > kLongestTickGap;
+  tables.last_tick_ = tick.now();
+  if (!paused) return;
+  LogLine(tick, "pause-noticed", 0, {});
+  tables.orders_stale_until_ = tick.now() + kStaleOrders;
+}
+
+}  // namespace
+
 std::vector<RunnerEffect> RunnerNode::RunTick(
     Instant now, std::span<const RunnerInput> inputs) {
   RunnerTick tick(now, random_, tables_.counters_);
+  NoticePause(tables_, tick);
   for (const RunnerInput& input : inputs) {
     std::visit(
         Overloaded{
--- a/src/systems/runner/watch_worker.cc
+++ b/src/systems/runner/watch_worker.cc
@@ -25,6 +25,7 @@
   tables.fencing_ = false;
   tables.next_hold_ = Instant();
   tables.facts_sequence_ = 0;
+  tables.life_confirmed_ = false;
   tables.fill_pace_ = 100;
   tables.session_ =
       HolderSession::Builder(tables.session_).synced(false).Build();
@@ -43,7 +44,7 @@
                     tables, tick.now()))
                 .worker(tables.facts_->worker())
                 .until_ms(tables.until_ms_)
-                .last_seen(tables.ends_noted_)
+                .last_seen(tables.life_confirmed_ ? tables.ends_noted_ : 0)
                 .fence(CurrentFence(tables))
                 .wait(raises_fence ? Duration() : HoldWait(tables))
                 .Build());
@@ -163,6 +164,27 @@
   tables.whole_report_due_ = true;
 }
 
+bool CheckLife(const WorkerAnswer& answer, RunnerTables& tables,
+               RunnerTick& tick) {
+  if (answer.verdict() == WorkerVerdict::kLost) tables.life_confirmed_ = false;
+  if (answer.born_ms() == 0 || !tables.facts_) return true;
+  if (answer.born_ms() == tables.facts_->born_ms()) {
+    tables.life_confirmed_ = true;
+    return true;
+  }
+  if (answer.born_ms() < tables.facts_->born_ms()) return false;
+  LogLine(tick, "worker-reborn", 0,
+          {Field("worker", tables.facts_->worker()),
+           Field("born_ms", answer.born_ms())});
+  const WorkerFacts facts =
+      WorkerFacts::Builder(*tables.facts_).born_ms(answer.born_ms()).Build();
+  ForgetWorker(tables);
+  tables.facts_ = facts;
+  tables.facts_due_ = true;
+  tables.report_due_ = true;
+  return false;
+}
+
 void HoldWorker(RunnerTables& tables, RunnerTick& tick) {
   if (!tables.facts_ || tables.session_.epoch() == 0) return;
   if (tick.now() < tables.next_hold_) return tick.WakeAt(tables.next_hold_);
--- a/src/systems/runner/watch_worker.h
+++ b/src/systems/runner/watch_worker.h
@@ -16,6 +16,11 @@
 void TakeWorkerLeft(const WorkerLeft& left, RunnerTables& tables,
                     RunnerTick& tick);
 
+/// Compares the life that answered with the one that is known. An answer of
+/// another life says nothing of what was ordered from this one.
+bool CheckLife(const WorkerAnswer& answer, RunnerTables& tables,
+               RunnerTick& tick);
+
 /// Keeps one look at the worker under way, which renews its lease and returns
 /// as soon as a run ends; and one under a new fence where orders without an
 /// answer have to be made void.
--- a/src/systems/scheduler/commit_progress.cc
+++ b/src/systems/scheduler/commit_progress.cc
@@ -235,7 +235,9 @@
   for (const auto& [name, worker] : tables.workers_) {
     const auto open = first_open.find(name);
     const std::int64_t up_to =
-        open == first_open.end() ? worker.ends_seen() : open->second - 1;
+        open == first_open.end()
+            ? worker.ends_seen()
+            : std::min(worker.ends_seen(), open->second - 1);
     if (up_to <= worker.ends_noted() || !worker.facts()) continue;
     changed.emplace_back(name,
                          WorkerRow::Builder(worker).ends_noted(up_to).Build());
--- a/src/systems/scheduler/conclude_job.cc
+++ b/src/systems/scheduler/conclude_job.cc
@@ -156,6 +156,8 @@
            Field("current", current ? 1 : 0)});
   tables.placement_due_ = true;
   if (IsOver(job->state())) {
+    // The end may be forgotten only once the final state of the job is kept.
+    if (!job->closed()) tables.dirty_jobs_.insert(key.job());
     if (!current) return;
     tables.tasks_.Put(key,
                       JobTask::Builder(*task).stage(TaskStage::kDone).Build());
--- a/src/systems/scheduler/place_runs.cc
+++ b/src/systems/scheduler/place_runs.cc
@@ -9,6 +9,7 @@
 #include "systems/scheduler/conclude_job.h"
 #include "systems/scheduler/open_job.h"
 #include "systems/scheduler/send_start.h"
+#include "systems/scheduler/track_workers.h"
 
 namespace quetzalline {
 namespace {
@@ -126,6 +127,7 @@
 
 void PlaceRuns(SchedulerTables& tables, SchedulerTick& tick) {
   if (!IsActing(tables) || tables.tasks_.ready().empty()) return;
+  if (!MayAct(tables, tick.now())) return;
   if (!tables.placement_due_ && tick.now() < tables.next_placement_) {
     return tick.WakeAt(tables.next_placement_);
   }
--- a/src/systems/scheduler/scheduler_node.cc
+++ b/src/systems/scheduler/scheduler_node.cc
@@ -19,6 +19,7 @@
 std::vector<SchedulerEffect> SchedulerNode::RunTick(
     Instant now, std::span<const SchedulerInput> inputs) {
   SchedulerTick tick(now, random_, tables_.counters_);
+  NoticePause(tables_, tick);
   TakeInputs(inputs, tables_, tick);
   Campaign(tables_, tick);
   RetryLoading(tables_, tick);
@@ -32,7 +33,6 @@
   ConsolidateServing(tables_, tick);
   CommitProgress(tables_, tick);
   BeatEntries(tables_, tick);
-  tables_.last_tick_ = now;
   wake_at_ = tick.wake_at();
   return tick.TakeEffects();
 }
--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -25,6 +25,9 @@
 constexpr Duration kContactWindow = std::chrono::milliseconds(1000);
 // A worker that refused a start is asked again after this.
 constexpr Duration kRefusalRest = std::chrono::milliseconds(250);
+// A holder ticks at least twice a second; a longer gap means that the process
+// stood still, and what it hears next may be old.
+constexpr Duration kLongestTickGap = std::chrono::milliseconds(700);
 constexpr Duration kConfirmPause = std::chrono::milliseconds(300);
 // A new holder that few runners answer waits this long before it takes the
 // silent ones for lost.
@@ -46,6 +49,14 @@
   tables.strays_.erase(name);
 }
 
+void ForgetUnnotedEnds(const MemberName& name, SchedulerTables& tables) {
+  auto& ends = tables.unnoted_ends_;
+  ends.erase(std::remove_if(
+                 ends.begin(), ends.end(),
+                 [&](const UnnotedEnd& end) { return end.worker() == name; }),
+             ends.end());
+}
+
 void LoseWorker(const MemberName& name, SchedulerTables& tables,
                 SchedulerTick& tick) {
   const WorkerRow& worker = *tables.workers_.Find(name);
@@ -71,11 +82,12 @@
             {Field("member", name.value()),
              Field("draining", facts.draining() ? 1 : 0)});
   }
-  // What was ordered from the life before may have met the new one: nothing is
-  // placed there until it has listed what it runs.
+  // What was ordered from the life before may have met the new one: its tasks
+  // stay, and nothing is placed there, until it has listed what it runs.
   if (other) builder.reported(false);
+  // The ends of a new life count anew.
+  if (other) ForgetUnnotedEnds(name, tables);
   tables.workers_.Put(name, builder.Build());
-  if (other) ReturnAll(name, Reason::kInstanceLost, tables, tick);
   tables.placement_due_ = true;
 }
 
@@ -211,11 +223,6 @@
   return 2 * heard > runners;
 }
 
-bool MayGrant(const SchedulerTables& tables, Instant now) {
-  return HasMajority(tables, now) ||
-         now - tables.term_.confirmed_at() <= kContactWindow;
-}
-
 void ConfirmEpoch(SchedulerTables& tables, SchedulerTick& tick) {
   if (tick.now() < tables.next_confirm_) return;
   tables.next_confirm_ = tick.now() + kConfirmPause;
@@ -263,6 +270,21 @@
 
 }  // namespace
 
+bool MayAct(const SchedulerTables& tables, Instant now) {
+  if (now - tables.term_.confirmed_at() <= kContactWindow) return true;
+  return now >= tables.suspect_until_ && HasMajority(tables, now);
+}
+
+void NoticePause(SchedulerTables& tables, SchedulerTick& tick) {
+  const bool paused = tick.now() - tables.last_tick_ > kLongestTickGap;
+  tables.last_tick_ = tick.now();
+  if (!paused || !IsHolder(tables)) return;
+  LogLine(tick, "pause-noticed", 0, {Field("epoch", tables.term_.epoch())});
+  tables.suspect_until_ = tick.now() + kContactWindow;
+  tables.term_ =
+      HolderTerm::Builder(tables.term_).confirmed_at(Instant()).Build();
+}
+
 void HearMember(ConnectionId connection, SchedulerTables& tables, Instant now) {
   const auto found = tables.connections_.find(connection);
   if (found == tables.connections_.end()) return;
@@ -317,7 +339,7 @@
   const std::map<ConnectionId, std::int64_t> due =
       std::move(tables.grants_due_);
   tables.grants_due_.clear();
-  if (!MayGrant(tables, tick.now())) return ConfirmEpoch(tables, tick);
+  if (!MayAct(tables, tick.now())) return ConfirmEpoch(tables, tick);
   for (const auto& [connection, number] : due) {
     const auto found = tables.connections_.find(connection);
     if (found == tables.connections_.end()) continue;
--- a/src/systems/scheduler/track_workers.h
+++ b/src/systems/scheduler/track_workers.h
@@ -15,6 +15,15 @@
 /// Notes that a member spoke on this connection.
 void HearMember(ConnectionId connection, SchedulerTables& tables, Instant now);
 
+/// Whether this process may still grant leases and start work: most runners
+/// spoke to it lately, or the store has just confirmed its epoch. Otherwise
+/// another process may have been the holder for a while.
+bool MayAct(const SchedulerTables& tables, Instant now);
+
+/// Notices that the process stood still, after which messages that waited for
+/// it are no sign of contact.
+void NoticePause(SchedulerTables& tables, SchedulerTick& tick);
+
 /// Renews the leases of the workers that reported in this tick, while this
 /// process may still do so.
 void GrantLeases(SchedulerTables& tables, SchedulerTick& tick);
--- a/src/tables/runner_tables.h
+++ b/src/tables/runner_tables.h
@@ -29,6 +29,9 @@
   Registration registration_;
   std::uint64_t last_ticket_ = 0;
 
+  Instant last_tick_;
+  /// Until then, orders may have waited while the process stood still.
+  Instant orders_stale_until_;
   HolderSession session_;
   Instant holder_heard_;
   /// Times at which the latest reports were sent, by number.
@@ -59,6 +62,9 @@
   std::map<std::int64_t, RunEnd> ends_;
   std::int64_t ends_told_ = 0;
   std::int64_t ends_noted_ = 0;
+  /// Whether the worker's life is known to be the one of the facts. After a
+  /// lost call it may be another, whose ends count anew.
+  bool life_confirmed_ = false;
   std::vector<RunRefused> refusals_;
 
   /// Share of their speed that tasks that fill work at.
--- a/src/tables/scheduler_tables.h
+++ b/src/tables/scheduler_tables.h
@@ -85,6 +85,8 @@
   /// Reports of this tick that a lease is granted for.
   std::map<ConnectionId, std::int64_t> grants_due_;
   Instant next_confirm_;
+  /// Until then, what is heard may have waited while the process stood still.
+  Instant suspect_until_;
   Instant last_tick_;
   Instant next_beat_;
   /// Whether something changed that may let work be placed.
--- /dev/null
+++ b/test/support/cell_schedule.cc
@@ -0,0 +1,175 @@
+#include "support/cell_schedule.h"
+
+#include <set>
+
+#include "support/virtual_cell.h"
+#include "systems/cell/cell_keys.h"
+
+namespace quetzalline {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kAgents = 5;
+constexpr std::size_t kEntries = 2;
+constexpr int kRounds = 30;
+constexpr Duration kRound = milliseconds(700);
+// Long enough for every lease, take-over and retry to be over.
+constexpr Duration kCalm = seconds(45);
+
+JobDefinition DrawJob(Random& random) {
+  const auto step = [&](std::int32_t before) {
+    JobStep::Builder builder;
+    builder.count(static_cast<std::int32_t>(1 + Draw(random, 4)))
+        .cpu(500 + Draw(random, 2500))
+        .memory_mb(100 + Draw(random, 4000))
+        .estimate(milliseconds(100 + Draw(random, 900)));
+    if (before >= 0) builder.after({before});
+    return builder.Build();
+  };
+  JobDefinition::Builder job;
+  job.spec("spec");
+  if (Draw(random, 3) == 0) {
+    return job.steps({JobStep::Builder(step(-1)).long_running(true).Build()})
+        .Build();
+  }
+  return job.steps({step(-1), step(0)}).Build();
+}
+
+// One schedule: what is wrong at present, so that it can be mended at the end.
+class Schedule {
+ public:
+  explicit Schedule(std::uint64_t seed)
+      : random_(seed), cell_(kAgents, kEntries, seed) {}
+
+  std::vector<std::string> Run() {
+    cell_.RunFor(seconds(3));
+    for (int round = 0; round < kRounds; ++round) {
+      Work();
+      Fault();
+      cell_.RunFor(kRound);
+    }
+    Mend();
+    cell_.RunFor(kCalm);
+    return Judge();
+  }
+
+ private:
+  std::size_t DrawAgent() {
+    return static_cast<std::size_t>(Draw(random_, kAgents - 1));
+  }
+
+  void Work() {
+    if (Draw(random_, 1) == 0) {
+      const JobDefinition job = DrawJob(random_);
+      const std::uint64_t number = cell_.Submit(job);
+      jobs_.push_back(number);
+      if (job.steps().front().long_running()) lasting_.insert(number);
+    }
+    if (jobs_.empty()) return;
+    const auto last = static_cast<std::int64_t>(jobs_.size()) - 1;
+    const std::uint64_t job =
+        jobs_[static_cast<std::size_t>(Draw(random_, last))];
+    const std::int64_t what = Draw(random_, 9);
+    if (what == 0) cell_.Resubmit(job, 0);
+    if (what == 1) {
+      cell_.Cancel(job);
+      cancelled_.insert(job);
+    }
+    if (what > 1) cell_.Ask(job);
+  }
+
+  void Fault() {
+    const std::size_t agent = DrawAgent();
+    switch (Draw(random_, 15)) {
+      case 0:
+        return cell_.KillAgent(agent);
+      case 1:
+      case 2:
+        for (std::size_t i = 0; i < kAgents; ++i) cell_.StartAgent(i);
+        return;
+      case 3:
+        return cell_.PauseAgent(agent, milliseconds(500 + Draw(random_, 5000)));
+      case 4:
+        return cell_.CutAgent(agent, true, Draw(random_, 1) == 0);
+      case 5:
+      case 6:
+        for (std::size_t i = 0; i < kAgents; ++i) {
+          cell_.CutAgent(i, false, false);
+        }
+        return;
+      case 7:
+        return cell_.kv().SetAway(Draw(random_, 1) == 0);
+      case 8:
+        cell_.kv().TurnAway(Name(agent), true);
+        return cell_.kv().Revoke(std::string(kHolderKey));
+      case 9:
+        return cell_.kv().LoseAnswers(static_cast<int>(Draw(random_, 50)));
+      case 10:
+        return cell_.worker(agent).Crash();
+      case 11:
+        return cell_.worker(agent).Restart();
+      case 12:
+        return cell_.worker(agent).SetLatePercent(
+            static_cast<int>(Draw(random_, 40)));
+      case 13:
+        return cell_.CloseConnections(agent);
+      case 14:
+        if (const auto holder = cell_.Holder()) cell_.KillAgent(*holder);
+        return;
+      default:
+        cell_.KillEntry(0);
+        return cell_.StartEntry(0);
+    }
+  }
+
+  void Mend() {
+    cell_.kv().SetAway(false);
+    cell_.kv().LoseAnswers(0);
+    for (std::size_t i = 0; i < kAgents; ++i) {
+      cell_.CutAgent(i, false, false);
+      cell_.kv().TurnAway(Name(i), false);
+      cell_.StartAgent(i);
+      cell_.worker(i).Restart();
+      cell_.worker(i).SetLatePercent(0);
+    }
+  }
+
+  std::vector<std::string> Judge() {
+    for (const std::uint64_t job : jobs_) cell_.Ask(job);
+    cell_.RunFor(seconds(3));
+    cell_.log().CheckRefused();
+    std::vector<std::string> broken = cell_.log().broken();
+    for (const std::uint64_t job : jobs_) {
+      if (!cell_.IsAccepted(job) || cancelled_.count(job) > 0) continue;
+      const std::optional<JobState> state = cell_.StateOf(job);
+      const JobState wanted =
+          lasting_.count(job) > 0 ? JobState::kRunning : JobState::kCompleted;
+      if (cell_.IsLost(job)) {
+        broken.push_back("accepted and unknown: " + JobText(job));
+      } else if (state != wanted) {
+        broken.push_back("accepted and not carried out: " + JobText(job));
+      }
+    }
+    return broken;
+  }
+
+  static std::string Name(std::size_t agent) {
+    return "agent-" + std::to_string(agent);
+  }
+
+  Random random_;
+  VirtualCell cell_;
+  std::vector<std::uint64_t> jobs_;
+  std::set<std::uint64_t> lasting_;
+  std::set<std::uint64_t> cancelled_;
+};
+
+}  // namespace
+
+std::vector<std::string> RunCellSchedule(std::uint64_t seed) {
+  return Schedule(seed).Run();
+}
+
+}  // namespace quetzalline
--- a/test/support/virtual_cell.h
+++ b/test/support/virtual_cell.h
@@ -43,6 +43,9 @@
   std::optional<JobState> StateOf(std::uint64_t job) const;
   bool IsUnknown(std::uint64_t job) const { return unknown_.count(job) > 0; }
 
+  /// Whether a caller was told that an accepted job is not there.
+  bool IsLost(std::uint64_t job) const { return lost_.count(job) > 0; }
+
   /// The agent that acts as the holder of the highest epoch.
   std::optional<std::size_t> Holder() const;
   const SchedulerTables& scheduler(std::size_t agent) const;
@@ -79,6 +82,9 @@
     std::uint64_t job_ = 0;
     JobCallKind kind_;
     int tries_ = 0;
+    std::size_t entry_ = 0;
+    /// Whether its job had been accepted when the call was made.
+    bool accepted_ = false;
   };
 
   void Perform(std::size_t agent, const RunnerEffect& effect);
@@ -93,6 +99,7 @@
   void Send(const Call& call, std::size_t entry);
   void TakeAnswer(const AnswerJobCall& answer);
   void Retry(const Call& call, Duration wait);
+  void BreakCalls(std::size_t entry);
   std::optional<std::size_t> AgentOf(const MemberName& member) const;
   std::optional<std::size_t> EntryOf(const MemberName& member) const;
 
@@ -111,6 +118,7 @@
   std::uint64_t last_job_ = 0;
   std::set<std::uint64_t> accepted_;
   std::set<std::uint64_t> unknown_;
+  std::set<std::uint64_t> lost_;
   std::map<std::uint64_t, JobState> states_;
 };
 
