--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -252,8 +252,10 @@
   }
 }
 
-// The workers that hold tasks and whose lease is surely over.
-std::vector<MemberName> FindLapsed(const SchedulerTables& tables,
+// The workers that hold tasks and whose lease is surely over: it has run out,
+// and no later holder can have renewed it, since the store has confirmed this
+// epoch after that.
+std::vector<MemberName> FindLapsed(SchedulerTables& tables,
                                    SchedulerTick& tick) {
   std::vector<MemberName> lapsed;
   for (const auto& [name, worker] : tables.workers_) {
@@ -261,6 +263,9 @@
     const Instant over_at = worker.granted_at() + LeaseBound(tables.policy_);
     if (tick.now() < over_at) {
       tick.WakeAt(over_at);
+    } else if (tables.term_.confirmed_at() < over_at) {
+      ConfirmEpoch(tables, tick);
+      tick.WakeAt(tables.next_confirm_);
     } else {
       lapsed.push_back(name);
     }
