--- a/src/messages/gateway_effect.h
+++ b/src/messages/gateway_effect.h
@@ -5,9 +5,9 @@
 
 #include "messages/answer_job_call.h"
 #include "messages/close_connection.h"
-#include "messages/kv_commit.h"
-#include "messages/kv_get.h"
-#include "messages/kv_watch.h"
+#include "messages/kvs_commit.h"
+#include "messages/kvs_get.h"
+#include "messages/kvs_watch.h"
 #include "messages/log_decision.h"
 #include "messages/process_finished.h"
 #include "messages/send_to_holder.h"
@@ -16,8 +16,8 @@
 
 /// What a gateway node has done.
 using GatewayEffect =
-    std::variant<AnswerJobCall, SendToHolder, CloseConnection, KvGet, KvWatch,
-                 KvCommit, LogDecision, ProcessFinished>;
+    std::variant<AnswerJobCall, SendToHolder, CloseConnection, KvsGet, KvsWatch,
+                 KvsCommit, LogDecision, ProcessFinished>;
 
 }  // namespace quetzalline
 
--- a/src/messages/gateway_input.h
+++ b/src/messages/gateway_input.h
@@ -7,7 +7,7 @@
 #include "messages/connection_opened.h"
 #include "messages/gateway_message_received.h"
 #include "messages/job_call.h"
-#include "messages/kv_answer.h"
+#include "messages/kvs_answer.h"
 #include "messages/stop_requested.h"
 
 namespace quetzalline {
@@ -15,7 +15,7 @@
 /// What a gateway node takes in.
 using GatewayInput =
     std::variant<ConnectionOpened, ConnectionClosed, GatewayMessageReceived,
-                 JobCall, KvAnswer, StopRequested>;
+                 JobCall, KvsAnswer, StopRequested>;
 
 }  // namespace quetzalline
 
--- a/src/messages/kv_commit.h
+++ b/src/messages/kvs_commit.h
@@ -1,5 +1,5 @@
-#ifndef QUETZALLINE_MESSAGES_KV_COMMIT_H_
-#define QUETZALLINE_MESSAGES_KV_COMMIT_H_
+#ifndef QUETZALLINE_MESSAGES_KVS_COMMIT_H_
+#define QUETZALLINE_MESSAGES_KVS_COMMIT_H_
 
 #include <compare>
 #include <cstdint>
@@ -9,46 +9,46 @@
 #include <vector>
 
 #include "core/value.h"
-#include "messages/kv_expectation.h"
-#include "messages/kv_put.h"
+#include "messages/kvs_expectation.h"
+#include "messages/kvs_put.h"
 
 namespace quetzalline {
 
 /// Changes several keys at once if every expectation holds.
-class KvCommit {
+class KvsCommit {
  public:
   class Builder;
 
-  static constexpr std::string_view kName = "kv-commit";
+  static constexpr std::string_view kName = "kvs-commit";
 
   std::uint64_t ticket() const { return ticket_; }
-  const std::vector<KvExpectation>& expectations() const {
+  const std::vector<KvsExpectation>& expectations() const {
     return expectations_;
   }
-  const std::vector<KvPut>& puts() const { return puts_; }
+  const std::vector<KvsPut>& puts() const { return puts_; }
   const std::vector<std::string>& removals() const { return removals_; }
 
-  friend auto operator<=>(const KvCommit&, const KvCommit&) = default;
+  friend auto operator<=>(const KvsCommit&, const KvsCommit&) = default;
 
  private:
-  QUETZALLINE_VALUE(KvCommit, ticket_, expectations_, puts_, removals_)
+  QUETZALLINE_VALUE(KvsCommit, ticket_, expectations_, puts_, removals_)
 
   std::uint64_t ticket_ = 0;
-  std::vector<KvExpectation> expectations_;
-  std::vector<KvPut> puts_;
+  std::vector<KvsExpectation> expectations_;
+  std::vector<KvsPut> puts_;
   std::vector<std::string> removals_;
 };
 
-/// Builds one KvCommit; what is not set keeps its default.
-class KvCommit::Builder : public ValueBuilder<KvCommit, Builder> {
+/// Builds one KvsCommit; what is not set keeps its default.
+class KvsCommit::Builder : public ValueBuilder<KvsCommit, Builder> {
  public:
   using ValueBuilder::ValueBuilder;
 
   Builder& ticket(std::uint64_t value) { return Set(value_.ticket_, value); }
-  Builder& expectations(std::vector<KvExpectation> value) {
+  Builder& expectations(std::vector<KvsExpectation> value) {
     return Set(value_.expectations_, std::move(value));
   }
-  Builder& puts(std::vector<KvPut> value) {
+  Builder& puts(std::vector<KvsPut> value) {
     return Set(value_.puts_, std::move(value));
   }
   Builder& removals(std::vector<std::string> value) {
@@ -58,4 +58,4 @@
 
 }  // namespace quetzalline
 
-#endif  // QUETZALLINE_MESSAGES_KV_COMMIT_H_
+#endif  // QUETZALLINE_MESSAGES_KVS_COMMIT_H_
--- a/src/messages/kv_end_lease.h
+++ b/src/messages/kvs_end_lease.h
@@ -1,5 +1,5 @@
-#ifndef QUETZALLINE_MESSAGES_KV_END_LEASE_H_
-#define QUETZALLINE_MESSAGES_KV_END_LEASE_H_
+#ifndef QUETZALLINE_MESSAGES_KVS_END_LEASE_H_
+#define QUETZALLINE_MESSAGES_KVS_END_LEASE_H_
 
 #include <compare>
 #include <cstdint>
@@ -10,26 +10,26 @@
 namespace quetzalline {
 
 /// Ends a lease; its keys go.
-class KvEndLease {
+class KvsEndLease {
  public:
   class Builder;
 
-  static constexpr std::string_view kName = "kv-end-lease";
+  static constexpr std::string_view kName = "kvs-end-lease";
 
   std::uint64_t ticket() const { return ticket_; }
   std::uint64_t lease() const { return lease_; }
 
-  friend auto operator<=>(const KvEndLease&, const KvEndLease&) = default;
+  friend auto operator<=>(const KvsEndLease&, const KvsEndLease&) = default;
 
  private:
-  QUETZALLINE_VALUE(KvEndLease, ticket_, lease_)
+  QUETZALLINE_VALUE(KvsEndLease, ticket_, lease_)
 
   std::uint64_t ticket_ = 0;
   std::uint64_t lease_ = 0;
 };
 
-/// Builds one KvEndLease; what is not set keeps its default.
-class KvEndLease::Builder : public ValueBuilder<KvEndLease, Builder> {
+/// Builds one KvsEndLease; what is not set keeps its default.
+class KvsEndLease::Builder : public ValueBuilder<KvsEndLease, Builder> {
  public:
   using ValueBuilder::ValueBuilder;
 
@@ -39,4 +39,4 @@
 
 }  // namespace quetzalline
 
-#endif  // QUETZALLINE_MESSAGES_KV_END_LEASE_H_
+#endif  // QUETZALLINE_MESSAGES_KVS_END_LEASE_H_
--- a/src/messages/kv_expectation.h
+++ b/src/messages/kvs_expectation.h
@@ -1,5 +1,5 @@
-#ifndef QUETZALLINE_MESSAGES_KV_EXPECTATION_H_
-#define QUETZALLINE_MESSAGES_KV_EXPECTATION_H_
+#ifndef QUETZALLINE_MESSAGES_KVS_EXPECTATION_H_
+#define QUETZALLINE_MESSAGES_KVS_EXPECTATION_H_
 
 #include <compare>
 #include <cstdint>
@@ -12,27 +12,28 @@
 namespace quetzalline {
 
 /// A condition of a commit.
-class KvExpectation {
+class KvsExpectation {
  public:
   class Builder;
 
-  static constexpr std::string_view kName = "kv-expectation";
+  static constexpr std::string_view kName = "kvs-expectation";
 
   const std::string& key() const { return key_; }
   /// 0 where the key must not exist.
   std::int64_t revision() const { return revision_; }
 
-  friend auto operator<=>(const KvExpectation&, const KvExpectation&) = default;
+  friend auto operator<=>(const KvsExpectation&,
+                          const KvsExpectation&) = default;
 
  private:
-  QUETZALLINE_VALUE(KvExpectation, key_, revision_)
+  QUETZALLINE_VALUE(KvsExpectation, key_, revision_)
 
   std::string key_;
   std::int64_t revision_ = 0;
 };
 
-/// Builds one KvExpectation; what is not set keeps its default.
-class KvExpectation::Builder : public ValueBuilder<KvExpectation, Builder> {
+/// Builds one KvsExpectation; what is not set keeps its default.
+class KvsExpectation::Builder : public ValueBuilder<KvsExpectation, Builder> {
  public:
   using ValueBuilder::ValueBuilder;
 
@@ -42,4 +43,4 @@
 
 }  // namespace quetzalline
 
-#endif  // QUETZALLINE_MESSAGES_KV_EXPECTATION_H_
+#endif  // QUETZALLINE_MESSAGES_KVS_EXPECTATION_H_
--- a/src/messages/kv_get.h
+++ b/src/messages/kvs_get.h
@@ -1,5 +1,5 @@
-#ifndef QUETZALLINE_MESSAGES_KV_GET_H_
-#define QUETZALLINE_MESSAGES_KV_GET_H_
+#ifndef QUETZALLINE_MESSAGES_KVS_GET_H_
+#define QUETZALLINE_MESSAGES_KVS_GET_H_
 
 #include <compare>
 #include <cstdint>
@@ -12,26 +12,26 @@
 namespace quetzalline {
 
 /// Reads one key, and what it held last.
-class KvGet {
+class KvsGet {
  public:
   class Builder;
 
-  static constexpr std::string_view kName = "kv-get";
+  static constexpr std::string_view kName = "kvs-get";
 
   std::uint64_t ticket() const { return ticket_; }
   const std::string& key() const { return key_; }
 
-  friend auto operator<=>(const KvGet&, const KvGet&) = default;
+  friend auto operator<=>(const KvsGet&, const KvsGet&) = default;
 
  private:
-  QUETZALLINE_VALUE(KvGet, ticket_, key_)
+  QUETZALLINE_VALUE(KvsGet, ticket_, key_)
 
   std::uint64_t ticket_ = 0;
   std::string key_;
 };
 
-/// Builds one KvGet; what is not set keeps its default.
-class KvGet::Builder : public ValueBuilder<KvGet, Builder> {
+/// Builds one KvsGet; what is not set keeps its default.
+class KvsGet::Builder : public ValueBuilder<KvsGet, Builder> {
  public:
   using ValueBuilder::ValueBuilder;
 
@@ -41,4 +41,4 @@
 
 }  // namespace quetzalline
 
-#endif  // QUETZALLINE_MESSAGES_KV_GET_H_
+#endif  // QUETZALLINE_MESSAGES_KVS_GET_H_
--- a/src/messages/kv_item.h
+++ b/src/messages/kvs_item.h
@@ -1,5 +1,5 @@
-#ifndef QUETZALLINE_MESSAGES_KV_ITEM_H_
-#define QUETZALLINE_MESSAGES_KV_ITEM_H_
+#ifndef QUETZALLINE_MESSAGES_KVS_ITEM_H_
+#define QUETZALLINE_MESSAGES_KVS_ITEM_H_
 
 #include <compare>
 #include <cstdint>
@@ -9,40 +9,40 @@
 #include <utility>
 
 #include "core/value.h"
-#include "records/kv_record.h"
+#include "records/kvs_record.h"
 
 namespace quetzalline {
 
 /// A key of the store with what it holds.
-class KvItem {
+class KvsItem {
  public:
   class Builder;
 
-  static constexpr std::string_view kName = "kv-item";
+  static constexpr std::string_view kName = "kvs-item";
 
   const std::string& key() const { return key_; }
   /// Empty where the value cannot be read.
-  const std::optional<KvRecord>& record() const { return record_; }
+  const std::optional<KvsRecord>& record() const { return record_; }
   /// The store's revision at its last change.
   std::int64_t revision() const { return revision_; }
 
-  friend auto operator<=>(const KvItem&, const KvItem&) = default;
+  friend auto operator<=>(const KvsItem&, const KvsItem&) = default;
 
  private:
-  QUETZALLINE_VALUE(KvItem, key_, record_, revision_)
+  QUETZALLINE_VALUE(KvsItem, key_, record_, revision_)
 
   std::string key_;
-  std::optional<KvRecord> record_;
+  std::optional<KvsRecord> record_;
   std::int64_t revision_ = 0;
 };
 
-/// Builds one KvItem; what is not set keeps its default.
-class KvItem::Builder : public ValueBuilder<KvItem, Builder> {
+/// Builds one KvsItem; what is not set keeps its default.
+class KvsItem::Builder : public ValueBuilder<KvsItem, Builder> {
  public:
   using ValueBuilder::ValueBuilder;
 
   Builder& key(std::string value) { return Set(value_.key_, std::move(value)); }
-  Builder& record(std::optional<KvRecord> value) {
+  Builder& record(std::optional<KvsRecord> value) {
     return Set(value_.record_, std::move(value));
   }
   Builder& revision(std::int64_t value) { return Set(value_.revision_, value); }
@@ -50,4 +50,4 @@
 
 }  // namespace quetzalline
 
-#endif  // QUETZALLINE_MESSAGES_KV_ITEM_H_
+#endif  // QUETZALLINE_MESSAGES_KVS_ITEM_H_
--- a/src/messages/kv_items.h
+++ b/src/messages/kvs_items.h
@@ -1,5 +1,5 @@
-#ifndef QUETZALLINE_MESSAGES_KV_ITEMS_H_
-#define QUETZALLINE_MESSAGES_KV_ITEMS_H_
+#ifndef QUETZALLINE_MESSAGES_KVS_ITEMS_H_
+#define QUETZALLINE_MESSAGES_KVS_ITEMS_H_
 
 #include <compare>
 #include <cstdint>
@@ -9,39 +9,39 @@
 #include <vector>
 
 #include "core/value.h"
-#include "messages/kv_item.h"
+#include "messages/kvs_item.h"
 
 namespace quetzalline {
 
 /// What was read, or what has changed.
-class KvItems {
+class KvsItems {
  public:
   class Builder;
 
-  static constexpr std::string_view kName = "kv-items";
+  static constexpr std::string_view kName = "kvs-items";
 
-  const std::vector<KvItem>& items() const { return items_; }
+  const std::vector<KvsItem>& items() const { return items_; }
   /// Keys that went.
   const std::vector<std::string>& removed() const { return removed_; }
   /// The store's revision as of this answer.
   std::int64_t revision() const { return revision_; }
 
-  friend auto operator<=>(const KvItems&, const KvItems&) = default;
+  friend auto operator<=>(const KvsItems&, const KvsItems&) = default;
 
  private:
-  QUETZALLINE_VALUE(KvItems, items_, removed_, revision_)
+  QUETZALLINE_VALUE(KvsItems, items_, removed_, revision_)
 
-  std::vector<KvItem> items_;
+  std::vector<KvsItem> items_;
   std::vector<std::string> removed_;
   std::int64_t revision_ = 0;
 };
 
-/// Builds one KvItems; what is not set keeps its default.
-class KvItems::Builder : public ValueBuilder<KvItems, Builder> {
+/// Builds one KvsItems; what is not set keeps its default.
+class KvsItems::Builder : public ValueBuilder<KvsItems, Builder> {
  public:
   using ValueBuilder::ValueBuilder;
 
-  Builder& items(std::vector<KvItem> value) {
+  Builder& items(std::vector<KvsItem> value) {
     return Set(value_.items_, std::move(value));
   }
   Builder& removed(std::vector<std::string> value) {
@@ -52,4 +52,4 @@
 
 }  // namespace quetzalline
 
-#endif  // QUETZALLINE_MESSAGES_KV_ITEMS_H_
+#endif  // QUETZALLINE_MESSAGES_KVS_ITEMS_H_
--- /dev/null
+++ b/src/messages/kvs_lease_ended.h
@@ -0,0 +1,32 @@
+#ifndef QUETZALLINE_MESSAGES_KVS_LEASE_ENDED_H_
+#define QUETZALLINE_MESSAGES_KVS_LEASE_ENDED_H_
+
+#include <compare>
+#include <string_view>
+
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// The lease is over.
+class KvsLeaseEnded {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "kvs-lease-ended";
+
+  friend auto operator<=>(const KvsLeaseEnded&, const KvsLeaseEnded&) = default;
+
+ private:
+  QUETZALLINE_VALUE(KvsLeaseEnded)
+};
+
+/// Builds one KvsLeaseEnded; what is not set keeps its default.
+class KvsLeaseEnded::Builder : public ValueBuilder<KvsLeaseEnded, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_KVS_LEASE_ENDED_H_
--- a/src/messages/kv_list.h
+++ b/src/messages/kvs_list.h
@@ -1,5 +1,5 @@
-#ifndef QUETZALLINE_MESSAGES_KV_LIST_H_
-#define QUETZALLINE_MESSAGES_KV_LIST_H_
+#ifndef QUETZALLINE_MESSAGES_KVS_LIST_H_
+#define QUETZALLINE_MESSAGES_KVS_LIST_H_
 
 #include <compare>
 #include <cstdint>
@@ -12,26 +12,26 @@
 namespace quetzalline {
 
 /// Reads every key under a prefix.
-class KvList {
+class KvsList {
  public:
   class Builder;
 
-  static constexpr std::string_view kName = "kv-list";
+  static constexpr std::string_view kName = "kvs-list";
 
   std::uint64_t ticket() const { return ticket_; }
   const std::string& prefix() const { return prefix_; }
 
-  friend auto operator<=>(const KvList&, const KvList&) = default;
+  friend auto operator<=>(const KvsList&, const KvsList&) = default;
 
  private:
-  QUETZALLINE_VALUE(KvList, ticket_, prefix_)
+  QUETZALLINE_VALUE(KvsList, ticket_, prefix_)
 
   std::uint64_t ticket_ = 0;
   std::string prefix_;
 };
 
-/// Builds one KvList; what is not set keeps its default.
-class KvList::Builder : public ValueBuilder<KvList, Builder> {
+/// Builds one KvsList; what is not set keeps its default.
+class KvsList::Builder : public ValueBuilder<KvsList, Builder> {
  public:
   using ValueBuilder::ValueBuilder;
 
@@ -43,4 +43,4 @@
 
 }  // namespace quetzalline
 
-#endif  // QUETZALLINE_MESSAGES_KV_LIST_H_
+#endif  // QUETZALLINE_MESSAGES_KVS_LIST_H_
--- a/src/messages/kv_open_lease.h
+++ b/src/messages/kvs_open_lease.h
@@ -1,5 +1,5 @@
-#ifndef QUETZALLINE_MESSAGES_KV_OPEN_LEASE_H_
-#define QUETZALLINE_MESSAGES_KV_OPEN_LEASE_H_
+#ifndef QUETZALLINE_MESSAGES_KVS_OPEN_LEASE_H_
+#define QUETZALLINE_MESSAGES_KVS_OPEN_LEASE_H_
 
 #include <compare>
 #include <cstdint>
@@ -11,26 +11,26 @@
 namespace quetzalline {
 
 /// Opens a lease, with which keys end.
-class KvOpenLease {
+class KvsOpenLease {
  public:
   class Builder;
 
-  static constexpr std::string_view kName = "kv-open-lease";
+  static constexpr std::string_view kName = "kvs-open-lease";
 
   std::uint64_t ticket() const { return ticket_; }
   Duration time() const { return time_; }
 
-  friend auto operator<=>(const KvOpenLease&, const KvOpenLease&) = default;
+  friend auto operator<=>(const KvsOpenLease&, const KvsOpenLease&) = default;
 
  private:
-  QUETZALLINE_VALUE(KvOpenLease, ticket_, time_)
+  QUETZALLINE_VALUE(KvsOpenLease, ticket_, time_)
 
   std::uint64_t ticket_ = 0;
   Duration time_ = Duration{};
 };
 
-/// Builds one KvOpenLease; what is not set keeps its default.
-class KvOpenLease::Builder : public ValueBuilder<KvOpenLease, Builder> {
+/// Builds one KvsOpenLease; what is not set keeps its default.
+class KvsOpenLease::Builder : public ValueBuilder<KvsOpenLease, Builder> {
  public:
   using ValueBuilder::ValueBuilder;
 
@@ -40,4 +40,4 @@
 
 }  // namespace quetzalline
 
-#endif  // QUETZALLINE_MESSAGES_KV_OPEN_LEASE_H_
+#endif  // QUETZALLINE_MESSAGES_KVS_OPEN_LEASE_H_
--- a/src/messages/kv_put.h
+++ b/src/messages/kvs_put.h
@@ -1,5 +1,5 @@
-#ifndef QUETZALLINE_MESSAGES_KV_PUT_H_
-#define QUETZALLINE_MESSAGES_KV_PUT_H_
+#ifndef QUETZALLINE_MESSAGES_KVS_PUT_H_
+#define QUETZALLINE_MESSAGES_KVS_PUT_H_
 
 #include <compare>
 #include <cstdint>
@@ -9,39 +9,39 @@
 
 #include "core/shared.h"
 #include "core/value.h"
-#include "records/kv_record.h"
+#include "records/kvs_record.h"
 
 namespace quetzalline {
 
 /// A key that a commit writes.
-class KvPut {
+class KvsPut {
  public:
   class Builder;
 
-  static constexpr std::string_view kName = "kv-put";
+  static constexpr std::string_view kName = "kvs-put";
 
   const std::string& key() const { return key_; }
-  const Shared<KvRecord>& record() const { return record_; }
+  const Shared<KvsRecord>& record() const { return record_; }
   /// The key goes when this lease ends; 0 where it stays.
   std::uint64_t lease() const { return lease_; }
 
-  friend auto operator<=>(const KvPut&, const KvPut&) = default;
+  friend auto operator<=>(const KvsPut&, const KvsPut&) = default;
 
  private:
-  QUETZALLINE_VALUE(KvPut, key_, record_, lease_)
+  QUETZALLINE_VALUE(KvsPut, key_, record_, lease_)
 
   std::string key_;
-  Shared<KvRecord> record_;
+  Shared<KvsRecord> record_;
   std::uint64_t lease_ = 0;
 };
 
-/// Builds one KvPut; what is not set keeps its default.
-class KvPut::Builder : public ValueBuilder<KvPut, Builder> {
+/// Builds one KvsPut; what is not set keeps its default.
+class KvsPut::Builder : public ValueBuilder<KvsPut, Builder> {
  public:
   using ValueBuilder::ValueBuilder;
 
   Builder& key(std::string value) { return Set(value_.key_, std::move(value)); }
-  Builder& record(Shared<KvRecord> value) {
+  Builder& record(Shared<KvsRecord> value) {
     return Set(value_.record_, std::move(value));
   }
   Builder& lease(std::uint64_t value) { return Set(value_.lease_, value); }
@@ -49,4 +49,4 @@
 
 }  // namespace quetzalline
 
-#endif  // QUETZALLINE_MESSAGES_KV_PUT_H_
+#endif  // QUETZALLINE_MESSAGES_KVS_PUT_H_
--- a/src/messages/kv_renew_lease.h
+++ b/src/messages/kvs_renew_lease.h
@@ -1,5 +1,5 @@
-#ifndef QUETZALLINE_MESSAGES_KV_RENEW_LEASE_H_
-#define QUETZALLINE_MESSAGES_KV_RENEW_LEASE_H_
+#ifndef QUETZALLINE_MESSAGES_KVS_RENEW_LEASE_H_
+#define QUETZALLINE_MESSAGES_KVS_RENEW_LEASE_H_
 
 #include <compare>
 #include <cstdint>
@@ -10,26 +10,26 @@
 namespace quetzalline {
 
 /// Renews a lease.
-class KvRenewLease {
+class KvsRenewLease {
  public:
   class Builder;
 
-  static constexpr std::string_view kName = "kv-renew-lease";
+  static constexpr std::string_view kName = "kvs-renew-lease";
 
   std::uint64_t ticket() const { return ticket_; }
   std::uint64_t lease() const { return lease_; }
 
-  friend auto operator<=>(const KvRenewLease&, const KvRenewLease&) = default;
+  friend auto operator<=>(const KvsRenewLease&, const KvsRenewLease&) = default;
 
  private:
-  QUETZALLINE_VALUE(KvRenewLease, ticket_, lease_)
+  QUETZALLINE_VALUE(KvsRenewLease, ticket_, lease_)
 
   std::uint64_t ticket_ = 0;
   std::uint64_t lease_ = 0;
 };
 
-/// Builds one KvRenewLease; what is not set keeps its default.
-class KvRenewLease::Builder : public ValueBuilder<KvRenewLease, Builder> {
+/// Builds one KvsRenewLease; what is not set keeps its default.
+class KvsRenewLease::Builder : public ValueBuilder<KvsRenewLease, Builder> {
  public:
   using ValueBuilder::ValueBuilder;
 
@@ -39,4 +39,4 @@
 
 }  // namespace quetzalline
 
-#endif  // QUETZALLINE_MESSAGES_KV_RENEW_LEASE_H_
+#endif  // QUETZALLINE_MESSAGES_KVS_RENEW_LEASE_H_
--- /dev/null
+++ b/src/messages/kvs_result.h
@@ -0,0 +1,25 @@
+#ifndef QUETZALLINE_MESSAGES_KVS_RESULT_H_
+#define QUETZALLINE_MESSAGES_KVS_RESULT_H_
+
+#include <variant>
+
+#include "messages/kvs_committed.h"
+#include "messages/kvs_conflict.h"
+#include "messages/kvs_failed.h"
+#include "messages/kvs_history_gone.h"
+#include "messages/kvs_items.h"
+#include "messages/kvs_lease_ended.h"
+#include "messages/kvs_lease_gone.h"
+#include "messages/kvs_lease_opened.h"
+#include "messages/kvs_lease_renewed.h"
+
+namespace quetzalline {
+
+/// How a call to the store ended.
+using KvsResult = std::variant<KvsItems, KvsCommitted, KvsConflict,
+                               KvsLeaseOpened, KvsLeaseRenewed, KvsLeaseEnded,
+                               KvsLeaseGone, KvsHistoryGone, KvsFailed>;
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_MESSAGES_KVS_RESULT_H_
--- a/src/messages/kv_watch.h
+++ b/src/messages/kvs_watch.h
@@ -1,5 +1,5 @@
-#ifndef QUETZALLINE_MESSAGES_KV_WATCH_H_
-#define QUETZALLINE_MESSAGES_KV_WATCH_H_
+#ifndef QUETZALLINE_MESSAGES_KVS_WATCH_H_
+#define QUETZALLINE_MESSAGES_KVS_WATCH_H_
 
 #include <compare>
 #include <cstdint>
@@ -13,11 +13,11 @@
 namespace quetzalline {
 
 /// Waits for changes under a prefix.
-class KvWatch {
+class KvsWatch {
  public:
   class Builder;
 
-  static constexpr std::string_view kName = "kv-watch";
+  static constexpr std::string_view kName = "kvs-watch";
 
   std::uint64_t ticket() const { return ticket_; }
   const std::string& prefix() const { return prefix_; }
@@ -26,10 +26,10 @@
   /// Longest time to wait.
   Duration wait() const { return wait_; }
 
-  friend auto operator<=>(const KvWatch&, const KvWatch&) = default;
+  friend auto operator<=>(const KvsWatch&, const KvsWatch&) = default;
 
  private:
-  QUETZALLINE_VALUE(KvWatch, ticket_, prefix_, after_, wait_)
+  QUETZALLINE_VALUE(KvsWatch, ticket_, prefix_, after_, wait_)
 
   std::uint64_t ticket_ = 0;
   std::string prefix_;
@@ -37,8 +37,8 @@
   Duration wait_ = Duration{};
 };
 
-/// Builds one KvWatch; what is not set keeps its default.
-class KvWatch::Builder : public ValueBuilder<KvWatch, Builder> {
+/// Builds one KvsWatch; what is not set keeps its default.
+class KvsWatch::Builder : public ValueBuilder<KvsWatch, Builder> {
  public:
   using ValueBuilder::ValueBuilder;
 
@@ -52,4 +52,4 @@
 
 }  // namespace quetzalline
 
-#endif  // QUETZALLINE_MESSAGES_KV_WATCH_H_
+#endif  // QUETZALLINE_MESSAGES_KVS_WATCH_H_
--- a/src/messages/runner_effect.h
+++ b/src/messages/runner_effect.h
@@ -4,8 +4,8 @@
 #include <variant>
 
 #include "messages/close_connection.h"
-#include "messages/kv_commit.h"
-#include "messages/kv_get.h"
+#include "messages/kvs_commit.h"
+#include "messages/kvs_get.h"
 #include "messages/log_decision.h"
 #include "messages/send_to_holder.h"
 #include "messages/worker_hold.h"
@@ -18,7 +18,7 @@
 /// What a runner node has done.
 using RunnerEffect =
     std::variant<SendToHolder, CloseConnection, WorkerStart, WorkerStop,
-                 WorkerPace, WorkerHold, KvGet, KvCommit, LogDecision>;
+                 WorkerPace, WorkerHold, KvsGet, KvsCommit, LogDecision>;
 
 }  // namespace quetzalline
 
--- a/src/messages/runner_input.h
+++ b/src/messages/runner_input.h
@@ -5,7 +5,7 @@
 
 #include "messages/connection_closed.h"
 #include "messages/connection_opened.h"
-#include "messages/kv_answer.h"
+#include "messages/kvs_answer.h"
 #include "messages/runner_message_received.h"
 #include "messages/stop_requested.h"
 #include "messages/worker_answer.h"
@@ -15,9 +15,9 @@
 namespace quetzalline {
 
 /// What a runner node takes in.
-using RunnerInput =
-    std::variant<ConnectionOpened, ConnectionClosed, RunnerMessageReceived,
-                 WorkerSeen, WorkerLeft, WorkerAnswer, KvAnswer, StopRequested>;
+using RunnerInput = std::variant<ConnectionOpened, ConnectionClosed,
+                                 RunnerMessageReceived, WorkerSeen, WorkerLeft,
+                                 WorkerAnswer, KvsAnswer, StopRequested>;
 
 }  // namespace quetzalline
 
--- a/src/messages/scheduler_effect.h
+++ b/src/messages/scheduler_effect.h
@@ -6,13 +6,13 @@
 #include "messages/close_connection.h"
 #include "messages/dial_peer.h"
 #include "messages/drop_peer.h"
-#include "messages/kv_commit.h"
-#include "messages/kv_end_lease.h"
-#include "messages/kv_get.h"
-#include "messages/kv_list.h"
-#include "messages/kv_open_lease.h"
-#include "messages/kv_renew_lease.h"
-#include "messages/kv_watch.h"
+#include "messages/kvs_commit.h"
+#include "messages/kvs_end_lease.h"
+#include "messages/kvs_get.h"
+#include "messages/kvs_list.h"
+#include "messages/kvs_open_lease.h"
+#include "messages/kvs_renew_lease.h"
+#include "messages/kvs_watch.h"
 #include "messages/log_decision.h"
 #include "messages/read_wall_clock.h"
 #include "messages/send_to_gateway.h"
@@ -22,9 +22,9 @@
 
 /// What a scheduler node has done.
 using SchedulerEffect =
-    std::variant<KvGet, KvList, KvWatch, KvCommit, KvOpenLease, KvRenewLease,
-                 KvEndLease, DialPeer, DropPeer, SendToRunner, SendToGateway,
-                 CloseConnection, ReadWallClock, LogDecision>;
+    std::variant<KvsGet, KvsList, KvsWatch, KvsCommit, KvsOpenLease,
+                 KvsRenewLease, KvsEndLease, DialPeer, DropPeer, SendToRunner,
+                 SendToGateway, CloseConnection, ReadWallClock, LogDecision>;
 
 }  // namespace quetzalline
 
--- a/src/messages/scheduler_input.h
+++ b/src/messages/scheduler_input.h
@@ -5,7 +5,7 @@
 
 #include "messages/connection_closed.h"
 #include "messages/holder_message_received.h"
-#include "messages/kv_answer.h"
+#include "messages/kvs_answer.h"
 #include "messages/peer_connected.h"
 #include "messages/stop_requested.h"
 #include "messages/wall_clock_read.h"
@@ -15,7 +15,7 @@
 /// What a scheduler node takes in.
 using SchedulerInput =
     std::variant<PeerConnected, ConnectionClosed, HolderMessageReceived,
-                 KvAnswer, WallClockRead, StopRequested>;
+                 KvsAnswer, WallClockRead, StopRequested>;
 
 }  // namespace quetzalline
 
--- a/src/messages/worker_hold.h
+++ b/src/messages/worker_hold.h
@@ -22,7 +22,7 @@
   std::uint64_t call() const { return call_; }
   const std::string& worker() const { return worker_; }
   /// 0 where the lease is not renewed.
-  std::int64_t until_ms() const { return until_ms_; }
+  std::int64_t lease_end_ms() const { return lease_end_ms_; }
   /// Ends up to this number may be forgotten.
   std::int64_t last_seen() const { return last_seen_; }
   std::int64_t fence() const { return fence_; }
@@ -32,12 +32,12 @@
   friend auto operator<=>(const WorkerHold&, const WorkerHold&) = default;
 
  private:
-  QUETZALLINE_VALUE(WorkerHold, call_, worker_, until_ms_, last_seen_, fence_,
-                    wait_)
+  QUETZALLINE_VALUE(WorkerHold, call_, worker_, lease_end_ms_, last_seen_,
+                    fence_, wait_)
 
   std::uint64_t call_ = 0;
   std::string worker_;
-  std::int64_t until_ms_ = 0;
+  std::int64_t lease_end_ms_ = 0;
   std::int64_t last_seen_ = 0;
   std::int64_t fence_ = 0;
   Duration wait_ = Duration{};
@@ -52,7 +52,9 @@
   Builder& worker(std::string value) {
     return Set(value_.worker_, std::move(value));
   }
-  Builder& until_ms(std::int64_t value) { return Set(value_.until_ms_, value); }
+  Builder& lease_end_ms(std::int64_t value) {
+    return Set(value_.lease_end_ms_, value);
+  }
   Builder& last_seen(std::int64_t value) {
     return Set(value_.last_seen_, value);
   }
--- a/src/messages/worker_start.h
+++ b/src/messages/worker_start.h
@@ -27,21 +27,21 @@
   const std::string& checkpoint() const { return checkpoint_; }
   /// When everything on the worker stops unless the lease is renewed, by the
   /// worker's clock.
-  std::int64_t until_ms() const { return until_ms_; }
+  std::int64_t lease_end_ms() const { return lease_end_ms_; }
   std::int64_t fence() const { return fence_; }
 
   friend auto operator<=>(const WorkerStart&, const WorkerStart&) = default;
 
  private:
   QUETZALLINE_VALUE(WorkerStart, call_, worker_, run_, spec_, checkpoint_,
-                    until_ms_, fence_)
+                    lease_end_ms_, fence_)
 
   std::uint64_t call_ = 0;
   std::string worker_;
   RunKey run_;
   Shared<std::string> spec_;
   std::string checkpoint_;
-  std::int64_t until_ms_ = 0;
+  std::int64_t lease_end_ms_ = 0;
   std::int64_t fence_ = 0;
 };
 
@@ -61,7 +61,9 @@
   Builder& checkpoint(std::string value) {
     return Set(value_.checkpoint_, std::move(value));
   }
-  Builder& until_ms(std::int64_t value) { return Set(value_.until_ms_, value); }
+  Builder& lease_end_ms(std::int64_t value) {
+    return Set(value_.lease_end_ms_, value);
+  }
   Builder& fence(std::int64_t value) { return Set(value_.fence_, value); }
 };
 
--- a/src/records/kv_record.h
+++ b/src/records/kvs_record.h
@@ -1,5 +1,5 @@
-#ifndef QUETZALLINE_RECORDS_KV_RECORD_H_
-#define QUETZALLINE_RECORDS_KV_RECORD_H_
+#ifndef QUETZALLINE_RECORDS_KVS_RECORD_H_
+#define QUETZALLINE_RECORDS_KVS_RECORD_H_
 
 #include <variant>
 
@@ -12,9 +12,9 @@
 namespace quetzalline {
 
 /// What the scheduler reads and writes in the platform's store.
-using KvRecord = std::variant<JobRecord, JobProgress, HolderRecord,
-                              MemberRecord, SchedulerConfiguration>;
+using KvsRecord = std::variant<JobRecord, JobProgress, HolderRecord,
+                               MemberRecord, SchedulerConfiguration>;
 
 }  // namespace quetzalline
 
-#endif  // QUETZALLINE_RECORDS_KV_RECORD_H_
+#endif  // QUETZALLINE_RECORDS_KVS_RECORD_H_
--- a/src/systems/cell/registration.h
+++ b/src/systems/cell/registration.h
@@ -5,8 +5,8 @@
 #include <string>
 
 #include "core/tick.h"
-#include "messages/kv_commit.h"
-#include "messages/kv_result.h"
+#include "messages/kvs_commit.h"
+#include "messages/kvs_result.h"
 #include "records/member_record.h"
 #include "systems/cell/cell_keys.h"
 
@@ -32,24 +32,24 @@
   }
   registration.ticket_ = ++last_ticket;
   tick.counters().Add(Counter::kStoreCalls);
-  tick.Emit(KvCommit::Builder()
+  tick.Emit(KvsCommit::Builder()
                 .ticket(registration.ticket_)
-                .puts({KvPut::Builder()
+                .puts({KvsPut::Builder()
                            .key(MemberKey(member))
-                           .record(KvRecord(record))
+                           .record(KvsRecord(record))
                            .Build()})
                 .Build());
 }
 
 /// Takes up the answer to the announcement, if it is one.
 template <typename AnyTick>
-bool TakeRegistration(std::uint64_t ticket, const KvResult& result,
+bool TakeRegistration(std::uint64_t ticket, const KvsResult& result,
                       Registration& registration, AnyTick& tick) {
   // Pause before the announcement is repeated: between once and twice this.
   constexpr Duration kPause = std::chrono::milliseconds(300);
   if (ticket != registration.ticket_) return false;
   registration.ticket_ = 0;
-  registration.done_ = std::holds_alternative<KvCommitted>(result);
+  registration.done_ = std::holds_alternative<KvsCommitted>(result);
   registration.next_try_ =
       tick.now() + kPause + Duration(Draw(tick.random(), kPause.count()));
   return true;
--- a/src/systems/gateway/follow_configuration.cc
+++ b/src/systems/gateway/follow_configuration.cc
@@ -21,25 +21,25 @@
   tables.configuration_ticket_ = ++tables.last_ticket_;
   tick.counters().Add(Counter::kStoreCalls);
   if (tables.configuration_watched_) {
-    tick.Emit(KvWatch::Builder()
+    tick.Emit(KvsWatch::Builder()
                   .ticket(tables.configuration_ticket_)
                   .prefix(std::string(kConfigurationKey))
                   .after(tables.configuration_revision_)
                   .wait(tables.policy_.configuration_watch())
                   .Build());
   } else {
-    tick.Emit(KvGet::Builder()
+    tick.Emit(KvsGet::Builder()
                   .ticket(tables.configuration_ticket_)
                   .key(std::string(kConfigurationKey))
                   .Build());
   }
 }
 
-void TakeConfigurationAnswer(const KvAnswer& answer, GatewayTables& tables,
+void TakeConfigurationAnswer(const KvsAnswer& answer, GatewayTables& tables,
                              GatewayTick& tick) {
   if (answer.ticket() != tables.configuration_ticket_) return;
   tables.configuration_ticket_ = 0;
-  const auto* read = std::get_if<KvItems>(&answer.result());
+  const auto* read = std::get_if<KvsItems>(&answer.result());
   const auto later = tick.now() + kRetryPause +
                      Duration(Draw(tick.random(), kRetryPause.count()));
   if (read == nullptr) {
@@ -47,7 +47,7 @@
     tables.next_configuration_read_ = later;
     return;
   }
-  for (const KvItem& item : read->items()) {
+  for (const KvsItem& item : read->items()) {
     const auto* configuration =
         item.record() ? std::get_if<SchedulerConfiguration>(&*item.record())
                       : nullptr;
--- a/src/systems/gateway/follow_configuration.h
+++ b/src/systems/gateway/follow_configuration.h
@@ -1,7 +1,7 @@
 #ifndef QUETZALLINE_SYSTEMS_GATEWAY_FOLLOW_CONFIGURATION_H_
 #define QUETZALLINE_SYSTEMS_GATEWAY_FOLLOW_CONFIGURATION_H_
 
-#include "messages/kv_answer.h"
+#include "messages/kvs_answer.h"
 #include "systems/gateway/gateway_tick.h"
 #include "tables/gateway_tables.h"
 
@@ -10,7 +10,7 @@
 /// Keeps one read or watch of the configuration under way.
 void FollowConfiguration(GatewayTables& tables, GatewayTick& tick);
 
-void TakeConfigurationAnswer(const KvAnswer& answer, GatewayTables& tables,
+void TakeConfigurationAnswer(const KvsAnswer& answer, GatewayTables& tables,
                              GatewayTick& tick);
 
 }  // namespace quetzalline
--- a/src/systems/gateway/gateway_node.cc
+++ b/src/systems/gateway/gateway_node.cc
@@ -27,7 +27,7 @@
               TakeGatewayMessage(i.connection(), i.message(), tables_, tick);
             },
             [&](const JobCall& i) { TakeJobCall(i, tables_, tick); },
-            [&](const KvAnswer& i) {
+            [&](const KvsAnswer& i) {
               if (TakeRegistration(i.ticket(), i.result(),
                                    tables_.registration_, tick)) {
                 return;
--- a/src/systems/runner/follow_holder.cc
+++ b/src/systems/runner/follow_holder.cc
@@ -150,7 +150,7 @@
       tables.policy_.task_lease());
   const std::int64_t until =
       tables.clock_->clock_ms() + worker_passed + lease.count();
-  tables.until_ms_ = std::max(tables.until_ms_, until);
+  tables.lease_end_ms_ = std::max(tables.lease_end_ms_, until);
 }
 
 void TakeNoted(const NoteEnds& noted, RunnerTables& tables) {
--- a/src/systems/runner/order_runs.cc
+++ b/src/systems/runner/order_runs.cc
@@ -26,7 +26,7 @@
                 .run(run)
                 .spec(held.order().spec())
                 .checkpoint(held.order().checkpoint())
-                .until_ms(tables.until_ms_)
+                .lease_end_ms(tables.lease_end_ms_)
                 .fence(fence)
                 .Build());
 }
--- a/src/systems/runner/runner_node.cc
+++ b/src/systems/runner/runner_node.cc
@@ -107,7 +107,7 @@
             [&](const WorkerSeen& i) { TakeWorkerSeen(i, tables_, tick); },
             [&](const WorkerLeft& i) { TakeWorkerLeft(i, tables_, tick); },
             [&](const WorkerAnswer& i) { TakeWorkerAnswer(i, tables_, tick); },
-            [&](const KvAnswer& i) {
+            [&](const KvsAnswer& i) {
               TakeRegistration(i.ticket(), i.result(), tables_.registration_,
                                tick);
             },
--- a/src/systems/runner/watch_worker.cc
+++ b/src/systems/runner/watch_worker.cc
@@ -14,7 +14,7 @@
 
 void ForgetWorker(RunnerTables& tables) {
   tables.clock_.reset();
-  tables.until_ms_ = 0;
+  tables.lease_end_ms_ = 0;
   tables.runs_ = Table<TaskKey, HeldRun>();
   tables.ends_.clear();
   tables.ends_told_ = 0;
@@ -43,7 +43,7 @@
                     HoldCall::Builder().raises_fence(raises_fence).Build(),
                     tables, tick.now()))
                 .worker(tables.facts_->worker())
-                .until_ms(tables.until_ms_)
+                .lease_end_ms(tables.lease_end_ms_)
                 .last_seen(tables.life_confirmed_ ? tables.ends_noted_ : 0)
                 .fence(CurrentFence(tables))
                 .wait(raises_fence ? Duration() : HoldWait(tables))
--- a/src/systems/scheduler/admit_jobs.cc
+++ b/src/systems/scheduler/admit_jobs.cc
@@ -2,7 +2,7 @@
 
 #include "systems/cell/cell_keys.h"
 #include "systems/cell/log_fields.h"
-#include "systems/scheduler/call_kv.h"
+#include "systems/scheduler/call_kvs.h"
 #include "systems/scheduler/campaign.h"
 #include "systems/scheduler/conclude_job.h"
 #include "systems/scheduler/open_job.h"
@@ -136,10 +136,10 @@
       tick);
 }
 
-void TakeProbe(const CallerWaiting& caller, const KvResult& result,
+void TakeProbe(const CallerWaiting& caller, const KvsResult& result,
                SchedulerTables& tables, SchedulerTick& tick) {
   if (!IsActing(tables)) return;
-  const auto* read = std::get_if<KvItems>(&result);
+  const auto* read = std::get_if<KvsItems>(&result);
   const JobRow* known = tables.jobs_.Find(caller.job());
   if (read == nullptr || known != nullptr) {
     return AnswerEntry(caller.connection(),
--- a/src/systems/scheduler/admit_jobs.h
+++ b/src/systems/scheduler/admit_jobs.h
@@ -2,7 +2,7 @@
 #define QUETZALLINE_SYSTEMS_SCHEDULER_ADMIT_JOBS_H_
 
 #include "messages/hand_in_job.h"
-#include "messages/kv_result.h"
+#include "messages/kvs_result.h"
 #include "messages/read_job_state.h"
 #include "messages/read_pending.h"
 #include "messages/withdraw_job.h"
@@ -30,7 +30,7 @@
                  SchedulerTables& tables, SchedulerTick& tick);
 
 /// Ends a look for a job that the holder does not know.
-void TakeProbe(const CallerWaiting& caller, const KvResult& result,
+void TakeProbe(const CallerWaiting& caller, const KvsResult& result,
                SchedulerTables& tables, SchedulerTick& tick);
 
 /// A store that has not kept anything for this long takes no new jobs: a caller
--- a/src/systems/scheduler/call_kv.cc
+++ b/src/systems/scheduler/call_kvs.cc
@@ -1,15 +1,15 @@
-#include "systems/scheduler/call_kv.h"
+#include "systems/scheduler/call_kvs.h"
 
 #include <utility>
 
 namespace quetzalline {
 namespace {
 
-std::uint64_t OpenCall(const KvPurpose& purpose, SchedulerTables& tables,
+std::uint64_t OpenCall(const KvsPurpose& purpose, SchedulerTables& tables,
                        SchedulerTick& tick) {
   const std::uint64_t ticket = ++tables.last_ticket_;
   tick.counters().Add(Counter::kStoreCalls);
-  tables.store_calls_.Put(ticket, KvPending::Builder()
+  tables.store_calls_.Put(ticket, KvsPending::Builder()
                                       .purpose(purpose)
                                       .term(tables.term_number_)
                                       .sent_at(tick.now())
@@ -19,26 +19,26 @@
 
 }  // namespace
 
-void GetKey(std::string_view key, const KvPurpose& purpose,
+void GetKey(std::string_view key, const KvsPurpose& purpose,
             SchedulerTables& tables, SchedulerTick& tick) {
-  tick.Emit(KvGet::Builder()
+  tick.Emit(KvsGet::Builder()
                 .ticket(OpenCall(purpose, tables, tick))
                 .key(std::string(key))
                 .Build());
 }
 
-void ListKeys(std::string_view prefix, const KvPurpose& purpose,
+void ListKeys(std::string_view prefix, const KvsPurpose& purpose,
               SchedulerTables& tables, SchedulerTick& tick) {
-  tick.Emit(KvList::Builder()
+  tick.Emit(KvsList::Builder()
                 .ticket(OpenCall(purpose, tables, tick))
                 .prefix(std::string(prefix))
                 .Build());
 }
 
 void WatchKeys(std::string_view prefix, std::int64_t after, Duration wait,
-               const KvPurpose& purpose, SchedulerTables& tables,
+               const KvsPurpose& purpose, SchedulerTables& tables,
                SchedulerTick& tick) {
-  tick.Emit(KvWatch::Builder()
+  tick.Emit(KvsWatch::Builder()
                 .ticket(OpenCall(purpose, tables, tick))
                 .prefix(std::string(prefix))
                 .after(after)
@@ -46,11 +46,11 @@
                 .Build());
 }
 
-void CommitKeys(std::vector<KvExpectation> expectations,
-                std::vector<KvPut> puts, std::vector<std::string> removals,
-                const KvPurpose& purpose, SchedulerTables& tables,
+void CommitKeys(std::vector<KvsExpectation> expectations,
+                std::vector<KvsPut> puts, std::vector<std::string> removals,
+                const KvsPurpose& purpose, SchedulerTables& tables,
                 SchedulerTick& tick) {
-  tick.Emit(KvCommit::Builder()
+  tick.Emit(KvsCommit::Builder()
                 .ticket(OpenCall(purpose, tables, tick))
                 .expectations(std::move(expectations))
                 .puts(std::move(puts))
@@ -58,24 +58,24 @@
                 .Build());
 }
 
-void OpenLease(Duration time, const KvPurpose& purpose, SchedulerTables& tables,
-               SchedulerTick& tick) {
-  tick.Emit(KvOpenLease::Builder()
+void OpenLease(Duration time, const KvsPurpose& purpose,
+               SchedulerTables& tables, SchedulerTick& tick) {
+  tick.Emit(KvsOpenLease::Builder()
                 .ticket(OpenCall(purpose, tables, tick))
                 .time(time)
                 .Build());
 }
 
-void RenewLease(std::uint64_t lease, const KvPurpose& purpose,
+void RenewLease(std::uint64_t lease, const KvsPurpose& purpose,
                 SchedulerTables& tables, SchedulerTick& tick) {
-  tick.Emit(KvRenewLease::Builder()
+  tick.Emit(KvsRenewLease::Builder()
                 .ticket(OpenCall(purpose, tables, tick))
                 .lease(lease)
                 .Build());
 }
 
-KvPut PutOf(std::string key, KvRecord record, std::uint64_t lease) {
-  return KvPut::Builder()
+KvsPut PutOf(std::string key, KvsRecord record, std::uint64_t lease) {
+  return KvsPut::Builder()
       .key(std::move(key))
       .record(std::move(record))
       .lease(lease)
--- a/src/systems/scheduler/campaign.cc
+++ b/src/systems/scheduler/campaign.cc
@@ -5,7 +5,7 @@
 #include "core/overloaded.h"
 #include "systems/cell/cell_keys.h"
 #include "systems/cell/log_fields.h"
-#include "systems/scheduler/call_kv.h"
+#include "systems/scheduler/call_kvs.h"
 #include "systems/scheduler/load_kept.h"
 
 namespace quetzalline {
@@ -132,11 +132,11 @@
   const std::uint64_t lease = tables.term_.lease();
   StepDown("stop requested", tables, tick);
   const std::uint64_t ticket = ++tables.last_ticket_;
-  tables.store_calls_.Put(ticket, KvPending::Builder()
+  tables.store_calls_.Put(ticket, KvsPending::Builder()
                                       .purpose(EndingHolderLease())
                                       .term(tables.term_number_)
                                       .Build());
-  tick.Emit(KvEndLease::Builder().ticket(ticket).lease(lease).Build());
+  tick.Emit(KvsEndLease::Builder().ticket(ticket).lease(lease).Build());
 }
 
 void StepDown(std::string_view cause, SchedulerTables& tables,
@@ -153,15 +153,15 @@
   tables.next_look_ = tick.now();
 }
 
-void TakeHolderRead(const KvResult& result, Duration round_trip,
+void TakeHolderRead(const KvsResult& result, Duration round_trip,
                     SchedulerTables& tables, SchedulerTick& tick) {
   if (!std::holds_alternative<HolderFollowing>(tables.stage_)) return;
-  const auto* read = std::get_if<KvItems>(&result);
+  const auto* read = std::get_if<KvsItems>(&result);
   if (read == nullptr) return LookAgainLater(tables, tick);
   tables.store_round_trip_ +=
       (round_trip - tables.store_round_trip_) / kRoundTripShare;
   if (read->items().empty()) return SeeNoHolder(tables, tick);
-  const KvItem& item = read->items().front();
+  const KvsItem& item = read->items().front();
   const auto* holder =
       item.record() ? std::get_if<HolderRecord>(&*item.record()) : nullptr;
   // A claim without an answer may have been done after all.
@@ -173,12 +173,12 @@
   SeeHolder(read->revision(), tables, tick);
 }
 
-void TakeHolderWatch(const KvResult& result, SchedulerTables& tables,
+void TakeHolderWatch(const KvsResult& result, SchedulerTables& tables,
                      SchedulerTick& tick) {
   if (!std::holds_alternative<HolderFollowing>(tables.stage_)) return;
-  const auto* changes = std::get_if<KvItems>(&result);
+  const auto* changes = std::get_if<KvsItems>(&result);
   if (changes == nullptr) {
-    const bool gone = std::holds_alternative<KvHistoryGone>(result);
+    const bool gone = std::holds_alternative<KvsHistoryGone>(result);
     return gone ? ReadHolder(tables, tick) : LookAgainLater(tables, tick);
   }
   if (changes->items().empty() && !changes->removed().empty()) {
@@ -188,9 +188,9 @@
   ReadHolder(tables, tick);
 }
 
-void TakeHolderLease(const KvResult& result, SchedulerTables& tables,
+void TakeHolderLease(const KvsResult& result, SchedulerTables& tables,
                      SchedulerTick& tick) {
-  const auto* opened = std::get_if<KvLeaseOpened>(&result);
+  const auto* opened = std::get_if<KvsLeaseOpened>(&result);
   if (std::holds_alternative<HolderClaiming>(tables.stage_)) {
     if (opened == nullptr) return FollowAgain(tables, tick);
     tables.stage_ = HolderClaiming::Builder().lease(opened->lease()).Build();
@@ -203,16 +203,16 @@
                      .Build();
 }
 
-void TakeEpochRead(const KvResult& result, SchedulerTables& tables,
+void TakeEpochRead(const KvsResult& result, SchedulerTables& tables,
                    SchedulerTick& tick) {
   const auto* claiming = std::get_if<HolderClaiming>(&tables.stage_);
   if (claiming == nullptr) return;
-  const auto* read = std::get_if<KvItems>(&result);
+  const auto* read = std::get_if<KvsItems>(&result);
   if (read == nullptr) return FollowAgain(tables, tick);
   std::int64_t epoch = 0;
   std::int64_t revision = 0;
   if (!read->items().empty()) {
-    const KvItem& item = read->items().front();
+    const KvsItem& item = read->items().front();
     const auto* kept =
         item.record() ? std::get_if<HolderRecord>(&*item.record()) : nullptr;
     if (kept == nullptr) return FollowAgain(tables, tick);
@@ -225,8 +225,8 @@
                                   .Build();
   tables.term_ =
       HolderTerm::Builder().epoch(epoch + 1).lease(claiming->lease()).Build();
-  CommitKeys({KvExpectation::Builder().key(std::string(kHolderKey)).Build(),
-              KvExpectation::Builder()
+  CommitKeys({KvsExpectation::Builder().key(std::string(kHolderKey)).Build(),
+              KvsExpectation::Builder()
                   .key(std::string(kEpochKey))
                   .revision(revision)
                   .Build()},
@@ -235,19 +235,19 @@
              {}, ClaimingCell(), tables, tick);
 }
 
-void TakeClaim(const KvResult& result, SchedulerTables& tables,
+void TakeClaim(const KvsResult& result, SchedulerTables& tables,
                SchedulerTick& tick) {
   if (!std::holds_alternative<HolderClaiming>(tables.stage_)) return;
-  const auto* done = std::get_if<KvCommitted>(&result);
+  const auto* done = std::get_if<KvsCommitted>(&result);
   if (done == nullptr) return FollowAgain(tables, tick);
   BeginTerm(tables.term_.epoch(), done->revision(), tables.term_.lease(),
             tables, tick);
 }
 
-void TakeRenewal(const KvResult& result, SchedulerTables& tables,
+void TakeRenewal(const KvsResult& result, SchedulerTables& tables,
                  SchedulerTick& tick) {
   if (!IsHolder(tables)) return;
-  if (!std::holds_alternative<KvLeaseGone>(result)) return;
+  if (!std::holds_alternative<KvsLeaseGone>(result)) return;
   LogLine(tick, "holder-lease-gone", 0, {Field("epoch", tables.term_.epoch())});
   OpenLease(tables.policy_.holder_lease(), OpeningHolderLease(), tables, tick);
 }
--- a/src/systems/scheduler/campaign.h
+++ b/src/systems/scheduler/campaign.h
@@ -1,7 +1,7 @@
 #ifndef QUETZALLINE_SYSTEMS_SCHEDULER_CAMPAIGN_H_
 #define QUETZALLINE_SYSTEMS_SCHEDULER_CAMPAIGN_H_
 
-#include "messages/kv_result.h"
+#include "messages/kvs_result.h"
 #include "systems/scheduler/scheduler_tick.h"
 #include "tables/scheduler_tables.h"
 
@@ -20,17 +20,17 @@
 void StepDown(std::string_view cause, SchedulerTables& tables,
               SchedulerTick& tick);
 
-void TakeHolderRead(const KvResult& result, Duration round_trip,
+void TakeHolderRead(const KvsResult& result, Duration round_trip,
                     SchedulerTables& tables, SchedulerTick& tick);
-void TakeHolderWatch(const KvResult& result, SchedulerTables& tables,
+void TakeHolderWatch(const KvsResult& result, SchedulerTables& tables,
                      SchedulerTick& tick);
-void TakeEpochRead(const KvResult& result, SchedulerTables& tables,
+void TakeEpochRead(const KvsResult& result, SchedulerTables& tables,
                    SchedulerTick& tick);
-void TakeHolderLease(const KvResult& result, SchedulerTables& tables,
+void TakeHolderLease(const KvsResult& result, SchedulerTables& tables,
                      SchedulerTick& tick);
-void TakeClaim(const KvResult& result, SchedulerTables& tables,
+void TakeClaim(const KvsResult& result, SchedulerTables& tables,
                SchedulerTick& tick);
-void TakeRenewal(const KvResult& result, SchedulerTables& tables,
+void TakeRenewal(const KvsResult& result, SchedulerTables& tables,
                  SchedulerTick& tick);
 
 /// How this process signs the holder's key.
--- a/src/systems/scheduler/commit_progress.cc
+++ b/src/systems/scheduler/commit_progress.cc
@@ -5,7 +5,7 @@
 #include "systems/cell/cell_keys.h"
 #include "systems/cell/log_fields.h"
 #include "systems/scheduler/admit_jobs.h"
-#include "systems/scheduler/call_kv.h"
+#include "systems/scheduler/call_kvs.h"
 #include "systems/scheduler/campaign.h"
 #include "systems/scheduler/open_job.h"
 
@@ -88,14 +88,14 @@
                                   .sequence(sequence)
                                   .instance(HolderSignature(tables.policy_))
                                   .Build();
-  std::vector<KvPut> puts = batch.puts_;
+  std::vector<KvsPut> puts = batch.puts_;
   puts.push_back(PutOf(std::string(kEpochKey), record));
   if (term.restore_holder()) {
     puts.push_back(PutOf(std::string(kHolderKey), record, term.lease()));
   }
   batch.sequences_.push_back(sequence);
   batch.in_flight_ = true;
-  CommitKeys({KvExpectation::Builder()
+  CommitKeys({KvsExpectation::Builder()
                   .key(std::string(kEpochKey))
                   .revision(term.revision())
                   .Build()},
@@ -268,13 +268,13 @@
   Send(tables, tick);
 }
 
-void TakeCommit(const KvResult& result, SchedulerTables& tables,
+void TakeCommit(const KvsResult& result, SchedulerTables& tables,
                 SchedulerTick& tick) {
   if (!IsActing(tables) || !tables.commit_) return;
-  if (const auto* done = std::get_if<KvCommitted>(&result)) {
+  if (const auto* done = std::get_if<KvsCommitted>(&result)) {
     return FinishCommit(done->revision(), tables, tick);
   }
-  const auto* failed = std::get_if<KvFailed>(&result);
+  const auto* failed = std::get_if<KvsFailed>(&result);
   const bool not_done = failed != nullptr && failed->not_done();
   LogLine(tick, "commit-unanswered", 0,
           {Field("epoch", tables.term_.epoch()),
@@ -284,14 +284,14 @@
   const bool first = tables.commit_->sequences_.size() == 1;
   RetryCommit(!(not_done && first), tables, tick);
   if (not_done && first) tables.commit_->sequences_.clear();
-  const bool refused = std::holds_alternative<KvConflict>(result);
+  const bool refused = std::holds_alternative<KvsConflict>(result);
   if (refused) tables.commit_->next_try_ = tick.now();
 }
 
-void TakeCommitCheck(const KvResult& result, SchedulerTables& tables,
+void TakeCommitCheck(const KvsResult& result, SchedulerTables& tables,
                      SchedulerTick& tick) {
   if (!IsActing(tables) || !tables.commit_) return;
-  const auto* read = std::get_if<KvItems>(&result);
+  const auto* read = std::get_if<KvsItems>(&result);
   if (read == nullptr) return RetryCommit(true, tables, tick);
   const HolderRecord* kept = nullptr;
   if (!read->items().empty() && read->items().front().record()) {
--- a/src/systems/scheduler/commit_progress.h
+++ b/src/systems/scheduler/commit_progress.h
@@ -1,7 +1,7 @@
 #ifndef QUETZALLINE_SYSTEMS_SCHEDULER_COMMIT_PROGRESS_H_
 #define QUETZALLINE_SYSTEMS_SCHEDULER_COMMIT_PROGRESS_H_
 
-#include "messages/kv_result.h"
+#include "messages/kvs_result.h"
 #include "systems/scheduler/scheduler_tick.h"
 #include "tables/scheduler_tables.h"
 
@@ -16,10 +16,10 @@
 /// Lets runners forget ends up to the first whose effect is not kept.
 void NoteKeptEnds(SchedulerTables& tables, SchedulerTick& tick);
 
-void TakeCommit(const KvResult& result, SchedulerTables& tables,
+void TakeCommit(const KvsResult& result, SchedulerTables& tables,
                 SchedulerTick& tick);
 /// Learns from the epoch's key what became of a commit without an answer.
-void TakeCommitCheck(const KvResult& result, SchedulerTables& tables,
+void TakeCommitCheck(const KvsResult& result, SchedulerTables& tables,
                      SchedulerTick& tick);
 
 }  // namespace quetzalline
--- a/src/systems/scheduler/follow_members.cc
+++ b/src/systems/scheduler/follow_members.cc
@@ -4,7 +4,7 @@
 
 #include "systems/cell/cell_keys.h"
 #include "systems/cell/log_fields.h"
-#include "systems/scheduler/call_kv.h"
+#include "systems/scheduler/call_kvs.h"
 #include "systems/scheduler/campaign.h"
 #include "systems/scheduler/open_job.h"
 
@@ -24,9 +24,9 @@
          Duration(Draw(tick.random(), kRetryPause.count()));
 }
 
-void TakeMemberItems(const KvItems& read, SchedulerTables& tables,
+void TakeMemberItems(const KvsItems& read, SchedulerTables& tables,
                      SchedulerTick& tick) {
-  for (const KvItem& item : read.items()) {
+  for (const KvsItem& item : read.items()) {
     const auto* record =
         item.record() ? std::get_if<MemberRecord>(&*item.record()) : nullptr;
     const std::string_view name = AfterPrefix(item.key(), kMemberPrefix);
@@ -109,10 +109,10 @@
             WatchingMembers(), tables, tick);
 }
 
-void TakeMembersWatch(const KvResult& result, SchedulerTables& tables,
+void TakeMembersWatch(const KvsResult& result, SchedulerTables& tables,
                       SchedulerTick& tick) {
   if (!IsActing(tables)) return;
-  const auto* changes = std::get_if<KvItems>(&result);
+  const auto* changes = std::get_if<KvsItems>(&result);
   if (changes == nullptr) {
     tables.members_retry_at_ = NextTry(tick);
     return;
@@ -121,10 +121,10 @@
   WatchMembers(tables, tick);
 }
 
-void TakeMembersList(const KvResult& result, SchedulerTables& tables,
+void TakeMembersList(const KvsResult& result, SchedulerTables& tables,
                      SchedulerTick& tick) {
   if (!IsActing(tables)) return;
-  const auto* read = std::get_if<KvItems>(&result);
+  const auto* read = std::get_if<KvsItems>(&result);
   if (read == nullptr) {
     tables.members_retry_at_ = NextTry(tick);
     return;
@@ -183,15 +183,15 @@
             tables, tick);
 }
 
-void TakeConfigurationWatch(const KvResult& result, SchedulerTables& tables,
+void TakeConfigurationWatch(const KvsResult& result, SchedulerTables& tables,
                             SchedulerTick& tick) {
   if (!IsActing(tables)) return;
-  const auto* changes = std::get_if<KvItems>(&result);
+  const auto* changes = std::get_if<KvsItems>(&result);
   if (changes == nullptr) {
     tables.configuration_retry_at_ = NextTry(tick);
     return;
   }
-  for (const KvItem& item : changes->items()) {
+  for (const KvsItem& item : changes->items()) {
     const auto* configuration =
         item.record() ? std::get_if<SchedulerConfiguration>(&*item.record())
                       : nullptr;
--- a/src/systems/scheduler/follow_members.h
+++ b/src/systems/scheduler/follow_members.h
@@ -2,7 +2,7 @@
 #define QUETZALLINE_SYSTEMS_SCHEDULER_FOLLOW_MEMBERS_H_
 
 #include "messages/connection_closed.h"
-#include "messages/kv_result.h"
+#include "messages/kvs_result.h"
 #include "messages/peer_connected.h"
 #include "systems/scheduler/scheduler_tick.h"
 #include "tables/scheduler_tables.h"
@@ -14,9 +14,9 @@
                SchedulerTables& tables, SchedulerTick& tick);
 
 void WatchMembers(SchedulerTables& tables, SchedulerTick& tick);
-void TakeMembersWatch(const KvResult& result, SchedulerTables& tables,
+void TakeMembersWatch(const KvsResult& result, SchedulerTables& tables,
                       SchedulerTick& tick);
-void TakeMembersList(const KvResult& result, SchedulerTables& tables,
+void TakeMembersList(const KvsResult& result, SchedulerTables& tables,
                      SchedulerTick& tick);
 
 /// Opens a session with a member that was reached.
@@ -26,7 +26,7 @@
                       SchedulerTick& tick);
 
 void WatchConfiguration(SchedulerTables& tables, SchedulerTick& tick);
-void TakeConfigurationWatch(const KvResult& result, SchedulerTables& tables,
+void TakeConfigurationWatch(const KvsResult& result, SchedulerTables& tables,
                             SchedulerTick& tick);
 
 /// Repeats reads that failed, after a pause.
--- a/src/systems/scheduler/load_kept.cc
+++ b/src/systems/scheduler/load_kept.cc
@@ -5,7 +5,7 @@
 #include "core/overloaded.h"
 #include "systems/cell/cell_keys.h"
 #include "systems/cell/log_fields.h"
-#include "systems/scheduler/call_kv.h"
+#include "systems/scheduler/call_kvs.h"
 #include "systems/scheduler/follow_members.h"
 #include "systems/scheduler/open_job.h"
 
@@ -19,7 +19,7 @@
 
 void Load(const std::string& prefix, SchedulerTables& tables,
           SchedulerTick& tick) {
-  const KvPurpose purpose = LoadingKept::Builder().prefix(prefix).Build();
+  const KvsPurpose purpose = LoadingKept::Builder().prefix(prefix).Build();
   if (prefix == kConfigurationKey) {
     return GetKey(prefix, purpose, tables, tick);
   }
@@ -49,13 +49,13 @@
 
 void LoadJobs(SchedulerTables& tables, Instant now) {
   std::map<std::uint64_t, JobProgress> progress;
-  for (const KvItem& item : tables.loaded_items_) {
+  for (const KvsItem& item : tables.loaded_items_) {
     const auto job = ParseJobText(AfterPrefix(item.key(), kProgressPrefix));
     const auto* kept =
         item.record() ? std::get_if<JobProgress>(&*item.record()) : nullptr;
     if (job && kept != nullptr) progress[*job] = *kept;
   }
-  for (const KvItem& item : tables.loaded_items_) {
+  for (const KvsItem& item : tables.loaded_items_) {
     const auto job = ParseJobText(AfterPrefix(item.key(), kJobPrefix));
     const auto* kept =
         item.record() ? std::get_if<JobRecord>(&*item.record()) : nullptr;
@@ -72,7 +72,7 @@
 }
 
 void Act(SchedulerTables& tables, SchedulerTick& tick) {
-  for (const KvItem& item : tables.loaded_items_) {
+  for (const KvsItem& item : tables.loaded_items_) {
     if (!item.record()) continue;
     std::visit(Overloaded{
                    [&](const SchedulerConfiguration& configuration) {
@@ -129,17 +129,17 @@
   for (const std::string& prefix : failed) Load(prefix, tables, tick);
 }
 
-void TakeLoaded(const std::string& prefix, const KvResult& result,
+void TakeLoaded(const std::string& prefix, const KvsResult& result,
                 SchedulerTables& tables, SchedulerTick& tick) {
   if (!std::holds_alternative<HolderLoading>(tables.stage_)) return;
-  const auto* read = std::get_if<KvItems>(&result);
+  const auto* read = std::get_if<KvsItems>(&result);
   if (read == nullptr) {
     tables.loads_failed_.insert(prefix);
     tables.stage_ =
         HolderLoading::Builder().retry_at(tick.now() + kRetryPause).Build();
     return;
   }
-  for (const KvItem& item : read->items()) {
+  for (const KvsItem& item : read->items()) {
     if (!item.record()) tick.counters().Add(Counter::kBadInputs);
     tables.loaded_items_.push_back(item);
   }
--- a/src/systems/scheduler/load_kept.h
+++ b/src/systems/scheduler/load_kept.h
@@ -3,7 +3,7 @@
 
 #include <string>
 
-#include "messages/kv_result.h"
+#include "messages/kvs_result.h"
 #include "systems/scheduler/scheduler_tick.h"
 #include "tables/scheduler_tables.h"
 
@@ -16,7 +16,7 @@
 void RetryLoading(SchedulerTables& tables, SchedulerTick& tick);
 
 /// Takes up one of the answers; after the last, the holder acts.
-void TakeLoaded(const std::string& prefix, const KvResult& result,
+void TakeLoaded(const std::string& prefix, const KvsResult& result,
                 SchedulerTables& tables, SchedulerTick& tick);
 
 /// Empties every table of the term.
--- a/src/systems/scheduler/take_inputs.cc
+++ b/src/systems/scheduler/take_inputs.cc
@@ -11,17 +11,17 @@
 namespace quetzalline {
 namespace {
 
-void TakeKvAnswer(const KvAnswer& answer, SchedulerTables& tables,
-                  SchedulerTick& tick) {
-  const KvPending* found = tables.store_calls_.Find(answer.ticket());
+void TakeKvsAnswer(const KvsAnswer& answer, SchedulerTables& tables,
+                   SchedulerTick& tick) {
+  const KvsPending* found = tables.store_calls_.Find(answer.ticket());
   if (found == nullptr) return;
-  const KvPending pending = *found;
+  const KvsPending pending = *found;
   tables.store_calls_.Erase(answer.ticket());
-  if (std::holds_alternative<KvFailed>(answer.result())) {
+  if (std::holds_alternative<KvsFailed>(answer.result())) {
     tick.counters().Add(Counter::kStoreFailures);
   }
   if (pending.term() != tables.term_number_) return;
-  const KvResult& result = answer.result();
+  const KvsResult& result = answer.result();
   const Duration round_trip = tick.now() - pending.sent_at();
   std::visit(
       Overloaded{
@@ -107,7 +107,7 @@
             [&](const HolderMessageReceived& i) {
               TakeHolderMessage(i, tables, tick);
             },
-            [&](const KvAnswer& i) { TakeKvAnswer(i, tables, tick); },
+            [&](const KvsAnswer& i) { TakeKvsAnswer(i, tables, tick); },
             [&](const WallClockRead& i) {
               tables.wall_offset_ms_ =
                   i.unix_ms() -
--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -4,7 +4,7 @@
 
 #include "systems/cell/cell_keys.h"
 #include "systems/cell/log_fields.h"
-#include "systems/scheduler/call_kv.h"
+#include "systems/scheduler/call_kvs.h"
 #include "systems/scheduler/campaign.h"
 #include "systems/scheduler/commit_progress.h"
 #include "systems/scheduler/conclude_job.h"
@@ -415,10 +415,10 @@
   }
 }
 
-void TakeEpochCheck(const KvResult& result, SchedulerTables& tables,
+void TakeEpochCheck(const KvsResult& result, SchedulerTables& tables,
                     SchedulerTick& tick) {
   if (!IsActing(tables)) return;
-  const auto* read = std::get_if<KvItems>(&result);
+  const auto* read = std::get_if<KvsItems>(&result);
   if (read == nullptr) return;
   const HolderRecord* kept = nullptr;
   if (!read->items().empty() && read->items().front().record()) {
--- a/src/systems/scheduler/track_workers.h
+++ b/src/systems/scheduler/track_workers.h
@@ -1,7 +1,7 @@
 #ifndef QUETZALLINE_SYSTEMS_SCHEDULER_TRACK_WORKERS_H_
 #define QUETZALLINE_SYSTEMS_SCHEDULER_TRACK_WORKERS_H_
 
-#include "messages/kv_result.h"
+#include "messages/kvs_result.h"
 #include "messages/worker_report.h"
 #include "systems/scheduler/scheduler_tick.h"
 #include "tables/scheduler_tables.h"
@@ -36,7 +36,7 @@
 void SettleDoubt(SchedulerTables& tables, SchedulerTick& tick);
 
 /// Learns from the epoch's key whether this process still holds the cell.
-void TakeEpochCheck(const KvResult& result, SchedulerTables& tables,
+void TakeEpochCheck(const KvsResult& result, SchedulerTables& tables,
                     SchedulerTick& tick);
 
 }  // namespace quetzalline
--- a/src/tables/commit_batch.h
+++ b/src/tables/commit_batch.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "core/time.h"
-#include "messages/kv_put.h"
+#include "messages/kvs_put.h"
 #include "tables/caller_waiting.h"
 #include "tables/unnoted_end.h"
 
@@ -17,7 +17,7 @@
 /// got no answer is tried again with the same content, so that it does not
 /// matter which of the tries the store took.
 struct CommitBatch {
-  std::vector<KvPut> puts_;
+  std::vector<KvsPut> puts_;
   std::vector<std::string> removals_;
   std::vector<std::uint64_t> jobs_;
   std::vector<UnnotedEnd> ends_;
--- a/src/tables/kv_pending.h
+++ b/src/tables/kvs_pending.h
@@ -1,5 +1,5 @@
-#ifndef QUETZALLINE_TABLES_KV_PENDING_H_
-#define QUETZALLINE_TABLES_KV_PENDING_H_
+#ifndef QUETZALLINE_TABLES_KVS_PENDING_H_
+#define QUETZALLINE_TABLES_KVS_PENDING_H_
 
 #include <compare>
 #include <cstdint>
@@ -8,38 +8,38 @@
 
 #include "core/time.h"
 #include "core/value.h"
-#include "tables/kv_purpose.h"
+#include "tables/kvs_purpose.h"
 
 namespace quetzalline {
 
 /// A call to the store that has not ended.
-class KvPending {
+class KvsPending {
  public:
   class Builder;
 
-  static constexpr std::string_view kName = "kv-pending";
+  static constexpr std::string_view kName = "kvs-pending";
 
-  const KvPurpose& purpose() const { return purpose_; }
+  const KvsPurpose& purpose() const { return purpose_; }
   /// Calls of an earlier term change nothing.
   std::int64_t term() const { return term_; }
   Instant sent_at() const { return sent_at_; }
 
-  friend auto operator<=>(const KvPending&, const KvPending&) = default;
+  friend auto operator<=>(const KvsPending&, const KvsPending&) = default;
 
  private:
-  QUETZALLINE_VALUE(KvPending, purpose_, term_, sent_at_)
+  QUETZALLINE_VALUE(KvsPending, purpose_, term_, sent_at_)
 
-  KvPurpose purpose_;
+  KvsPurpose purpose_;
   std::int64_t term_ = 0;
   Instant sent_at_ = Instant{};
 };
 
-/// Builds one KvPending; what is not set keeps its default.
-class KvPending::Builder : public ValueBuilder<KvPending, Builder> {
+/// Builds one KvsPending; what is not set keeps its default.
+class KvsPending::Builder : public ValueBuilder<KvsPending, Builder> {
  public:
   using ValueBuilder::ValueBuilder;
 
-  Builder& purpose(KvPurpose value) {
+  Builder& purpose(KvsPurpose value) {
     return Set(value_.purpose_, std::move(value));
   }
   Builder& term(std::int64_t value) { return Set(value_.term_, value); }
@@ -48,4 +48,4 @@
 
 }  // namespace quetzalline
 
-#endif  // QUETZALLINE_TABLES_KV_PENDING_H_
+#endif  // QUETZALLINE_TABLES_KVS_PENDING_H_
--- a/src/tables/kv_purpose.h
+++ b/src/tables/kvs_purpose.h
@@ -1,5 +1,5 @@
-#ifndef QUETZALLINE_TABLES_KV_PURPOSE_H_
-#define QUETZALLINE_TABLES_KV_PURPOSE_H_
+#ifndef QUETZALLINE_TABLES_KVS_PURPOSE_H_
+#define QUETZALLINE_TABLES_KVS_PURPOSE_H_
 
 #include <variant>
 
@@ -23,7 +23,7 @@
 namespace quetzalline {
 
 /// What a call to the store is for.
-using KvPurpose =
+using KvsPurpose =
     std::variant<ReadingHolder, WatchingHolder, ReadingEpoch,
                  OpeningHolderLease, ClaimingCell, RenewingHolderLease,
                  EndingHolderLease, LoadingKept, ListingMembers,
@@ -33,4 +33,4 @@
 
 }  // namespace quetzalline
 
-#endif  // QUETZALLINE_TABLES_KV_PURPOSE_H_
+#endif  // QUETZALLINE_TABLES_KVS_PURPOSE_H_
--- a/src/tables/runner_tables.h
+++ b/src/tables/runner_tables.h
@@ -47,7 +47,7 @@
   std::int64_t facts_sequence_ = 0;
   std::optional<WorkerClock> clock_;
   /// When everything on the worker stops, by its clock; 0 before any lease.
-  std::int64_t until_ms_ = 0;
+  std::int64_t lease_end_ms_ = 0;
   /// How often the fence was raised in this session.
   std::int64_t fence_raises_ = 0;
   std::map<std::uint64_t, WorkerCall> calls_;
--- a/src/tables/scheduler_tables.h
+++ b/src/tables/scheduler_tables.h
@@ -13,7 +13,7 @@
 #include "core/run_key.h"
 #include "core/scheduler_configuration.h"
 #include "core/table.h"
-#include "messages/kv_item.h"
+#include "messages/kvs_item.h"
 #include "tables/caller_waiting.h"
 #include "tables/commit_batch.h"
 #include "tables/holder_stage.h"
@@ -22,7 +22,7 @@
 #include "tables/image_press.h"
 #include "tables/job_row.h"
 #include "tables/job_task_table.h"
-#include "tables/kv_pending.h"
+#include "tables/kvs_pending.h"
 #include "tables/member_row.h"
 #include "tables/scheduler_policy.h"
 #include "tables/serving_tail.h"
@@ -38,7 +38,7 @@
 struct SchedulerTables {
   SchedulerPolicy policy_;
   Counters counters_;
-  Table<std::uint64_t, KvPending> store_calls_;
+  Table<std::uint64_t, KvsPending> store_calls_;
   std::uint64_t last_ticket_ = 0;
   HolderStage stage_;
   HolderTerm term_;
@@ -51,7 +51,7 @@
   bool stopping_ = false;
 
   SchedulerConfiguration configuration_;
-  std::vector<KvItem> loaded_items_;
+  std::vector<KvsItem> loaded_items_;
   /// Prefixes still to be read at the start of a term: asked for, or failed.
   std::set<std::string> loads_open_;
   std::set<std::string> loads_failed_;
--- a/test/support/virtual_cell.cc
+++ b/test/support/virtual_cell.cc
@@ -260,8 +260,8 @@
                           [this, e] { CloseConnection(e.connection()); });
           },
           [&](const LogDecision& e) { Trace(events_.now(), name, e); },
-          [&](const KvGet& e) { kv_.Perform(name, e, post); },
-          [&](const KvCommit& e) { kv_.Perform(name, e, post); },
+          [&](const KvsGet& e) { kv_.Perform(name, e, post); },
+          [&](const KvsCommit& e) { kv_.Perform(name, e, post); },
           [&](const auto& e) { agents_[agent].worker_->Perform(e, post); },
       },
       effect);
--- a/test/support/virtual_kv.cc
+++ b/test/support/virtual_kv.cc
@@ -10,12 +10,12 @@
 constexpr std::int64_t kLatestUs = 4'000'000;
 constexpr std::int64_t kAllPercent = 99;
 
-KvAnswer AnswerOf(std::uint64_t ticket, const KvResult& result) {
-  return KvAnswer::Builder().ticket(ticket).result(result).Build();
+KvsAnswer AnswerOf(std::uint64_t ticket, const KvsResult& result) {
+  return KvsAnswer::Builder().ticket(ticket).result(result).Build();
 }
 
-KvResult Failed(bool not_done) {
-  return KvFailed::Builder().not_done(not_done).Build();
+KvsResult Failed(bool not_done) {
+  return KvsFailed::Builder().not_done(not_done).Build();
 }
 
 bool HasPrefix(const std::string& key, const std::string& prefix) {
@@ -33,7 +33,7 @@
 }
 
 void VirtualKv::Serve(const std::string& caller, std::uint64_t ticket,
-                      Answer answer, std::function<KvResult()> work) {
+                      Answer answer, std::function<KvsResult()> work) {
   ++calls_;
   events_.After(kOneWay, [this, caller, ticket, answer, work] {
     if (turned_away_.count(caller) > 0) {
@@ -45,20 +45,20 @@
                     [=] { answer(AnswerOf(ticket, Failed(false))); });
       return;
     }
-    const KvResult result = work();
+    const KvsResult result = work();
     events_.After(kOneWay, [=] { answer(AnswerOf(ticket, result)); });
   });
 }
 
-void VirtualKv::Perform(const std::string& caller, const KvGet& call,
+void VirtualKv::Perform(const std::string& caller, const KvsGet& call,
                         Answer answer) {
-  Serve(caller, call.ticket(), std::move(answer), [this, call]() -> KvResult {
-    KvItems::Builder items;
+  Serve(caller, call.ticket(), std::move(answer), [this, call]() -> KvsResult {
+    KvsItems::Builder items;
     items.revision(revision_);
     const auto found = items_.find(call.key());
     if (found == items_.end()) return items.Build();
     return items
-        .items({KvItem::Builder()
+        .items({KvsItem::Builder()
                     .key(call.key())
                     .record(found->second.record_)
                     .revision(found->second.revision_)
@@ -67,32 +67,32 @@
   });
 }
 
-void VirtualKv::Perform(const std::string& caller, const KvList& call,
+void VirtualKv::Perform(const std::string& caller, const KvsList& call,
                         Answer answer) {
-  Serve(caller, call.ticket(), std::move(answer), [this, call]() -> KvResult {
-    std::vector<KvItem> items;
+  Serve(caller, call.ticket(), std::move(answer), [this, call]() -> KvsResult {
+    std::vector<KvsItem> items;
     for (const auto& [key, item] : items_) {
       if (!HasPrefix(key, call.prefix())) continue;
-      items.push_back(KvItem::Builder()
+      items.push_back(KvsItem::Builder()
                           .key(key)
                           .record(item.record_)
                           .revision(item.revision_)
                           .Build());
     }
-    return KvItems::Builder()
+    return KvsItems::Builder()
         .items(std::move(items))
         .revision(revision_)
         .Build();
   });
 }
 
-KvItems VirtualKv::Changes(const KvWatch& call) const {
-  std::vector<KvItem> items;
+KvsItems VirtualKv::Changes(const KvsWatch& call) const {
+  std::vector<KvsItem> items;
   std::vector<std::string> removed;
   for (const auto& [key, item] : items_) {
     if (!HasPrefix(key, call.prefix())) continue;
     if (item.revision_ <= call.after()) continue;
-    items.push_back(KvItem::Builder()
+    items.push_back(KvsItem::Builder()
                         .key(key)
                         .record(item.record_)
                         .revision(item.revision_)
@@ -102,14 +102,14 @@
     if (!HasPrefix(key, call.prefix()) || revision <= call.after()) continue;
     removed.push_back(key);
   }
-  return KvItems::Builder()
+  return KvsItems::Builder()
       .items(std::move(items))
       .removed(std::move(removed))
       .revision(revision_)
       .Build();
 }
 
-void VirtualKv::Perform(const std::string& caller, const KvWatch& call,
+void VirtualKv::Perform(const std::string& caller, const KvsWatch& call,
                         Answer answer) {
   ++calls_;
   events_.After(kOneWay, [this, caller, call, answer] {
@@ -134,7 +134,7 @@
 void VirtualKv::WakeWatches() {
   std::vector<std::uint64_t> due;
   for (const auto& [number, waiting] : watches_) {
-    const KvItems changes = Changes(waiting.call_);
+    const KvsItems changes = Changes(waiting.call_);
     if (!changes.items().empty() || !changes.removed().empty()) {
       due.push_back(number);
     }
@@ -142,13 +142,13 @@
   for (const std::uint64_t number : due) {
     const Waiting waiting = watches_.at(number);
     watches_.erase(number);
-    const KvAnswer answer =
+    const KvsAnswer answer =
         AnswerOf(waiting.call_.ticket(), Changes(waiting.call_));
     events_.After(kOneWay, [=] { waiting.answer_(answer); });
   }
 }
 
-void VirtualKv::Write(const std::string& key, const KvRecord& record,
+void VirtualKv::Write(const std::string& key, const KvsRecord& record,
                       std::uint64_t lease) {
   items_[key] = {record, revision_, lease};
   removed_.erase(key);
@@ -158,7 +158,7 @@
   if (items_.erase(key) > 0) removed_[key] = revision_;
 }
 
-void VirtualKv::Put(const std::string& key, const KvRecord& record) {
+void VirtualKv::Put(const std::string& key, const KvsRecord& record) {
   ++revision_;
   Write(key, record, 0);
   WakeWatches();
@@ -170,33 +170,33 @@
   WakeWatches();
 }
 
-const KvRecord* VirtualKv::Find(const std::string& key) const {
+const KvsRecord* VirtualKv::Find(const std::string& key) const {
   const auto found = items_.find(key);
   return found == items_.end() ? nullptr : &found->second.record_;
 }
 
-KvResult VirtualKv::Commit(const KvCommit& call) {
-  for (const KvExpectation& expectation : call.expectations()) {
+KvsResult VirtualKv::Commit(const KvsCommit& call) {
+  for (const KvsExpectation& expectation : call.expectations()) {
     const auto found = items_.find(expectation.key());
     const std::int64_t revision =
         found == items_.end() ? 0 : found->second.revision_;
-    if (revision != expectation.revision()) return KvConflict();
+    if (revision != expectation.revision()) return KvsConflict();
   }
-  for (const KvPut& put : call.puts()) {
+  for (const KvsPut& put : call.puts()) {
     if (put.lease() != 0 && leases_.count(put.lease()) == 0) {
-      return KvLeaseGone();
+      return KvsLeaseGone();
     }
   }
   ++revision_;
-  for (const KvPut& put : call.puts()) {
+  for (const KvsPut& put : call.puts()) {
     Write(put.key(), *put.record(), put.lease());
   }
   for (const std::string& key : call.removals()) Remove(key);
   WakeWatches();
-  return KvCommitted::Builder().revision(revision_).Build();
+  return KvsCommitted::Builder().revision(revision_).Build();
 }
 
-void VirtualKv::Perform(const std::string& caller, const KvCommit& call,
+void VirtualKv::Perform(const std::string& caller, const KvsCommit& call,
                         Answer answer) {
   const bool lost = Draw(random_, kAllPercent) < lost_percent_;
   if (!lost || away_ || turned_away_.count(caller) > 0) {
@@ -227,35 +227,35 @@
   });
 }
 
-void VirtualKv::Perform(const std::string& caller, const KvOpenLease& call,
+void VirtualKv::Perform(const std::string& caller, const KvsOpenLease& call,
                         Answer answer) {
-  Serve(caller, call.ticket(), std::move(answer), [this, call]() -> KvResult {
+  Serve(caller, call.ticket(), std::move(answer), [this, call]() -> KvsResult {
     const std::uint64_t lease = ++last_lease_;
     leases_[lease] = {call.time(), events_.now() + call.time()};
     ArmLease(lease);
-    return KvLeaseOpened::Builder().lease(lease).Build();
+    return KvsLeaseOpened::Builder().lease(lease).Build();
   });
 }
 
-void VirtualKv::Perform(const std::string& caller, const KvRenewLease& call,
+void VirtualKv::Perform(const std::string& caller, const KvsRenewLease& call,
                         Answer answer) {
-  Serve(caller, call.ticket(), std::move(answer), [this, call]() -> KvResult {
+  Serve(caller, call.ticket(), std::move(answer), [this, call]() -> KvsResult {
     const auto found = leases_.find(call.lease());
-    if (found == leases_.end()) return KvLeaseGone();
+    if (found == leases_.end()) return KvsLeaseGone();
     found->second.second = events_.now() + found->second.first;
     ArmLease(call.lease());
-    return KvLeaseRenewed();
+    return KvsLeaseRenewed();
   });
 }
 
-void VirtualKv::Perform(const std::string& caller, const KvEndLease& call,
+void VirtualKv::Perform(const std::string& caller, const KvsEndLease& call,
                         Answer answer) {
-  Serve(caller, call.ticket(), std::move(answer), [this, call]() -> KvResult {
+  Serve(caller, call.ticket(), std::move(answer), [this, call]() -> KvsResult {
     const auto found = leases_.find(call.lease());
-    if (found == leases_.end()) return KvLeaseGone();
+    if (found == leases_.end()) return KvsLeaseGone();
     found->second.second = events_.now();
     ArmLease(call.lease());
-    return KvLeaseEnded();
+    return KvsLeaseEnded();
   });
 }
 
--- a/test/support/virtual_kv.h
+++ b/test/support/virtual_kv.h
@@ -1,5 +1,5 @@
-#ifndef QUETZALLINE_TEST_SUPPORT_VIRTUAL_KV_H_
-#define QUETZALLINE_TEST_SUPPORT_VIRTUAL_KV_H_
+#ifndef QUETZALLINE_TEST_SUPPORT_VIRTUAL_KVS_H_
+#define QUETZALLINE_TEST_SUPPORT_VIRTUAL_KVS_H_
 
 #include <cstdint>
 #include <functional>
@@ -9,14 +9,14 @@
 #include <vector>
 
 #include "core/tick.h"
-#include "messages/kv_answer.h"
-#include "messages/kv_commit.h"
-#include "messages/kv_end_lease.h"
-#include "messages/kv_get.h"
-#include "messages/kv_list.h"
-#include "messages/kv_open_lease.h"
-#include "messages/kv_renew_lease.h"
-#include "messages/kv_watch.h"
+#include "messages/kvs_answer.h"
+#include "messages/kvs_commit.h"
+#include "messages/kvs_end_lease.h"
+#include "messages/kvs_get.h"
+#include "messages/kvs_list.h"
+#include "messages/kvs_open_lease.h"
+#include "messages/kvs_renew_lease.h"
+#include "messages/kvs_watch.h"
 #include "support/event_queue.h"
 
 namespace quetzalline {
@@ -26,21 +26,21 @@
 /// after the write is done, and do writes late.
 class VirtualKv {
  public:
-  using Answer = std::function<void(const KvAnswer&)>;
+  using Answer = std::function<void(const KvsAnswer&)>;
 
   VirtualKv(EventQueue& events, std::uint64_t seed)
       : events_(events), random_(seed) {}
 
   /// The caller's name decides whether it is turned away.
-  void Perform(const std::string& caller, const KvGet& call, Answer answer);
-  void Perform(const std::string& caller, const KvList& call, Answer answer);
-  void Perform(const std::string& caller, const KvWatch& call, Answer answer);
-  void Perform(const std::string& caller, const KvCommit& call, Answer answer);
-  void Perform(const std::string& caller, const KvOpenLease& call,
+  void Perform(const std::string& caller, const KvsGet& call, Answer answer);
+  void Perform(const std::string& caller, const KvsList& call, Answer answer);
+  void Perform(const std::string& caller, const KvsWatch& call, Answer answer);
+  void Perform(const std::string& caller, const KvsCommit& call, Answer answer);
+  void Perform(const std::string& caller, const KvsOpenLease& call,
                Answer answer);
-  void Perform(const std::string& caller, const KvRenewLease& call,
+  void Perform(const std::string& caller, const KvsRenewLease& call,
                Answer answer);
-  void Perform(const std::string& caller, const KvEndLease& call,
+  void Perform(const std::string& caller, const KvsEndLease& call,
                Answer answer);
 
   void SetAway(bool away) { away_ = away; }
@@ -50,31 +50,31 @@
   void LoseAnswers(int percent) { lost_percent_ = percent; }
   /// Removes a key as if its lease had ended.
   void Revoke(const std::string& key);
-  void Put(const std::string& key, const KvRecord& record);
+  void Put(const std::string& key, const KvsRecord& record);
 
-  const KvRecord* Find(const std::string& key) const;
+  const KvsRecord* Find(const std::string& key) const;
   std::int64_t calls() const { return calls_; }
 
  private:
   struct Item {
-    KvRecord record_;
+    KvsRecord record_;
     std::int64_t revision_ = 0;
     std::uint64_t lease_ = 0;
   };
   struct Waiting {
-    KvWatch call_;
+    KvsWatch call_;
     Answer answer_;
   };
 
   /// Runs the work at the store unless it is away for the caller.
   void Serve(const std::string& caller, std::uint64_t ticket, Answer answer,
-             std::function<KvResult()> work);
-  KvResult Commit(const KvCommit& call);
-  void Write(const std::string& key, const KvRecord& record,
+             std::function<KvsResult()> work);
+  KvsResult Commit(const KvsCommit& call);
+  void Write(const std::string& key, const KvsRecord& record,
              std::uint64_t lease);
   void Remove(const std::string& key);
   void ArmLease(std::uint64_t lease);
-  KvItems Changes(const KvWatch& call) const;
+  KvsItems Changes(const KvsWatch& call) const;
   void WakeWatches();
 
   EventQueue& events_;
@@ -94,4 +94,4 @@
 
 }  // namespace quetzalline
 
-#endif  // QUETZALLINE_TEST_SUPPORT_VIRTUAL_KV_H_
+#endif  // QUETZALLINE_TEST_SUPPORT_VIRTUAL_KVS_H_
--- a/test/support/virtual_worker.cc
+++ b/test/support/virtual_worker.cc
@@ -128,7 +128,7 @@
       return send(Listing(call.call(), WorkerVerdict::kFenced));
     }
     fence_ = call.fence();
-    ExtendLease(call.until_ms());
+    ExtendLease(call.lease_end_ms());
     ForgetEnds(call.last_seen());
     if (!ends_.empty() || call.wait() == Duration()) {
       return send(Listing(call.call(), WorkerVerdict::kDone));
@@ -169,8 +169,8 @@
   if (known != runs_.end() || call.run().run() <= last_runs_[task]) {
     return WorkerVerdict::kOld;
   }
-  if (call.until_ms() <= ClockMs()) return WorkerVerdict::kLate;
-  ExtendLease(call.until_ms());
+  if (call.lease_end_ms() <= ClockMs()) return WorkerVerdict::kLate;
+  ExtendLease(call.lease_end_ms());
   last_runs_[task] = call.run().run();
   runs_[task] = {call.run().run(), life_, *call.spec()};
   log_.Started(call.run(), name_, late, events_.now());
@@ -220,10 +220,10 @@
   WakeHolds();
 }
 
-void VirtualWorker::ExtendLease(std::int64_t until_ms) {
+void VirtualWorker::ExtendLease(std::int64_t lease_end_ms) {
   const std::int64_t most = ClockMs() + kLongestLeaseMs;
-  until_ms_ = std::max(until_ms_, std::min(until_ms, most));
-  const std::int64_t left = until_ms_ - ClockMs();
+  lease_end_ms_ = std::max(lease_end_ms_, std::min(lease_end_ms, most));
+  const std::int64_t left = lease_end_ms_ - ClockMs();
   if (left <= 0) return;
   const Duration slow =
       std::chrono::milliseconds(left + left / kClockSlowness + 2);
@@ -233,7 +233,7 @@
 }
 
 void VirtualWorker::CheckLease() {
-  const std::int64_t left = until_ms_ - ClockMs();
+  const std::int64_t left = lease_end_ms_ - ClockMs();
   if (left > 0) {
     // Extended since, or the clock is slow by a rounding more.
     if (left > kRoundingMs) return;
@@ -281,7 +281,7 @@
   }
   last_end_ = 0;
   fence_ = 0;
-  until_ms_ = 0;
+  lease_end_ms_ = 0;
 }
 
 void VirtualWorker::Restart() {
--- a/test/support/virtual_worker.h
+++ b/test/support/virtual_worker.h
@@ -64,7 +64,7 @@
   WorkerVerdict DoStart(const WorkerStart& call, bool late);
   WorkerVerdict DoStop(const WorkerStop& call);
   void End(const TaskKey& task, RunOutcome outcome);
-  void ExtendLease(std::int64_t until_ms);
+  void ExtendLease(std::int64_t lease_end_ms);
   void CheckLease();
   std::int64_t ClockMs() const;
   WorkerAnswer Listing(std::uint64_t call, WorkerVerdict verdict) const;
@@ -81,7 +81,7 @@
   std::uint64_t life_ = 0;
   std::int64_t sequence_ = 0;
   std::int64_t fence_ = 0;
-  std::int64_t until_ms_ = 0;
+  std::int64_t lease_end_ms_ = 0;
   std::map<TaskKey, Run> runs_;
   std::map<TaskKey, std::int64_t> last_runs_;
   std::map<std::int64_t, RunEnd> ends_;
