--- a/src/systems/scheduler/conclude_job.cc
+++ b/src/systems/scheduler/conclude_job.cc
@@ -62,6 +62,20 @@
   }
 }
 
+// The end of one member of a gang stands for all members of its run.
+void FinishGang(const TaskKey& key, std::int64_t run, SchedulerTables& tables,
+                SchedulerTick& tick) {
+  const std::int32_t count = tables.tasks_.Find(key)->step()->count();
+  for (std::int32_t index = 0; index < count; ++index) {
+    const TaskKey member = TaskKey::Builder(key).index(index).Build();
+    const JobTask* task = tables.tasks_.Find(member);
+    if (task == nullptr || task->stage() == TaskStage::kDone) continue;
+    if (member != key && task->run() != run) continue;
+    const JobTask finished = *task;
+    FinishTask(member, finished, tables, tick);
+  }
+}
+
 // The checkpoint of an earlier run says less than that of a later one.
 std::string NewerCheckpoint(const JobTask& task, const RunEnd& end) {
   const bool newer = end.run().run() >= task.run() && !end.checkpoint().empty();
@@ -168,6 +182,9 @@
     if (!current) StopTask(key, Reason::kStaleAttempt, tables, tick);
     tables.dirty_jobs_.insert(key.job());
     const JobTask finished = *tables.tasks_.Find(key);
+    if (finished.step()->gang()) {
+      return FinishGang(key, end.run().run(), tables, tick);
+    }
     return FinishTask(key, finished, tables, tick);
   }
   const bool failed = end.outcome() == RunOutcome::kFailed && !long_running;
--- a/src/systems/scheduler/open_job.cc
+++ b/src/systems/scheduler/open_job.cc
@@ -9,6 +9,9 @@
 namespace quetzalline {
 namespace {
 
+// Occurrences start at most this late for their time.
+constexpr Duration kOccurrenceLook = std::chrono::milliseconds(100);
+
 using TaskPlace = std::tuple<std::int32_t, std::int32_t, std::int32_t>;
 
 const JobQueue* FindQueue(const std::string& name,
@@ -96,6 +99,13 @@
       .Build();
 }
 
+// Whether the occurrence's time has come. The time of day decides nothing else.
+bool IsDue(const JobDefinition& definition, std::int32_t occurrence,
+           Instant now, const SchedulerTables& tables) {
+  return definition.repeat_count() == 0 ||
+         now >= DueTime(definition, occurrence, tables);
+}
+
 bool IsUnlocked(std::uint64_t job, std::int32_t occurrence, const JobStep& step,
                 const SchedulerTables& tables) {
   return std::all_of(
@@ -119,6 +129,13 @@
   return step.cpu() * run_ms / kMillicoresInCore;
 }
 
+Instant DueTime(const JobDefinition& definition, std::int32_t occurrence,
+                const SchedulerTables& tables) {
+  const std::int64_t due_ms =
+      definition.first_due_ms() + occurrence * definition.interval_ms();
+  return Instant(std::chrono::milliseconds(due_ms - tables.wall_offset_ms_));
+}
+
 bool IsOver(JobState state) {
   return state == JobState::kCompleted || state == JobState::kFailed ||
          state == JobState::kCancelled;
@@ -150,6 +167,7 @@
   const JobRow* row = tables.jobs_.Find(job);
   if (row == nullptr || !row->stored() || IsOver(row->state())) return;
   const Shared<JobRecord> record = row->record();
+  if (!IsDue(*record->definition(), occurrence, now, tables)) return;
   const std::vector<JobStep>& steps = record->definition()->steps();
   for (std::size_t number = 0; number < steps.size(); ++number) {
     if (!IsUnlocked(job, occurrence, steps[number], tables)) continue;
@@ -228,6 +246,26 @@
       .Build();
 }
 
+void OpenOccurrences(SchedulerTables& tables, SchedulerTick& tick) {
+  if (tick.now() < tables.next_occurrence_look_) {
+    return tick.WakeAt(tables.next_occurrence_look_);
+  }
+  std::vector<std::pair<std::uint64_t, std::int32_t>> timed;
+  for (const auto& [job, row] : tables.jobs_) {
+    const std::int32_t count = row.record()->definition()->repeat_count();
+    if (IsOver(row.state())) continue;
+    for (std::int32_t k = 0; k < count; ++k) timed.emplace_back(job, k);
+  }
+  if (timed.empty()) return;
+  tables.next_occurrence_look_ = tick.now() + kOccurrenceLook;
+  tick.WakeAt(tables.next_occurrence_look_);
+  // Clocks that jump are read anew before each look.
+  tick.Emit(ReadWallClock());
+  for (const auto& [job, occurrence] : timed) {
+    UnlockSteps(job, occurrence, tick.now(), tables);
+  }
+}
+
 void RefreshQueues(SchedulerTables& tables) {
   std::vector<std::pair<std::uint64_t, JobRow>> changed;
   for (const auto& [job, row] : tables.jobs_) {
--- a/src/systems/scheduler/open_job.h
+++ b/src/systems/scheduler/open_job.h
@@ -5,6 +5,7 @@
 
 #include "records/job_progress.h"
 #include "records/job_record.h"
+#include "systems/scheduler/scheduler_tick.h"
 #include "tables/scheduler_tables.h"
 
 namespace quetzalline {
@@ -38,6 +39,14 @@
 /// What the store keeps of the job's tasks.
 JobProgress ProgressOf(std::uint64_t job, const SchedulerTables& tables);
 
+/// When an occurrence of a repeated job is due, by the time of day as last
+/// read.
+Instant DueTime(const JobDefinition& definition, std::int32_t occurrence,
+                const SchedulerTables& tables);
+
+/// Lets occurrences start whose time has come.
+void OpenOccurrences(SchedulerTables& tables, SchedulerTick& tick);
+
 /// Takes the queues as they are configured now for the jobs that are not over.
 void RefreshQueues(SchedulerTables& tables);
 
--- a/src/systems/scheduler/place_runs.cc
+++ b/src/systems/scheduler/place_runs.cc
@@ -70,19 +70,32 @@
       job, JobRow::Builder(*row).began(true).state(JobState::kRunning).Build());
 }
 
-void Start(const TaskKey& key, const MemberName& worker,
-           SchedulerTables& tables, SchedulerTick& tick) {
+// Gives the task to the worker; nothing is sent yet.
+void Assign(const TaskKey& key, const MemberName& worker, std::int64_t run,
+            const std::string& checkpoint, SchedulerTables& tables,
+            Instant now) {
   const JobTask* task = tables.tasks_.Find(key);
+  tables.tasks_.Put(key, JobTask::Builder(*task)
+                             .stage(TaskStage::kAssigned)
+                             .run(run)
+                             .worker(worker)
+                             .checkpoint(checkpoint)
+                             .assigned_at(now)
+                             .percent(0)
+                             .stopping(false)
+                             .Build());
+}
+
+// The number of the task's next run: above all that any holder has used.
+std::int64_t NextRun(const JobTask& task, const SchedulerTables& tables) {
   const std::int64_t floor = (tables.term_.epoch() - 1) * kRunsInEpoch;
-  const JobTask started = JobTask::Builder(*task)
-                              .stage(TaskStage::kAssigned)
-                              .run(std::max(task->run(), floor) + 1)
-                              .worker(worker)
-                              .assigned_at(tick.now())
-                              .percent(0)
-                              .stopping(false)
-                              .Build();
-  tables.tasks_.Put(key, started);
+  return std::max(task.run(), floor) + 1;
+}
+
+// Sends the order for a task that was assigned.
+void Order(const TaskKey& key, SchedulerTables& tables, SchedulerTick& tick) {
+  const JobTask started = *tables.tasks_.Find(key);
+  const MemberName& worker = started.worker();
   tick.counters().Add(Counter::kTasksAssigned);
   MarkBegun(key.job(), tables, tick);
   const WorkerUse& use = tables.tasks_.UseOf(worker);
@@ -97,6 +110,48 @@
   SendStart(worker, key, tables, tick);
 }
 
+std::vector<TaskKey> TasksOf(const StepKey& key,
+                             const std::set<std::int32_t>& indexes) {
+  std::vector<TaskKey> tasks;
+  for (const std::int32_t index : indexes) {
+    tasks.push_back(TaskKey::Builder()
+                        .job(key.job())
+                        .occurrence(key.occurrence())
+                        .step(key.step())
+                        .index(index)
+                        .Build());
+  }
+  return tasks;
+}
+
+// The tasks of a gang start together, as one run, or not at all.
+void PlaceGang(const std::vector<TaskKey>& tasks, const StepKey& key,
+               const JobStep& step, const ServiceName& service,
+               const std::vector<MemberName>& open, SchedulerTables& tables,
+               SchedulerTick& tick) {
+  if (tasks.size() != static_cast<std::size_t>(step.count())) return;
+  std::int64_t run = 0;
+  std::string checkpoint;
+  std::vector<JobTask> before;
+  for (const TaskKey& task : tasks) {
+    before.push_back(*tables.tasks_.Find(task));
+    if (before.back().run() >= run && !before.back().checkpoint().empty()) {
+      checkpoint = before.back().checkpoint();
+    }
+    run = std::max(run, NextRun(before.back(), tables));
+  }
+  for (std::size_t i = 0; i < tasks.size(); ++i) {
+    const auto worker = ChooseWorker(key, step, service, false, open, tables);
+    if (!worker) {
+      for (std::size_t k = 0; k < i; ++k)
+        tables.tasks_.Put(tasks[k], before[k]);
+      return;
+    }
+    Assign(tasks[i], *worker, run, checkpoint, tables, tick.now());
+  }
+  for (const TaskKey& task : tasks) Order(task, tables, tick);
+}
+
 void PlaceStep(const StepKey& key, bool half_free,
                const std::vector<MemberName>& open, SchedulerTables& tables,
                SchedulerTick& tick) {
@@ -106,20 +161,20 @@
   const JobStep& step =
       record->definition()->steps()[static_cast<std::size_t>(key.step())];
   const auto ready = tables.tasks_.ready().find(key);
-  const std::set<std::int32_t> indexes = ready->second;
-  for (const std::int32_t index : indexes) {
-    const TaskKey task = TaskKey::Builder()
-                             .job(key.job())
-                             .occurrence(key.occurrence())
-                             .step(key.step())
-                             .index(index)
-                             .Build();
+  const std::vector<TaskKey> tasks = TasksOf(key, ready->second);
+  if (step.gang()) {
+    return PlaceGang(tasks, key, step, service, open, tables, tick);
+  }
+  for (const TaskKey& task : tasks) {
+    const JobTask& row = *tables.tasks_.Find(task);
     const bool overdue =
-        half_free && tick.now() - tables.tasks_.Find(task)->ready_since() >
+        half_free && tick.now() - row.ready_since() >
                          tables.policy_.placement().longest_wait();
     const auto worker = ChooseWorker(key, step, service, overdue, open, tables);
     if (!worker) return;
-    Start(task, *worker, tables, tick);
+    Assign(task, *worker, NextRun(row, tables), row.checkpoint(), tables,
+           tick.now());
+    Order(task, tables, tick);
   }
 }
 
--- a/src/systems/scheduler/scheduler_node.cc
+++ b/src/systems/scheduler/scheduler_node.cc
@@ -5,6 +5,7 @@
 #include "systems/scheduler/follow_members.h"
 #include "systems/scheduler/load_kept.h"
 #include "systems/scheduler/make_room.h"
+#include "systems/scheduler/open_job.h"
 #include "systems/scheduler/place_runs.h"
 #include "systems/scheduler/take_inputs.h"
 #include "systems/scheduler/track_workers.h"
@@ -28,6 +29,7 @@
   SettleDoubt(tables_, tick);
   LeaveDrainingWorkers(tables_, tick);
   GrantLeases(tables_, tick);
+  OpenOccurrences(tables_, tick);
   PlaceRuns(tables_, tick);
   PreemptLasting(tables_, tick);
   ConsolidateServing(tables_, tick);
--- a/src/tables/scheduler_tables.h
+++ b/src/tables/scheduler_tables.h
@@ -92,6 +92,7 @@
   /// Whether something changed that may let work be placed.
   bool placement_due_ = false;
   Instant next_placement_;
+  Instant next_occurrence_look_;
   Instant next_preemption_;
   Instant next_consolidation_;
 };
--- a/test/cell/cell_test.cc
+++ b/test/cell/cell_test.cc
@@ -263,6 +263,49 @@
   BOOST_TEST(cell.log().StartsOf(lasting) == 3);
 }
 
+BOOST_AUTO_TEST_CASE(an_occurrence_starts_when_it_is_due) {
+  CalmCell calm;
+  VirtualCell& cell = calm.cell_;
+  const std::int64_t now_ms =
+      std::chrono::duration_cast<milliseconds>(cell.now().time_since_epoch())
+          .count();
+  const std::uint64_t job =
+      cell.Submit(JobDefinition::Builder()
+                      .spec("spec")
+                      .steps({Step(2, 500, milliseconds(200))})
+                      .repeat_count(2)
+                      .first_due_ms(now_ms + 2000)
+                      .interval_ms(2000)
+                      .Build());
+  cell.RunFor(milliseconds(1900));
+  BOOST_TEST(cell.log().StartsOf(job) == 0);
+  cell.RunFor(milliseconds(500));
+  BOOST_TEST(cell.log().StartsOf(job) == 2);
+  cell.RunFor(milliseconds(1400));
+  BOOST_TEST(cell.log().StartsOf(job) == 2);
+  cell.RunFor(milliseconds(1000));
+  BOOST_TEST(cell.log().StartsOf(job) == 4);
+}
+
+BOOST_AUTO_TEST_CASE(a_gang_starts_whole_or_not_at_all) {
+  CalmCell calm;
+  VirtualCell& cell = calm.cell_;
+  const auto gang = [](std::int32_t count) {
+    return JobDefinition::Builder()
+        .spec("spec")
+        .steps({JobStep::Builder(Step(count, 8000, milliseconds(500)))
+                    .gang(true)
+                    .Build()})
+        .Build();
+  };
+  // Five workers hold two tasks each: eleven never fit together.
+  const std::uint64_t wide = cell.Submit(gang(11));
+  const std::uint64_t fits = cell.Submit(gang(8));
+  cell.RunFor(milliseconds(600));
+  BOOST_TEST(cell.log().StartsOf(wide) == 0);
+  BOOST_TEST(cell.log().StartsOf(fits) == 8);
+}
+
 BOOST_AUTO_TEST_CASE(a_draining_worker_gets_no_new_work) {
   CalmCell calm;
   VirtualCell& cell = calm.cell_;
