--- a/src/systems/gateway/serve_callers.cc
+++ b/src/systems/gateway/serve_callers.cc
@@ -176,8 +176,8 @@
   }
   const JobQueue* queue = FindQueue(call, tables);
   if (queue == nullptr) return Answer(call.ticket(), QueueUnknown(), tick);
-  const std::string_view rest =
-      std::string_view(call.path()).substr(queue->prefix().size());
+  const std::string_view path = call.path();
+  const std::string_view rest = path.substr(queue->prefix().size());
   const std::optional<std::uint64_t> job = ParseJobText(rest);
   const bool reads = std::holds_alternative<ReadCall>(call.kind());
   if (!job && !(reads && rest.empty())) {
--- a/src/systems/scheduler/choose_worker.cc
+++ b/src/systems/scheduler/choose_worker.cc
@@ -82,8 +82,8 @@
                 const SchedulerTables& tables) {
   constexpr std::int32_t kFullPace = 100;
   if (tables.workers_.Find(name)->fill_pace() != kFullPace) return false;
-  if (outlook.tail_ > tables.policy_.placement().highest_tail_percent())
-    return false;
+  const double highest = tables.policy_.placement().highest_tail_percent();
+  if (outlook.tail_ > highest) return false;
   return !outlook.unknown_ || !HasNewcomer(name, tables);
 }
 
--- a/src/systems/scheduler/commit_progress.cc
+++ b/src/systems/scheduler/commit_progress.cc
@@ -118,8 +118,9 @@
   if (!new_job || over) return;
   const std::int32_t occurrences =
       std::max(row->record()->definition()->repeat_count(), 1);
-  for (std::int32_t k = 0; k < occurrences; ++k)
+  for (std::int32_t k = 0; k < occurrences; ++k) {
     UnlockSteps(job, k, now, tables);
+  }
 }
 
 void AnswerCallers(const CommitBatch& batch, SchedulerTick& tick) {
@@ -148,8 +149,9 @@
                      .restore_holder(false)
                      .confirmed_at(tick.now())
                      .Build();
-  for (const std::uint64_t job : batch.jobs_)
+  for (const std::uint64_t job : batch.jobs_) {
     MarkJobKept(job, tick.now(), tables);
+  }
   auto& open = tables.unnoted_ends_;
   open.erase(std::remove_if(open.begin(), open.end(),
                             [&](const UnnotedEnd& end) {
--- a/src/systems/scheduler/conclude_job.cc
+++ b/src/systems/scheduler/conclude_job.cc
@@ -42,7 +42,7 @@
 
 void FinishTask(const TaskKey& key, const JobTask& task,
                 SchedulerTables& tables, SchedulerTick& tick) {
-  const Shared<JobStep> step = task.step();
+  const Shared<JobStep>& step = task.step();
   tables.tasks_.Put(key,
                     JobTask::Builder(task).stage(TaskStage::kDone).Build());
   tick.counters().Add(Counter::kTasksFinished);
--- a/src/systems/scheduler/follow_members.cc
+++ b/src/systems/scheduler/follow_members.cc
@@ -50,8 +50,8 @@
           {Field("version", configuration.version()),
            Field("queues", configuration.queues().size())});
   for (const auto& [name, row] : tables.members_) {
-    if (!row.connection() || row.record().role() != MemberRole::kEntry)
-      continue;
+    if (!row.connection()) continue;
+    if (row.record().role() != MemberRole::kEntry) continue;
     tick.Emit(SendToGateway::Builder()
                   .connection(*row.connection())
                   .message(ConfigurationNotice::Builder()
--- a/src/systems/scheduler/place_runs.cc
+++ b/src/systems/scheduler/place_runs.cc
@@ -143,8 +143,9 @@
   for (std::size_t i = 0; i < tasks.size(); ++i) {
     const auto worker = ChooseWorker(key, step, service, false, open, tables);
     if (!worker) {
-      for (std::size_t k = 0; k < i; ++k)
+      for (std::size_t k = 0; k < i; ++k) {
         tables.tasks_.Put(tasks[k], before[k]);
+      }
       return;
     }
     Assign(tasks[i], *worker, run, checkpoint, tables, tick.now());
