--- a/src/systems/scheduler/conclude_job.cc
+++ b/src/systems/scheduler/conclude_job.cc
@@ -159,8 +159,13 @@
   const JobTask* task = tables.tasks_.Find(key);
   const bool lasts = task != nullptr && task->step()->long_running();
   if (!lasts) CountOutcome(worker, end.outcome(), tick.now(), tables);
-  if (task == nullptr || task->stage() == TaskStage::kDone) return;
+  if (task == nullptr) return;
   const JobRow* job = tables.jobs_.Find(key.job());
+  // The end may be forgotten only once the final state of the job is kept.
+  if (IsOver(job->state()) && !job->closed()) {
+    tables.dirty_jobs_.insert(key.job());
+  }
+  if (task->stage() == TaskStage::kDone) return;
   const bool current = task->stage() == TaskStage::kAssigned &&
                        task->worker() == worker &&
                        task->run() == end.run().run();
@@ -170,8 +175,6 @@
            Field("current", current ? 1 : 0)});
   tables.placement_due_ = true;
   if (IsOver(job->state())) {
-    // The end may be forgotten only once the final state of the job is kept.
-    if (!job->closed()) tables.dirty_jobs_.insert(key.job());
     if (!current) return;
     tables.tasks_.Put(key,
                       JobTask::Builder(*task).stage(TaskStage::kDone).Build());
