--- a/src/systems/scheduler/choose_worker.cc
+++ b/src/systems/scheduler/choose_worker.cc
@@ -9,7 +9,7 @@
 
 // A worker that was not heard for this long gets no new work.
 constexpr Duration kFreshReport = std::chrono::milliseconds(900);
-// Keeps what lasts off a worker that fails, while there is another.
+// Keeps tasks off a worker that fails them, while there is another.
 constexpr double kRestingCost = 20.0;
 
 bool HasLabel(const WorkerFacts& facts, const std::string& label) {
@@ -122,6 +122,7 @@
 
 std::optional<MemberName> ChooseWorker(const StepKey& key, const JobStep& step,
                                        const ServiceName& service, bool overdue,
+                                       const MemberName& failed_on,
                                        const std::vector<MemberName>& open,
                                        const SchedulerTables& tables) {
   const PlacementPolicy& policy = tables.policy_.placement();
@@ -149,6 +150,7 @@
     const bool other_images =
         step.target() > Duration() && ServesOthers(name, step.image(), tables);
     double cost = Cost(step, facts, use, policy, quiet, other_images);
+    if (name == failed_on) cost += kRestingCost;
     if (tables.workers_.Find(name)->rests_until() > tables.last_tick_) {
       // What lasts has to run somewhere; anything else can wait a little.
       if (!step.long_running()) continue;
--- a/src/systems/scheduler/choose_worker.h
+++ b/src/systems/scheduler/choose_worker.h
@@ -18,11 +18,13 @@
                 const SchedulerTables& tables);
 
 /// The worker on which a task of this step is best started; empty where none
-/// has room. An overdue task joins tasks that serve whatever their tails. Tasks
-/// that serve or are urgent go where least is used; tasks that fill go where
-/// most is left over.
+/// has room. An overdue task joins tasks that serve whatever their tails.
+/// A worker on which the task has failed is taken only if there is no other.
+/// Tasks that serve or are urgent go where least is used; tasks that fill go
+/// where most is left over.
 std::optional<MemberName> ChooseWorker(const StepKey& key, const JobStep& step,
                                        const ServiceName& service, bool overdue,
+                                       const MemberName& failed_on,
                                        const std::vector<MemberName>& open,
                                        const SchedulerTables& tables);
 
--- a/src/systems/scheduler/place_runs.cc
+++ b/src/systems/scheduler/place_runs.cc
@@ -141,7 +141,8 @@
     run = std::max(run, NextRun(before.back(), tables));
   }
   for (std::size_t i = 0; i < tasks.size(); ++i) {
-    const auto worker = ChooseWorker(key, step, service, false, open, tables);
+    const auto worker =
+        ChooseWorker(key, step, service, false, MemberName(), open, tables);
     if (!worker) {
       for (std::size_t k = 0; k < i; ++k) {
         tables.tasks_.Put(tasks[k], before[k]);
@@ -171,7 +172,10 @@
     const bool overdue =
         half_free && tick.now() - row.ready_since() >
                          tables.policy_.placement().longest_wait();
-    const auto worker = ChooseWorker(key, step, service, overdue, open, tables);
+    const MemberName failed_on =
+        row.failures() > 0 ? row.worker() : MemberName();
+    const auto worker =
+        ChooseWorker(key, step, service, overdue, failed_on, open, tables);
     if (!worker) return;
     Assign(task, *worker, NextRun(row, tables), row.checkpoint(), tables,
            tick.now());
--- a/test/cell/cell_test.cc
+++ b/test/cell/cell_test.cc
@@ -246,6 +246,20 @@
   BOOST_TEST(cell.log().StartsOf(job) == 3);
 }
 
+BOOST_AUTO_TEST_CASE(a_worker_that_fails_all_does_not_fail_a_job) {
+  CalmCell calm;
+  VirtualCell& cell = calm.cell_;
+  cell.worker(0).SetFailPercent(100);
+  std::vector<std::uint64_t> jobs;
+  for (int i = 0; i < 5; ++i) jobs.push_back(cell.Submit(TwoSteps()));
+  cell.RunFor(seconds(10));
+  for (const std::uint64_t job : jobs) cell.Ask(job);
+  cell.RunFor(milliseconds(100));
+  for (const std::uint64_t job : jobs) {
+    BOOST_TEST((cell.StateOf(job) == JobState::kCompleted));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_lasting_task_that_fails_often_is_started_again) {
   VirtualCell cell(1, 1, 3);
   cell.RunFor(seconds(3));
--- a/test/cell/load_pattern_test.cc
+++ b/test/cell/load_pattern_test.cc
@@ -254,6 +254,22 @@
   BOOST_TEST(fleet.Waiting(job) == 3U);
 }
 
+BOOST_AUTO_TEST_CASE(a_task_goes_elsewhere_after_a_failure) {
+  Fleet fleet(2);
+  fleet.AddRunning(Urgent(4), 1);
+  const std::uint64_t job = fleet.AddJob(Urgent(1));
+  const TaskKey key = TaskKey::Builder().job(job).Build();
+  fleet.tables().tasks_.Put(key,
+                            JobTask::Builder(*fleet.tables().tasks_.Find(key))
+                                .run(1)
+                                .failures(1)
+                                .worker(Fleet::Name(0))
+                                .Build());
+  fleet.Place();
+  BOOST_TEST(fleet.OnWorker(0) == 0U);
+  BOOST_TEST(fleet.OnWorker(1) == 5U);
+}
+
 BOOST_AUTO_TEST_CASE(tasks_that_serve_are_packed_on_few_workers) {
   Fleet fleet(4);
   fleet.AddJob(Serving(4, 13'000, "serving"));
