--- /dev/null
+++ b/test/platform/codec_test.cc
@@ -0,0 +1,183 @@
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+#include "adapters/json_log.h"
+#include "configuration_codec.h"
+#include "job_codec.h"
+#include "kv_codec.h"
+#include "systems/gateway/check_job.h"
+#include "worker_codec.h"
+
+namespace quetzalline {
+namespace {
+
+std::string FaultOf(const std::string& body) {
+  return FindJobFault(ReadSubmit(body)).value_or("");
+}
+
+HttpResponse Response(int status, const std::string& body) {
+  return HttpResponse::Builder().status(status).body(Body(body)).Build();
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(codecs)
+
+BOOST_AUTO_TEST_CASE(a_good_job_is_read_whole) {
+  const SubmitCall call = ReadSubmit(
+      R"({"spec":"s","steps":[{"count":4,"cpu":500,"mem_mb":256,)"
+      R"("estimate_ms":900,"affinity":"r1-3"},{"count":2,"cpu":7000,)"
+      R"("after":[0],"fills":true,"image":"i","target_ms":0}]})");
+  BOOST_REQUIRE(call.definition().has_value());
+  BOOST_TEST(!FindJobFault(call).has_value());
+  const JobDefinition& job = **call.definition();
+  BOOST_REQUIRE(job.steps().size() == 2U);
+  BOOST_TEST(job.steps()[0].data_rack() == "r1-3");
+  BOOST_TEST(job.steps()[0].memory_mb() == 256);
+  BOOST_TEST(job.steps()[1].fills());
+  BOOST_TEST(job.steps()[1].after().front() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_bad_job_is_told_where_it_is_wrong) {
+  BOOST_TEST(FaultOf("") == "expected a JSON object");
+  BOOST_TEST(FaultOf("[1]") == "expected a JSON object");
+  BOOST_TEST(FaultOf("{\"steps\":[") == "expected a JSON object");
+  BOOST_TEST(FaultOf("{}") == "steps: expected one or more");
+  BOOST_TEST(FaultOf(R"({"spec":5,"steps":[{"count":1}]})") ==
+             "spec: expected a string");
+  BOOST_TEST(FaultOf(R"({"steps":[7]})") == "steps[0]: expected an object");
+  BOOST_TEST(FaultOf(R"({"steps":[{"count":"4"}]})") ==
+             "steps[0].count: expected a whole number");
+  BOOST_TEST(FaultOf(R"({"steps":[{"count":1.5}]})") ==
+             "steps[0].count: expected a whole number");
+  BOOST_TEST(FaultOf(R"({"steps":[{"count":0}]})") ==
+             "steps[0].count: expected 1 or more");
+  BOOST_TEST(FaultOf(R"({"steps":[{"count":1,"cpu":-5}]})") ==
+             "steps[0].cpu: out of range");
+  BOOST_TEST(FaultOf(R"({"steps":[{"count":900000}]})") ==
+             "steps: too many tasks");
+}
+
+BOOST_AUTO_TEST_CASE(a_step_follows_earlier_steps_only) {
+  const std::string fault =
+      "steps[0].after: expected the numbers of earlier steps";
+  BOOST_TEST(FaultOf(R"({"steps":[{"count":1,"after":[0]}]})") == fault);
+  BOOST_TEST(FaultOf(R"({"steps":[{"count":1,"after":[1]},)"
+                     R"({"count":1,"after":[0]}]})") == fault);
+  BOOST_TEST(FaultOf(R"({"steps":[{"count":1,"after":[-1]}]})") == fault);
+}
+
+BOOST_AUTO_TEST_CASE(names_of_tasks_are_read_as_they_are_written) {
+  const TaskKey key = TaskKey::Builder()
+                          .job(0x5c0e7a21d94b36f8)
+                          .occurrence(2)
+                          .step(1)
+                          .index(17)
+                          .Build();
+  BOOST_TEST(TaskText(key) == "5c0e7a21d94b36f8.2.1.17");
+  BOOST_TEST((ParseTaskText(TaskText(key)) == key));
+  for (const char* bad :
+       {"", "5c0e7a21d94b36f8", "5c0e7a21d94b36f8.0.1",
+        "5c0e7a21d94b36f8.0.1.x", "zz.0.1.2", "5c0e7a21d94b36f8.0.1.2.3"}) {
+    BOOST_TEST(!ParseTaskText(bad).has_value());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_foreign_announcement_names_no_worker) {
+  const std::string good =
+      R"({"service":"s","zone":"z","state":"ready","born":5,"seq":4,)"
+      R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a"]})";
+  const auto seen = ReadAnnouncement("i-1", good);
+  BOOST_REQUIRE(seen.has_value());
+  BOOST_TEST(seen->facts().cpu() == 16000);
+  BOOST_TEST(!seen->facts().draining());
+  for (const char* bad :
+       {"", "{}", "\xff\xfe", R"({"service":"s","state":"ready"})",
+        R"({"service":"s","state":"asleep","capacity":{"cpu":1}})",
+        R"({"service":7,"state":"ready","capacity":{"cpu":1}})",
+        R"({"service":"s","state":"ready","capacity":{"cpu":"many"}})"}) {
+    BOOST_TEST(!ReadAnnouncement("i-1", bad).has_value());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_workers_lists_are_read_and_bad_rows_left_out) {
+  const WorkerAnswer answer = ReadWorkerAnswer(
+      3, Response(200,
+                  R"({"clock_ms":482113,"born":9,"running":[)"
+                  R"(["5c0e7a21d94b36f8.0.1.17",2,"c",41,25],["x",1,"",0],7],)"
+                  R"("finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],)"
+                  R"([59,"5c0e7a21d94b36f8.0.1.8",1,"melted",""]]})"));
+  BOOST_TEST((answer.verdict() == WorkerVerdict::kDone));
+  BOOST_TEST(answer.born_ms() == 9);
+  BOOST_REQUIRE(answer.running().size() == 1U);
+  BOOST_TEST(answer.running().front().figure() == 25);
+  BOOST_REQUIRE(answer.ends().size() == 1U);
+  BOOST_TEST(answer.ends().front().number() == 58);
+}
+
+BOOST_AUTO_TEST_CASE(refusals_of_a_worker_are_told_apart) {
+  const auto verdict = [](int status, const std::string& body) {
+    return ReadWorkerAnswer(1, Response(status, body)).verdict();
+  };
+  BOOST_TEST((verdict(409, R"({"reason":"fence"})") == WorkerVerdict::kFenced));
+  BOOST_TEST((verdict(409, R"({"reason":"old"})") == WorkerVerdict::kOld));
+  BOOST_TEST((verdict(409, R"({"reason":"late"})") == WorkerVerdict::kLate));
+  BOOST_TEST((verdict(409, R"({"reason":"room"})") == WorkerVerdict::kNoRoom));
+  BOOST_TEST((verdict(421, "") == WorkerVerdict::kOtherLife));
+  BOOST_TEST((verdict(503, "") == WorkerVerdict::kUnhealthy));
+  // A good answer that cannot be read says nothing of what was done.
+  BOOST_TEST((verdict(200, "{") == WorkerVerdict::kLost));
+}
+
+BOOST_AUTO_TEST_CASE(an_unreadable_value_of_the_store_is_told_as_such) {
+  const auto items = ParseItemAnswer(
+      R"({"key":"quetzalline/jobs/5c0e7a21d94b36f8","value":"!!!!",)"
+      R"("revision":4,"at_revision":9})");
+  BOOST_REQUIRE(items.has_value());
+  BOOST_TEST(!items->items().front().record().has_value());
+  BOOST_TEST(!ParseItemAnswer("{}").has_value());
+  BOOST_TEST(!ParseWatchAnswer(R"({"events":5})").has_value());
+  BOOST_TEST(!ParseConfiguration(R"({"version":1})").has_value());
+  BOOST_TEST(!ParseConfiguration(R"({"version":"1","routes":[]})").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_pipe_that_nobody_reads_stops_no_process) {
+  int ends[2] = {-1, -1};
+  BOOST_REQUIRE(::pipe(ends) == 0);
+  JsonLog log(ends[1], "test");
+  const LogDecision decision = LogDecision::Builder()
+                                   .event("event")
+                                   .fields({LogField::Builder()
+                                                .name("text")
+                                                .value(std::string(500, 'x'))
+                                                .Build()})
+                                   .Build();
+  constexpr int kLines = 2000;
+  for (int i = 0; i < kLines; ++i) {
+    log.Write(decision);
+    log.Flush();
+  }
+  BOOST_TEST(log.dropped() > 0);
+  // Once it is read again, the number lost is told.
+  std::string read;
+  char buffer[65536];
+  BOOST_REQUIRE(::fcntl(ends[0], F_SETFL, O_NONBLOCK) == 0);
+  for (int i = 0; i < 100; ++i) {
+    ssize_t size = 0;
+    while ((size = ::read(ends[0], buffer, sizeof(buffer))) > 0) {
+      read.append(buffer, static_cast<std::size_t>(size));
+    }
+    log.Write(decision);
+    log.Flush();
+  }
+  BOOST_TEST(read.find("log-lines-dropped") != std::string::npos);
+  ::close(ends[0]);
+  ::close(ends[1]);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace quetzalline
