--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -383,15 +383,22 @@
   if (acting == nullptr || tables.term_.settled()) return;
   std::size_t runners = 0;
   std::size_t answered = 0;
+  bool answer_due = false;
   for (const auto& [name, worker] : tables.workers_) {
+    const MemberRow* member = tables.members_.Find(name);
     ++runners;
     if (worker.reported()) ++answered;
+    if (!worker.reported() && member != nullptr && member->connection()) {
+      answer_due = true;
+    }
   }
   if (2 * answered > runners && !tables.term_.majority_since()) {
     tables.term_ =
         HolderTerm::Builder(tables.term_).majority_since(tick.now()).Build();
   }
-  Instant sure_at = acting->since() + kLongestDoubt;
+  // A runner that was reached lists its runs soon, however busy both are.
+  Instant sure_at =
+      acting->since() + (answer_due ? 2 * kLongestDoubt : kLongestDoubt);
   if (tables.term_.majority_since()) {
     sure_at =
         std::min(sure_at, *tables.term_.majority_since() + kContactWindow +
