--- a/test/support/virtual_cell.cc
+++ b/test/support/virtual_cell.cc
@@ -17,6 +17,7 @@
 constexpr Duration kCallerRetry = std::chrono::milliseconds(700);
 constexpr std::uint64_t kFirstJob = 0x5c0e7a2100000000ULL;
 
+// Prints the decisions of every node where QUETZALLINE_TRACE is set.
 void Trace(Instant now, const std::string& who, const LogDecision& e) {
   static const bool on = std::getenv("QUETZALLINE_TRACE") != nullptr;
   if (!on) return;
@@ -180,6 +181,18 @@
   });
 }
 
+void VirtualCell::ToHolder(const SendToHolder& sent) {
+  const auto found = connections_.find(sent.connection());
+  if (found == connections_.end()) return;
+  const std::size_t holder = found->second.scheduler_;
+  ToPeer(sent.connection(), [this, holder, sent] {
+    agents_[holder].scheduler_->Post(HolderMessageReceived::Builder()
+                                         .connection(sent.connection())
+                                         .message(sent.message())
+                                         .Build());
+  });
+}
+
 void VirtualCell::CloseConnection(ConnectionId id) {
   const auto found = connections_.find(id);
   if (found == connections_.end()) return;
@@ -244,17 +257,7 @@
   const std::string name = AgentName(agent).value();
   std::visit(
       Overloaded{
-          [&](const SendToHolder& e) {
-            const auto found = connections_.find(e.connection());
-            if (found == connections_.end()) return;
-            const std::size_t holder = found->second.scheduler_;
-            ToPeer(e.connection(), [this, holder, e] {
-              agents_[holder].scheduler_->Post(HolderMessageReceived::Builder()
-                                                   .connection(e.connection())
-                                                   .message(e.message())
-                                                   .Build());
-            });
-          },
+          [&](const SendToHolder& e) { ToHolder(e); },
           [&](const quetzalline::CloseConnection& e) {
             events_.After(kOneWay,
                           [this, e] { CloseConnection(e.connection()); });
@@ -328,31 +331,20 @@
     if (node.generation() == generation) node.Post(input);
   };
   const std::string name = EntryName(entry).value();
-  std::visit(
-      Overloaded{
-          [&](const AnswerJobCall& e) {
-            events_.After(kOneWay, [this, e] { TakeAnswer(e); });
-          },
-          [&](const SendToHolder& e) {
-            const auto found = connections_.find(e.connection());
-            if (found == connections_.end()) return;
-            const std::size_t holder = found->second.scheduler_;
-            ToPeer(e.connection(), [this, holder, e] {
-              agents_[holder].scheduler_->Post(HolderMessageReceived::Builder()
-                                                   .connection(e.connection())
-                                                   .message(e.message())
-                                                   .Build());
-            });
-          },
-          [&](const quetzalline::CloseConnection& e) {
-            events_.After(kOneWay,
-                          [this, e] { CloseConnection(e.connection()); });
-          },
-          [&](const LogDecision& e) { Trace(events_.now(), name, e); },
-          [](const ProcessFinished&) {},
-          [&](const auto& e) { kv_.Perform(name, e, post); },
-      },
-      effect);
+  std::visit(Overloaded{
+                 [&](const AnswerJobCall& e) {
+                   events_.After(kOneWay, [this, e] { TakeAnswer(e); });
+                 },
+                 [&](const SendToHolder& e) { ToHolder(e); },
+                 [&](const quetzalline::CloseConnection& e) {
+                   events_.After(
+                       kOneWay, [this, e] { CloseConnection(e.connection()); });
+                 },
+                 [&](const LogDecision& e) { Trace(events_.now(), name, e); },
+                 [](const ProcessFinished&) {},
+                 [&](const auto& e) { kv_.Perform(name, e, post); },
+             },
+             effect);
 }
 
 void VirtualCell::Announce(std::size_t agent) {
--- a/test/support/virtual_cell.h
+++ b/test/support/virtual_cell.h
@@ -95,6 +95,7 @@
   void DropPeer(std::size_t agent, const MemberName& member);
   bool IsCut(const Connection& connection) const;
   void ToPeer(ConnectionId id, const std::function<void()>& deliver);
+  void ToHolder(const SendToHolder& sent);
   void Announce(std::size_t agent);
   void Send(const Call& call, std::size_t entry);
   void TakeAnswer(const AnswerJobCall& answer);
