--- a/src/systems/cell/registration.h
+++ b/src/systems/cell/registration.h
@@ -9,18 +9,10 @@
 #include "messages/kvs_result.h"
 #include "records/member_record.h"
 #include "systems/cell/cell_keys.h"
+#include "tables/registration.h"
 
 namespace quetzalline {
 
-/// Whether this process has announced itself in the store, so that holders
-/// dial it.
-struct Registration {
-  bool done_ = false;
-  /// The commit under way; 0 where there is none.
-  std::uint64_t ticket_ = 0;
-  Instant next_try_;
-};
-
 /// Announces the process, and again after a pause if that failed.
 template <typename AnyTick>
 void Register(const MemberName& member, const MemberRecord& record,
--- a/src/systems/gateway/gateway_node.cc
+++ b/src/systems/gateway/gateway_node.cc
@@ -1,6 +1,7 @@
 #include "systems/gateway/gateway_node.h"
 
 #include "core/overloaded.h"
+#include "systems/cell/registration.h"
 #include "systems/gateway/follow_configuration.h"
 #include "systems/gateway/serve_callers.h"
 
--- a/src/systems/runner/runner_node.cc
+++ b/src/systems/runner/runner_node.cc
@@ -2,6 +2,7 @@
 
 #include "core/overloaded.h"
 #include "systems/cell/log_fields.h"
+#include "systems/cell/registration.h"
 #include "systems/runner/follow_holder.h"
 #include "systems/runner/order_runs.h"
 #include "systems/runner/set_pace.h"
--- a/src/systems/scheduler/commit_progress.cc
+++ b/src/systems/scheduler/commit_progress.cc
@@ -14,7 +14,10 @@
 
 // The store takes 32 entries in a commit: one expectation, the epoch's key, the
 // holder's key, and two for each job.
-constexpr std::size_t kMostJobsInCommit = 14;
+constexpr std::size_t kMostJobsInCommit = 12;
+// Expired jobs that one commit removes, an entry each.
+constexpr std::size_t kMostExpiredInCommit = 4;
+constexpr Duration kExpiryLook = std::chrono::seconds(5);
 // Pause before a commit that failed is tried again, up to twice this.
 constexpr Duration kRetryPause = std::chrono::milliseconds(120);
 // Callers wait this long for a commit whose outcome is unknown: less than half
@@ -63,6 +66,11 @@
     AddJobToBatch(job, tables, batch);
     tables.dirty_jobs_.erase(job);
   }
+  for (const std::uint64_t job : tables.expired_jobs_) {
+    if (batch.expired_.size() >= kMostExpiredInCommit) break;
+    batch.expired_.push_back(job);
+    batch.removals_.push_back(ProgressKey(job));
+  }
   const auto in_batch = [&](std::uint64_t job) {
     return std::find(batch.jobs_.begin(), batch.jobs_.end(), job) !=
            batch.jobs_.end();
@@ -112,8 +120,9 @@
   // A job that ended while its commit was under way is not closed by it.
   const bool closed = over && tables.dirty_jobs_.count(job) == 0;
   const bool new_job = !row->stored();
-  tables.jobs_.Put(job,
-                   JobRow::Builder(*row).stored(true).closed(closed).Build());
+  tables.jobs_.Put(
+      job,
+      JobRow::Builder(*row).stored(true).closed(closed).closed_at(now).Build());
   if (closed) return EraseQuietTasks(job, tables);
   if (!new_job || over) return;
   const std::int32_t occurrences =
@@ -152,6 +161,10 @@
   for (const std::uint64_t job : batch.jobs_) {
     MarkJobKept(job, tick.now(), tables);
   }
+  for (const std::uint64_t job : batch.expired_) {
+    tables.expired_jobs_.erase(job);
+    tables.jobs_.Erase(job);
+  }
   auto& open = tables.unnoted_ends_;
   open.erase(std::remove_if(open.begin(), open.end(),
                             [&](const UnnotedEnd& end) {
@@ -173,6 +186,19 @@
   if (!tables.store_failing_since_) tables.store_failing_since_ = tick.now();
 }
 
+// The state of a job is told for a while after its end, and then forgotten.
+void FindExpired(SchedulerTables& tables, SchedulerTick& tick) {
+  if (tick.now() < tables.next_expiry_look_) return;
+  tables.next_expiry_look_ = tick.now() + kExpiryLook;
+  for (const auto& [job, row] : tables.jobs_) {
+    // The record of a closed job is dropped with its tasks.
+    const bool quiet = row.record()->definition()->steps().empty();
+    if (!row.closed() || !quiet) continue;
+    if (tick.now() - row.closed_at() < tables.policy_.status_time()) continue;
+    tables.expired_jobs_.insert(job);
+  }
+}
+
 void ContinueCommit(SchedulerTables& tables, SchedulerTick& tick) {
   CommitBatch& batch = *tables.commit_;
   if (batch.in_flight_) return;
@@ -262,8 +288,10 @@
     LookAfterCallers(tables, tick);
     return ContinueCommit(tables, tick);
   }
-  const bool wanted =
-      !tables.dirty_jobs_.empty() || tables.term_.restore_holder();
+  FindExpired(tables, tick);
+  const bool wanted = !tables.dirty_jobs_.empty() ||
+                      !tables.expired_jobs_.empty() ||
+                      tables.term_.restore_holder();
   if (!wanted) return;
   if (tick.now() < tables.next_commit_) return tick.WakeAt(tables.next_commit_);
   tables.commit_ = BuildBatch(tables, tick.now());
--- a/src/systems/scheduler/load_kept.cc
+++ b/src/systems/scheduler/load_kept.cc
@@ -38,12 +38,13 @@
 }
 
 // A job of which only the final state is kept.
-void LoadClosedJob(std::uint64_t job, const JobProgress& progress,
+void LoadClosedJob(std::uint64_t job, const JobProgress& progress, Instant now,
                    SchedulerTables& tables) {
   tables.jobs_.Put(job, JobRow::Builder()
                             .state(progress.state())
                             .stored(true)
                             .closed(true)
+                            .closed_at(now)
                             .Build());
 }
 
@@ -67,7 +68,7 @@
     OpenKeptJob(*job, *kept, so_far, AcceptedAt(*kept, tables, now), tables);
   }
   for (const auto& [job, kept] : progress) {
-    if (IsOver(kept.state())) LoadClosedJob(job, kept, tables);
+    if (IsOver(kept.state())) LoadClosedJob(job, kept, now, tables);
   }
 }
 
--- a/src/tables/commit_batch.h
+++ b/src/tables/commit_batch.h
@@ -20,6 +20,8 @@
   std::vector<KvsPut> puts_;
   std::vector<std::string> removals_;
   std::vector<std::uint64_t> jobs_;
+  /// Jobs whose state is told no longer.
+  std::vector<std::uint64_t> expired_;
   std::vector<UnnotedEnd> ends_;
   std::vector<CallerWaiting> callers_;
   Instant since_;
--- a/src/tables/gateway_tables.h
+++ b/src/tables/gateway_tables.h
@@ -8,10 +8,10 @@
 #include "core/scheduler_configuration.h"
 #include "core/table.h"
 #include "core/time_index.h"
-#include "systems/cell/registration.h"
 #include "tables/gateway_call.h"
 #include "tables/gateway_policy.h"
 #include "tables/holder_link.h"
+#include "tables/registration.h"
 
 namespace quetzalline {
 
--- a/src/tables/job_row.h
+++ b/src/tables/job_row.h
@@ -33,6 +33,8 @@
   bool stored() const { return stored_; }
   /// Whether its final state is kept in the store.
   bool closed() const { return closed_; }
+  /// When this holder saw it closed.
+  Instant closed_at() const { return closed_at_; }
   /// Whether a task has been started.
   bool began() const { return began_; }
   /// Tasks that are not done.
@@ -44,7 +46,8 @@
 
  private:
   QUETZALLINE_VALUE(JobRow, record_, queue_, accepted_at_, due_, state_,
-                    stored_, closed_, began_, tasks_left_, work_left_)
+                    stored_, closed_, closed_at_, began_, tasks_left_,
+                    work_left_)
 
   Shared<JobRecord> record_;
   Shared<JobQueue> queue_;
@@ -53,6 +56,7 @@
   JobState state_ = JobState{};
   bool stored_ = false;
   bool closed_ = false;
+  Instant closed_at_ = Instant{};
   bool began_ = false;
   std::int32_t tasks_left_ = 0;
   std::int64_t work_left_ = 0;
@@ -76,6 +80,7 @@
   Builder& state(JobState value) { return Set(value_.state_, value); }
   Builder& stored(bool value) { return Set(value_.stored_, value); }
   Builder& closed(bool value) { return Set(value_.closed_, value); }
+  Builder& closed_at(Instant value) { return Set(value_.closed_at_, value); }
   Builder& began(bool value) { return Set(value_.began_, value); }
   Builder& tasks_left(std::int32_t value) {
     return Set(value_.tasks_left_, value);
--- a/src/tables/scheduler_tables.h
+++ b/src/tables/scheduler_tables.h
@@ -78,6 +78,9 @@
   std::set<std::uint64_t> dirty_jobs_;
   std::vector<UnnotedEnd> unnoted_ends_;
   std::vector<CallerWaiting> callers_;
+  /// Jobs whose state need not be told any longer.
+  std::set<std::uint64_t> expired_jobs_;
+  Instant next_expiry_look_;
   std::optional<CommitBatch> commit_;
   Instant next_commit_;
   /// When the store last failed a commit; empty once one succeeded.
--- a/test/cell/cell_test.cc
+++ b/test/cell/cell_test.cc
@@ -1,6 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "support/virtual_cell.h"
+#include "systems/cell/cell_keys.h"
 
 namespace quetzalline {
 namespace {
@@ -99,6 +100,19 @@
   BOOST_TEST((cell.StateOf(job) == JobState::kCancelled));
 }
 
+BOOST_AUTO_TEST_CASE(a_finished_job_is_told_for_a_while_and_then_forgotten) {
+  CalmCell calm;
+  VirtualCell& cell = calm.cell_;
+  const std::uint64_t job = cell.Submit(TwoSteps());
+  cell.RunFor(seconds(115));
+  cell.Ask(job);
+  cell.RunFor(milliseconds(100));
+  BOOST_TEST((cell.StateOf(job) == JobState::kCompleted));
+  cell.RunFor(seconds(20));
+  BOOST_TEST(cell.kv().Find(ProgressKey(job)) == nullptr);
+  BOOST_TEST(cell.kv().Find(JobKey(job)) == nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(an_unknown_job_is_told_as_unknown) {
   CalmCell calm;
   VirtualCell& cell = calm.cell_;
