--- a/src/messages/start_run.h
+++ b/src/messages/start_run.h
@@ -34,6 +34,8 @@
   const std::string& image() const { return image_; }
   /// Thousandths of a core that the task asks for.
   std::int64_t cpu() const { return cpu_; }
+  std::int64_t memory_mb() const { return memory_mb_; }
+  std::int64_t gpu() const { return gpu_; }
   /// Share of its speed that the task works at until its neighbours are seen to
   /// bear it.
   std::int32_t first_pace() const { return first_pace_; }
@@ -42,7 +44,7 @@
 
  private:
   QUETZALLINE_VALUE(StartRun, run_, spec_, checkpoint_, target_, fills_,
-                    born_ms_, image_, cpu_, first_pace_)
+                    born_ms_, image_, cpu_, memory_mb_, gpu_, first_pace_)
 
   RunKey run_;
   Shared<std::string> spec_;
@@ -52,6 +54,8 @@
   std::int64_t born_ms_ = 0;
   std::string image_;
   std::int64_t cpu_ = 0;
+  std::int64_t memory_mb_ = 0;
+  std::int64_t gpu_ = 0;
   std::int32_t first_pace_ = 100;
 };
 
@@ -74,6 +78,10 @@
     return Set(value_.image_, std::move(value));
   }
   Builder& cpu(std::int64_t value) { return Set(value_.cpu_, value); }
+  Builder& memory_mb(std::int64_t value) {
+    return Set(value_.memory_mb_, value);
+  }
+  Builder& gpu(std::int64_t value) { return Set(value_.gpu_, value); }
   Builder& first_pace(std::int32_t value) {
     return Set(value_.first_pace_, value);
   }
--- a/src/systems/runner/order_runs.cc
+++ b/src/systems/runner/order_runs.cc
@@ -70,6 +70,24 @@
   return Reason::kInvalid;
 }
 
+// Whether the worker has room for one more run. What is being stopped still
+// takes its room, and a run that nobody has described may take any.
+bool HasRoom(const StartRun& order, const RunnerTables& tables) {
+  std::int64_t cpu = order.fills() ? 0 : order.cpu();
+  std::int64_t memory_mb = order.memory_mb();
+  std::int64_t gpu = order.gpu();
+  for (const auto& [key, run] : tables.runs_) {
+    if (!run.known()) return false;
+    const StartRun& other = run.order();
+    cpu += other.fills() ? 0 : other.cpu();
+    memory_mb += other.memory_mb();
+    gpu += other.gpu();
+  }
+  const WorkerFacts& facts = *tables.facts_;
+  return cpu <= facts.cpu() && memory_mb <= facts.memory_mb() &&
+         gpu <= facts.gpu();
+}
+
 }  // namespace
 
 std::int64_t CurrentFence(const RunnerTables& tables) {
@@ -119,6 +137,9 @@
   if (tick.now() < tables.orders_stale_until_) {
     return RefuseRun(order.run(), Reason::kHeartbeatMissed, tables, tick);
   }
+  if (!HasRoom(order, tables)) {
+    return RefuseRun(order.run(), Reason::kDoesNotFit, tables, tick);
+  }
   tables.runs_.Put(key, HeldRun::Builder()
                             .run(order.run().run())
                             .order(order)
--- a/src/systems/scheduler/conclude_job.cc
+++ b/src/systems/scheduler/conclude_job.cc
@@ -76,6 +76,17 @@
   }
 }
 
+// Stops the run of a task that another run has done. It takes room on its
+// worker until its own end is listed, although the task is over.
+void StopSuperseded(const TaskKey& key, SchedulerTables& tables,
+                    SchedulerTick& tick) {
+  const JobTask task = *tables.tasks_.Find(key);
+  if (task.stage() != TaskStage::kAssigned) return;
+  tables.strays_[task.worker()].insert(
+      RunKey::Builder().task(key).run(task.run()).Build());
+  StopTask(key, Reason::kStaleAttempt, tables, tick);
+}
+
 // The checkpoint of an earlier run says less than that of a later one.
 std::string NewerCheckpoint(const JobTask& task, const RunEnd& end) {
   const bool newer = end.run().run() >= task.run() && !end.checkpoint().empty();
@@ -182,7 +193,7 @@
   }
   const bool long_running = task->step()->long_running();
   if (end.outcome() == RunOutcome::kDone && !long_running) {
-    if (!current) StopTask(key, Reason::kStaleAttempt, tables, tick);
+    if (!current) StopSuperseded(key, tables, tick);
     tables.dirty_jobs_.insert(key.job());
     const JobTask finished = *tables.tasks_.Find(key);
     if (finished.step()->gang()) {
--- a/src/systems/scheduler/send_start.cc
+++ b/src/systems/scheduler/send_start.cc
@@ -36,6 +36,8 @@
           .born_ms(row->facts()->born_ms())
           .image(task->step()->image())
           .cpu(task->step()->cpu())
+          .memory_mb(task->step()->memory_mb())
+          .gpu(task->step()->gpu())
           .first_pace(FirstPace(worker, *task->step(), tables))
           .Build();
   tick.Emit(SendToRunner::Builder()
--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -57,6 +57,14 @@
              ends.end());
 }
 
+void ForgetStray(const MemberName& name, const RunKey& run,
+                 SchedulerTables& tables) {
+  const auto strays = tables.strays_.find(name);
+  if (strays == tables.strays_.end()) return;
+  strays->second.erase(run);
+  if (strays->second.empty()) tables.strays_.erase(strays);
+}
+
 void LoseWorker(const MemberName& name, SchedulerTables& tables,
                 SchedulerTick& tick) {
   const WorkerRow& worker = *tables.workers_.Find(name);
@@ -72,6 +80,8 @@
   builder.facts(facts);
   const bool other = worker.facts() && IsOtherLife(*worker.facts(), facts);
   if (!worker.facts() || other) {
+    // The ends of a new life count anew.
+    ForgetUnnotedEnds(name, tables);
     builder.ends_seen(0).ends_noted(0).failures(0).rests_until(Instant());
     LogLine(tick, "worker-joined", 0,
             {Field("member", name.value()), Field("worker", facts.worker()),
@@ -85,8 +95,6 @@
   // What was ordered from the life before may have met the new one: its tasks
   // stay, and nothing is placed there, until it has listed what it runs.
   if (other) builder.reported(false);
-  // The ends of a new life count anew.
-  if (other) ForgetUnnotedEnds(name, tables);
   tables.workers_.Put(name, builder.Build());
   tables.placement_due_ = true;
 }
@@ -136,7 +144,7 @@
 // session, before which nothing was ordered, says what never arrived.
 void TakeWholeList(const MemberName& name, const WorkerReport& report,
                    bool first, SchedulerTables& tables, SchedulerTick& tick) {
-  tables.strays_.erase(name);
+  if (first) tables.strays_.erase(name);
   tables.placement_due_ = true;
   std::set<TaskKey> listed;
   for (const RunProgress& run : report.running()) {
@@ -168,22 +176,22 @@
 
 void TakeEnds(const MemberName& name, const WorkerReport& report,
               SchedulerTables& tables, SchedulerTick& tick) {
-  std::int64_t seen = tables.workers_.Find(name)->ends_seen();
+  const WorkerRow worker = *tables.workers_.Find(name);
+  if (!worker.facts()) return;
+  const std::int64_t born_ms = worker.facts()->born_ms();
+  std::int64_t seen = worker.ends_seen();
   bool any = false;
   for (const RunEnd& end : report.ends()) {
     if (end.number() <= seen) continue;
     seen = end.number();
     any = true;
-    const auto strays = tables.strays_.find(name);
-    if (strays != tables.strays_.end()) {
-      strays->second.erase(end.run());
-      if (strays->second.empty()) tables.strays_.erase(strays);
-    }
+    ForgetStray(name, end.run(), tables);
     TakeRunEnd(name, end, tables, tick);
     const std::uint64_t job = end.run().task().job();
     if (tables.dirty_jobs_.count(job) == 0) continue;
     tables.unnoted_ends_.push_back(UnnotedEnd::Builder()
                                        .worker(name)
+                                       .born_ms(born_ms)
                                        .number(end.number())
                                        .job(job)
                                        .Build());
@@ -198,6 +206,7 @@
 void TakeRefusals(const MemberName& name, const WorkerReport& report,
                   SchedulerTables& tables, SchedulerTick& tick) {
   for (const RunRefused& refused : report.refused()) {
+    ForgetStray(name, refused.run(), tables);
     const TaskKey& key = refused.run().task();
     const JobTask* task = tables.tasks_.Find(key);
     if (task == nullptr || task->stage() != TaskStage::kAssigned) continue;
@@ -404,7 +413,14 @@
         std::min(sure_at, *tables.term_.majority_since() + kContactWindow +
                               LeaseBound(tables.policy_));
   }
-  if (answered < runners && tick.now() < sure_at) return tick.WakeAt(sure_at);
+  if (answered < runners) {
+    if (tick.now() < sure_at) return tick.WakeAt(sure_at);
+    // A later holder may have renewed the leases of the silent ones.
+    if (tables.term_.confirmed_at() < sure_at) {
+      ConfirmEpoch(tables, tick);
+      return tick.WakeAt(tables.next_confirm_);
+    }
+  }
   tables.term_ = HolderTerm::Builder(tables.term_).settled(true).Build();
   LogLine(tick, "tasks-settled", 0,
           {Field("runners", runners), Field("answered", answered),
--- a/src/tables/unnoted_end.h
+++ b/src/tables/unnoted_end.h
@@ -19,15 +19,18 @@
   static constexpr std::string_view kName = "unnoted-end";
 
   const MemberName& worker() const { return worker_; }
+  /// Unix milliseconds of the start of the worker's life that counts its ends.
+  std::int64_t born_ms() const { return born_ms_; }
   std::int64_t number() const { return number_; }
   std::uint64_t job() const { return job_; }
 
   friend auto operator<=>(const UnnotedEnd&, const UnnotedEnd&) = default;
 
  private:
-  QUETZALLINE_VALUE(UnnotedEnd, worker_, number_, job_)
+  QUETZALLINE_VALUE(UnnotedEnd, worker_, born_ms_, number_, job_)
 
   MemberName worker_;
+  std::int64_t born_ms_ = 0;
   std::int64_t number_ = 0;
   std::uint64_t job_ = 0;
 };
@@ -40,6 +43,7 @@
   Builder& worker(MemberName value) {
     return Set(value_.worker_, std::move(value));
   }
+  Builder& born_ms(std::int64_t value) { return Set(value_.born_ms_, value); }
   Builder& number(std::int64_t value) { return Set(value_.number_, value); }
   Builder& job(std::uint64_t value) { return Set(value_.job_, value); }
 };
--- /dev/null
+++ b/test/cell/worker_report_test.cc
@@ -0,0 +1,194 @@
+#include <boost/test/unit_test.hpp>
+#include <vector>
+
+#include "support/placement_fleet.h"
+#include "systems/runner/order_runs.h"
+#include "systems/scheduler/commit_progress.h"
+
+namespace quetzalline {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+JobStep Batch(std::int32_t count) {
+  return JobStep::Builder()
+      .count(count)
+      .cpu(1000)
+      .memory_mb(100)
+      .estimate(milliseconds(500))
+      .Build();
+}
+
+RunKey Run(std::uint64_t job, std::int32_t index, std::int64_t run) {
+  return RunKey::Builder()
+      .task(TaskKey::Builder().job(job).index(index).Build())
+      .run(run)
+      .Build();
+}
+
+RunEnd Done(std::int64_t number, const RunKey& run) {
+  return RunEnd::Builder()
+      .number(number)
+      .run(run)
+      .outcome(RunOutcome::kDone)
+      .Build();
+}
+
+WorkerFacts Life(std::int64_t born_ms) {
+  return WorkerFacts::Builder()
+      .worker("agent-0")
+      .born_ms(born_ms)
+      .service(ServiceName("service"))
+      .cpu(kFleetCores)
+      .memory_mb(250'000)
+      .Build();
+}
+
+// The numbers up to which runners were told to forget ends.
+std::vector<std::int64_t> Noted(const std::vector<SchedulerEffect>& effects) {
+  std::vector<std::int64_t> noted;
+  for (const SchedulerEffect& effect : effects) {
+    const auto* sent = std::get_if<SendToRunner>(&effect);
+    if (sent == nullptr) continue;
+    const auto* note = std::get_if<NoteEnds>(&sent->message());
+    if (note != nullptr) noted.push_back(note->up_to());
+  }
+  return noted;
+}
+
+// A runner whose worker has room for two tasks and holds one.
+struct NarrowRunner {
+  NarrowRunner() : random_(1) {
+    tables_.facts_ = WorkerFacts::Builder()
+                         .worker("worker")
+                         .born_ms(1)
+                         .cpu(2000)
+                         .memory_mb(1000)
+                         .Build();
+    tables_.session_ = HolderSession::Builder().epoch(1).synced(true).Build();
+    Start(1, 1000);
+  }
+
+  // Whether the order went to the worker.
+  bool Start(std::uint64_t job, std::int64_t cpu) {
+    RunnerTick tick(kFleetNow, random_, tables_.counters_);
+    TakeStart(StartRun::Builder()
+                  .run(Run(job, 0, 1))
+                  .born_ms(1)
+                  .cpu(cpu)
+                  .memory_mb(100)
+                  .Build(),
+              tables_, tick);
+    for (const RunnerEffect& effect : tick.TakeEffects()) {
+      if (std::holds_alternative<WorkerStart>(effect)) return true;
+    }
+    return false;
+  }
+
+  void Stop(std::uint64_t job) {
+    RunnerTick tick(kFleetNow, random_, tables_.counters_);
+    TakeStop(StopRun::Builder().run(Run(job, 0, 1)).Build(), tables_, tick);
+  }
+
+  Random random_;
+  RunnerTables tables_;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(worker_reports)
+
+// A commit of what an earlier life of a worker had done says nothing of the
+// ends of the next one, although both count from one.
+BOOST_AUTO_TEST_CASE(ends_of_a_new_life_wait_for_their_own_commit) {
+  PlacementFleet fleet(2);
+  SchedulerTables& tables = fleet.tables();
+  const std::uint64_t job = fleet.AddRunning(Batch(2), 0);
+  fleet.Report(0, WorkerReport::Builder()
+                      .number(1)
+                      .ends({Done(1, Run(job, 0, 1))})
+                      .Build());
+  BOOST_REQUIRE(tables.unnoted_ends_.size() == 1U);
+  CommitBatch batch;
+  batch.jobs_ = {job};
+  batch.ends_ = tables.unnoted_ends_;
+  tables.commit_ = batch;
+  tables.dirty_jobs_.clear();
+
+  fleet.Report(
+      0,
+      WorkerReport::Builder().number(2).whole(true).worker_left(true).Build());
+  tables.tasks_.Put(Run(job, 1, 2).task(), JobTask::Builder()
+                                               .stage(TaskStage::kAssigned)
+                                               .step(Batch(2))
+                                               .worker(MemberName("agent-0"))
+                                               .run(2)
+                                               .Build());
+  const auto effects = fleet.Report(0, WorkerReport::Builder()
+                                           .number(3)
+                                           .whole(true)
+                                           .facts(Life(2))
+                                           .ends({Done(1, Run(job, 1, 2))})
+                                           .Build());
+  BOOST_TEST(Noted(effects).empty());
+
+  Random random(1);
+  SchedulerTick tick(kFleetNow, random, tables.counters_);
+  TakeCommit(KvsCommitted::Builder().revision(7).Build(), tables, tick);
+  BOOST_TEST(Noted(tick.TakeEffects()).empty());
+}
+
+// The room of a run that is being stopped, since an earlier run of its task was
+// done after all, is taken until its own end is listed.
+BOOST_AUTO_TEST_CASE(a_superseded_run_keeps_its_room_until_its_end) {
+  PlacementFleet fleet(2);
+  const std::uint64_t job = fleet.AddRunning(Batch(1), 0);
+  fleet.tables().tasks_.Put(Run(job, 0, 2).task(),
+                            JobTask::Builder()
+                                .stage(TaskStage::kAssigned)
+                                .step(Batch(1))
+                                .worker(MemberName("agent-0"))
+                                .run(2)
+                                .Build());
+  fleet.Report(1, WorkerReport::Builder()
+                      .number(1)
+                      .ends({Done(1, Run(job, 0, 1))})
+                      .Build());
+  fleet.AddJob(Batch(20));
+  fleet.Place();
+  BOOST_TEST(fleet.OnWorker(0) == 0U);
+  BOOST_TEST(fleet.OnWorker(1) == 20U);
+  fleet.Report(0, WorkerReport::Builder()
+                      .number(1)
+                      .ends({RunEnd::Builder()
+                                 .number(1)
+                                 .run(Run(job, 0, 2))
+                                 .outcome(RunOutcome::kStopped)
+                                 .Build()})
+                      .Build());
+  fleet.AddJob(Batch(20));
+  fleet.Place();
+  BOOST_TEST(fleet.OnWorker(0) > 0U);
+}
+
+// A runner is the only caller of its worker, so that no stale view of its room
+// can overfill it.
+BOOST_AUTO_TEST_CASE(a_runner_refuses_what_its_worker_has_no_room_for) {
+  NarrowRunner runner;
+  BOOST_TEST(!runner.Start(2, 1001));
+  BOOST_TEST(runner.tables_.refusals_.size() == 1U);
+  BOOST_TEST(
+      (runner.tables_.refusals_.front().reason() == Reason::kDoesNotFit));
+  BOOST_TEST(runner.Start(3, 1000));
+}
+
+BOOST_AUTO_TEST_CASE(a_run_that_is_being_stopped_still_takes_room) {
+  NarrowRunner runner;
+  runner.Stop(1);
+  BOOST_TEST(!runner.Start(2, 1001));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace quetzalline
--- /dev/null
+++ b/test/support/placement_fleet.h
@@ -0,0 +1,164 @@
+#ifndef QUETZALLINE_TEST_SUPPORT_PLACEMENT_FLEET_H_
+#define QUETZALLINE_TEST_SUPPORT_PLACEMENT_FLEET_H_
+
+#include <string>
+#include <vector>
+
+#include "systems/scheduler/learn_neighbours.h"
+#include "systems/scheduler/place_runs.h"
+#include "systems/scheduler/track_workers.h"
+
+namespace quetzalline {
+
+constexpr Instant kFleetNow = Instant(std::chrono::seconds(100));
+constexpr std::int64_t kFleetCores = 64'000;
+
+/// A holder with workers, without any store or network.
+class PlacementFleet {
+ public:
+  explicit PlacementFleet(int workers) : random_(1) {
+    tables_.stage_ = HolderActing::Builder().since(kFleetNow).Build();
+    tables_.term_ = HolderTerm::Builder()
+                        .epoch(1)
+                        .settled(true)
+                        .confirmed_at(kFleetNow)
+                        .Build();
+    tables_.last_tick_ = kFleetNow;
+    for (int i = 0; i < workers; ++i) AddWorker(Name(i), i);
+  }
+
+  static MemberName Name(int worker) {
+    return MemberName("agent-" + std::to_string(worker));
+  }
+
+  // Adds a job of one step whose tasks are ready.
+  std::uint64_t AddJob(const JobStep& step, Duration waited = Duration()) {
+    const std::uint64_t job = ++last_job_;
+    const JobDefinition definition =
+        JobDefinition::Builder().spec("spec").steps({step}).Build();
+    tables_.jobs_.Put(
+        job,
+        JobRow::Builder()
+            .record(JobRecord::Builder().definition(definition).Build())
+            .queue(JobQueue::Builder().service(ServiceName("service")).Build())
+            .accepted_at(kFleetNow - waited)
+            .due(kFleetNow + std::chrono::seconds(10))
+            .stored(true)
+            .Build());
+    for (std::int32_t i = 0; i < step.count(); ++i) {
+      tables_.tasks_.Put(Key(job, i), JobTask::Builder()
+                                          .stage(TaskStage::kReady)
+                                          .step(step)
+                                          .ready_since(kFleetNow - waited)
+                                          .Build());
+    }
+    tables_.placement_due_ = true;
+    return job;
+  }
+
+  // Puts a task on a worker where it has been for a while.
+  std::uint64_t AddRunning(const JobStep& step, int worker) {
+    const std::uint64_t job = AddJob(step);
+    for (std::int32_t i = 0; i < step.count(); ++i) {
+      tables_.tasks_.Put(Key(job, i),
+                         JobTask::Builder()
+                             .stage(TaskStage::kAssigned)
+                             .step(step)
+                             .worker(Name(worker))
+                             .run(1)
+                             .assigned_at(kFleetNow - std::chrono::seconds(60))
+                             .Build());
+    }
+    return job;
+  }
+
+  /// Takes up what the runner beside a worker reports.
+  std::vector<SchedulerEffect> Report(int worker, const WorkerReport& report) {
+    SchedulerTick tick(kFleetNow, random_, tables_.counters_);
+    TakeReport(ConnectionId(static_cast<std::uint64_t>(worker) + 1), report,
+               tables_, tick);
+    return tick.TakeEffects();
+  }
+
+  void Place() {
+    SchedulerTick tick(kFleetNow, random_, tables_.counters_);
+    tables_.placement_due_ = true;
+    PlaceRuns(tables_, tick);
+  }
+
+  template <typename System>
+  std::size_t StopsAfter(System&& system) {
+    SchedulerTick tick(kFleetNow, random_, tables_.counters_);
+    system(tables_, tick);
+    std::size_t stops = 0;
+    for (const SchedulerEffect& effect : tick.TakeEffects()) {
+      const auto* sent = std::get_if<SendToRunner>(&effect);
+      if (sent == nullptr) continue;
+      if (std::holds_alternative<StopRun>(sent->message())) ++stops;
+    }
+    return stops;
+  }
+
+  void Learn(int worker, const std::string& filling, std::int64_t millicores,
+             const std::string& serving, std::int32_t tail_percent) {
+    SchedulerTick tick(kFleetNow, random_, tables_.counters_);
+    LearnNeighbours(Name(worker),
+                    NeighbourSample::Builder()
+                        .tails({ImageTail::Builder()
+                                    .image(serving)
+                                    .percent(tail_percent)
+                                    .Build()})
+                        .fills({ImageCores::Builder()
+                                    .image(filling)
+                                    .millicores(millicores)
+                                    .Build()})
+                        .Build(),
+                    tables_, tick);
+  }
+
+  std::size_t OnWorker(int worker) const {
+    return tables_.tasks_.OnWorker(Name(worker)).size();
+  }
+  std::size_t Waiting(std::uint64_t job) const {
+    const auto found =
+        tables_.tasks_.ready().find(StepKey::Builder().job(job).Build());
+    return found == tables_.tasks_.ready().end() ? 0 : found->second.size();
+  }
+  SchedulerTables& tables() { return tables_; }
+
+ private:
+  static TaskKey Key(std::uint64_t job, std::int32_t index) {
+    return TaskKey::Builder().job(job).index(index).Build();
+  }
+
+  void AddWorker(const MemberName& name, int number) {
+    const ConnectionId connection(static_cast<std::uint64_t>(number) + 1);
+    tables_.members_.Put(
+        name,
+        MemberRow::Builder()
+            .record(MemberRecord::Builder().role(MemberRole::kRunner).Build())
+            .connection(connection)
+            .heard_at(kFleetNow)
+            .Build());
+    tables_.connections_[connection] = name;
+    tables_.workers_.Put(name, WorkerRow::Builder()
+                                   .facts(WorkerFacts::Builder()
+                                              .worker(name.value())
+                                              .born_ms(1)
+                                              .service(ServiceName("service"))
+                                              .cpu(kFleetCores)
+                                              .memory_mb(250'000)
+                                              .Build())
+                                   .reported(true)
+                                   .granted_at(kFleetNow)
+                                   .Build());
+  }
+
+  Random random_;
+  SchedulerTables tables_;
+  std::uint64_t last_job_ = 0;
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TEST_SUPPORT_PLACEMENT_FLEET_H_
