A runner that starts again lists what its worker runs only after it has looked

A runner that starts again may hear of its holder and of its worker within one tick; it then sent a whole report with the worker's facts and an empty list before it had looked. Found beside it: a report that said both that a worker left and that a new life is there lost the new life.

A report is whole only if no worker is known or the worker was looked at in this session. The holder takes up the end of a life before the next one.

--- a/src/systems/runner/follow_holder.cc
+++ b/src/systems/runner/follow_holder.cc
@@ -65,12 +65,12 @@
       .running(ListProgress(whole, tables))
       .ends(ListEnds(whole, tables))
       .refused(std::exchange(tables.refusals_, {}))
-      .worker_left(tables.worker_left_)
+      .worker_left(whole && tables.worker_left_)
       .neighbours(std::exchange(tables.neighbours_, std::nullopt))
       .fill_pace(tables.fill_pace_);
   if (whole || tables.facts_due_) report.facts(tables.facts_);
   tables.facts_due_ = false;
-  tables.worker_left_ = false;
+  if (whole) tables.worker_left_ = false;
   tick.counters().Add(Counter::kHeartbeatsSent);
   tick.Emit(SendToHolder::Builder()
                 .connection(*tables.session_.connection())
@@ -181,11 +181,13 @@
 
 void ReportWorker(RunnerTables& tables, RunnerTick& tick) {
   if (!tables.session_.connection()) return;
-  const bool whole = tables.whole_report_due_;
+  // A worker that was not looked at in this session may run anything.
+  const bool whole =
+      tables.whole_report_due_ && (!tables.facts_ || tables.session_.synced());
   const bool due =
       whole || tables.report_due_ || tick.now() >= tables.next_report_;
   if (due) {
-    tables.whole_report_due_ = false;
+    if (whole) tables.whole_report_due_ = false;
     tables.report_due_ = false;
     tables.next_report_ = tick.now() + tables.policy_.report_interval();
     SendReport(whole, tables, tick);
--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -320,6 +320,8 @@
   HearMember(connection, tables, tick.now());
   tables.grants_due_[connection] = report.number();
   if (!report.whole() && !known->reported()) return;
+  // What follows is said of the next life.
+  if (report.worker_left()) LoseWorker(name, tables, tick);
   if (report.facts()) TakeFacts(name, *report.facts(), tables, tick);
   const bool first = !tables.workers_.Find(name)->reported();
   if (report.whole()) {
@@ -328,9 +330,7 @@
                                   .reported(has_worker)
                                   .granted_at(tick.now())
                                   .Build());
-    // A runner without a worker says nothing of what the worker runs, unless
-    // it saw the worker end.
-    if (report.worker_left()) LoseWorker(name, tables, tick);
+    // A runner without a worker says nothing of what the worker runs.
     if (!has_worker) return;
   }
   tables.workers_.Put(name, WorkerRow::Builder(*tables.workers_.Find(name))
--- a/test/cell/worker_report_test.cc
+++ b/test/cell/worker_report_test.cc
@@ -3,6 +3,7 @@
 
 #include "support/placement_fleet.h"
 #include "systems/runner/order_runs.h"
+#include "systems/runner/runner_node.h"
 #include "systems/scheduler/commit_progress.h"
 
 namespace quetzalline {
@@ -189,6 +190,47 @@
   BOOST_TEST(!runner.Start(2, 1001));
 }
 
+// A process that starts again may hear of its holder and of its worker at once,
+// before it has looked at what the worker runs.
+BOOST_AUTO_TEST_CASE(a_runner_lists_nothing_before_it_has_looked) {
+  RunnerNode node(RunnerPolicy(), 1);
+  const ConnectionId connection(1);
+  const std::vector<RunnerInput> inputs = {
+      ConnectionOpened::Builder().connection(connection).Build(),
+      RunnerMessageReceived::Builder()
+          .connection(connection)
+          .message(AttachRunner::Builder().epoch(1).session(1).Build())
+          .Build(),
+      WorkerSeen::Builder().facts(Life(1)).sequence(1).Build()};
+  std::size_t reports = 0;
+  for (const RunnerEffect& effect : node.RunTick(kFleetNow, inputs)) {
+    const auto* sent = std::get_if<SendToHolder>(&effect);
+    if (sent == nullptr) continue;
+    const auto* report = std::get_if<WorkerReport>(&sent->message());
+    if (report == nullptr) continue;
+    ++reports;
+    BOOST_TEST(!(report->whole() && report->facts().has_value()));
+  }
+  BOOST_TEST(reports == 1U);
+}
+
+// A worker that left and came back within one report is a new life.
+BOOST_AUTO_TEST_CASE(a_report_of_an_end_and_a_new_life_keeps_the_new_life) {
+  PlacementFleet fleet(1);
+  const std::uint64_t job = fleet.AddRunning(Batch(2), 0);
+  fleet.Report(0, WorkerReport::Builder()
+                      .number(1)
+                      .whole(true)
+                      .worker_left(true)
+                      .facts(Life(2))
+                      .Build());
+  const WorkerRow& worker =
+      *fleet.tables().workers_.Find(PlacementFleet::Name(0));
+  BOOST_REQUIRE(worker.facts().has_value());
+  BOOST_TEST(worker.facts()->born_ms() == 2);
+  BOOST_TEST(fleet.Waiting(job) == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace quetzalline
