Ends are kept and noted in fair order; a worker's list may be only a part

The holder's commits took 12 jobs each by their number, so that jobs with high numbers waited behind those that changed all the time; their ends stayed unnoted, piled up beyond the 500 that a worker lists at once, and a runner took what it no longer saw listed for lost.

Jobs that somebody waits for are kept first, each kind in the order of its first change; progress is gathered for 200 ms; a commit is filled by entries (29) instead of 12 jobs, and what did not fit is kept without a pause. An answer with a full list of ends settles nothing about what it does not list.

--- a/src/messages/worker_answer.h
+++ b/src/messages/worker_answer.h
@@ -29,12 +29,14 @@
   std::int64_t clock_ms() const { return clock_ms_; }
   const std::vector<WorkerRun>& running() const { return running_; }
   const std::vector<RunEnd>& ends() const { return ends_; }
+  /// Whether the worker may have more ends than it listed at once.
+  bool more_ends() const { return more_ends_; }
 
   friend auto operator<=>(const WorkerAnswer&, const WorkerAnswer&) = default;
 
  private:
   QUETZALLINE_VALUE(WorkerAnswer, call_, verdict_, born_ms_, clock_ms_,
-                    running_, ends_)
+                    running_, ends_, more_ends_)
 
   std::uint64_t call_ = 0;
   WorkerVerdict verdict_ = WorkerVerdict{};
@@ -42,6 +44,7 @@
   std::int64_t clock_ms_ = 0;
   std::vector<WorkerRun> running_;
   std::vector<RunEnd> ends_;
+  bool more_ends_ = false;
 };
 
 /// Builds one WorkerAnswer; what is not set keeps its default.
@@ -59,6 +62,7 @@
   Builder& ends(std::vector<RunEnd> value) {
     return Set(value_.ends_, std::move(value));
   }
+  Builder& more_ends(bool value) { return Set(value_.more_ends_, value); }
 };
 
 }  // namespace quetzalline
--- a/src/messages/worker_report.h
+++ b/src/messages/worker_report.h
@@ -27,8 +27,11 @@
   std::int64_t session() const { return session_; }
   /// Counts from 1 in each session.
   std::int64_t number() const { return number_; }
-  /// Whether running and ends are all there are.
+  /// Whether running and ends are all there are, unless there are more ends.
   bool whole() const { return whole_; }
+  /// Whether the worker has more ends than it lists before some are noted; what
+  /// is not listed may have ended.
+  bool more_ends() const { return more_ends_; }
   /// Set where they changed; in a whole report absent where no worker is known.
   const std::optional<WorkerFacts>& facts() const { return facts_; }
   /// Whether the worker has said that it ends.
@@ -46,13 +49,14 @@
   friend auto operator<=>(const WorkerReport&, const WorkerReport&) = default;
 
  private:
-  QUETZALLINE_VALUE(WorkerReport, session_, number_, whole_, facts_,
+  QUETZALLINE_VALUE(WorkerReport, session_, number_, whole_, more_ends_, facts_,
                     worker_left_, running_, ends_, refused_, neighbours_,
                     fill_pace_)
 
   std::int64_t session_ = 0;
   std::int64_t number_ = 0;
   bool whole_ = false;
+  bool more_ends_ = false;
   std::optional<WorkerFacts> facts_;
   bool worker_left_ = false;
   std::vector<RunProgress> running_;
@@ -70,6 +74,7 @@
   Builder& session(std::int64_t value) { return Set(value_.session_, value); }
   Builder& number(std::int64_t value) { return Set(value_.number_, value); }
   Builder& whole(bool value) { return Set(value_.whole_, value); }
+  Builder& more_ends(bool value) { return Set(value_.more_ends_, value); }
   Builder& facts(std::optional<WorkerFacts> value) {
     return Set(value_.facts_, std::move(value));
   }
--- a/src/systems/runner/follow_holder.cc
+++ b/src/systems/runner/follow_holder.cc
@@ -62,6 +62,7 @@
   report.session(tables.session_.session())
       .number(number)
       .whole(whole)
+      .more_ends(whole && tables.more_ends_)
       .running(ListProgress(whole, tables))
       .ends(ListEnds(whole, tables))
       .refused(std::exchange(tables.refusals_, {}))
@@ -183,7 +184,8 @@
   if (!tables.session_.connection()) return;
   // A worker that was not looked at in this session may run anything.
   const bool whole =
-      tables.whole_report_due_ && (!tables.facts_ || tables.session_.synced());
+      tables.whole_report_due_ &&
+      (!tables.facts_ || tables.session_.synced() || tables.more_ends_);
   const bool due =
       whole || tables.report_due_ || tick.now() >= tables.next_report_;
   if (due) {
--- a/src/systems/runner/watch_worker.cc
+++ b/src/systems/runner/watch_worker.cc
@@ -17,6 +17,7 @@
   tables.lease_end_ms_ = 0;
   tables.runs_ = Table<TaskKey, HeldRun>();
   tables.ends_.clear();
+  tables.more_ends_ = false;
   tables.ends_told_ = 0;
   tables.ends_noted_ = 0;
   tables.refusals_.clear();
@@ -215,7 +216,9 @@
   TakeEnds(answer, tables);
   const bool fenced =
       hold.raises_fence() && call.fence() == CurrentFence(tables);
-  DropMissing(fenced, call, answer, tables, tick);
+  tables.more_ends_ = answer.more_ends();
+  // A run that is not listed may have ended where more ends are to come.
+  if (!answer.more_ends()) DropMissing(fenced, call, answer, tables, tick);
   // A look returns at once while ends are listed that the holder has not noted.
   if (!answer.ends().empty()) {
     tables.next_hold_ = tick.now() + tables.policy_.noting_pause();
@@ -223,9 +226,10 @@
   tables.neighbours_ = SampleNeighbours(tables, tick.now());
   if (tables.neighbours_ && IsMixed(tables)) tables.report_due_ = true;
   if (!fenced || tables.session_.synced()) return;
+  tables.whole_report_due_ = true;
+  if (answer.more_ends()) return;
   tables.session_ =
       HolderSession::Builder(tables.session_).synced(true).Build();
-  tables.whole_report_due_ = true;
 }
 
 }  // namespace quetzalline
--- a/src/systems/scheduler/admit_jobs.cc
+++ b/src/systems/scheduler/admit_jobs.cc
@@ -75,7 +75,7 @@
       return RefuseForStore(connection, message.ticket(), message.job(), tick);
     }
     OpenNewJob(message.job(), message.record(), tick.now(), tables);
-    tables.dirty_jobs_.insert(message.job());
+    tables.dirty_jobs_.Add(message.job(), DirtyKind::kAwaited, tick.now());
     tick.counters().Add(Counter::kTasksAccepted);
   }
   tables.callers_.push_back(WaitingOf(connection, message, false, tick.now()));
--- a/src/systems/scheduler/commit_progress.cc
+++ b/src/systems/scheduler/commit_progress.cc
@@ -12,11 +12,16 @@
 namespace quetzalline {
 namespace {
 
-// The store takes 32 entries in a commit: one expectation, the epoch's key, the
-// holder's key, and two for each job.
-constexpr std::size_t kMostJobsInCommit = 12;
+// The store takes 32 entries in a commit, three of which are the expectation,
+// the epoch's key and the holder's key.
+constexpr std::size_t kMostEntriesInCommit = 29;
+// Entries that one job takes at most.
+constexpr std::size_t kMostEntriesOfJob = 2;
 // Expired jobs that one commit removes, an entry each.
 constexpr std::size_t kMostExpiredInCommit = 4;
+// Ends of tasks are gathered for this long, so that several of one job are kept
+// at once: a fifth of the time after which callers ask for states again.
+constexpr Duration kProgressPause = std::chrono::milliseconds(200);
 constexpr Duration kExpiryLook = std::chrono::seconds(5);
 // Pause before a commit that failed is tried again, up to twice this.
 constexpr Duration kRetryPause = std::chrono::milliseconds(120);
@@ -40,34 +45,37 @@
   }
 }
 
-// Jobs that a caller waits for come first.
-std::vector<std::uint64_t> ChooseJobs(const SchedulerTables& tables) {
-  std::vector<std::uint64_t> chosen;
-  const auto add = [&](std::uint64_t job) {
-    if (chosen.size() >= kMostJobsInCommit) return;
-    if (std::find(chosen.begin(), chosen.end(), job) == chosen.end()) {
-      chosen.push_back(job);
-    }
-  };
+bool IsFull(const CommitBatch& batch) {
+  return batch.puts_.size() + batch.removals_.size() + kMostEntriesOfJob >
+         kMostEntriesInCommit;
+}
+
+// Adds the jobs that are behind, those that a caller waits for first.
+void AddJobs(SchedulerTables& tables, CommitBatch& batch) {
+  std::vector<std::uint64_t> order;
   for (const CallerWaiting& caller : tables.callers_) {
-    if (tables.dirty_jobs_.count(caller.job()) > 0) add(caller.job());
+    if (tables.dirty_jobs_.Contains(caller.job())) {
+      order.push_back(caller.job());
+    }
   }
-  for (const std::uint64_t job : tables.dirty_jobs_) {
-    if (chosen.size() >= kMostJobsInCommit) break;
-    add(job);
+  for (const auto& [entry, job] : tables.dirty_jobs_.entries()) {
+    if (order.size() >= tables.callers_.size() + kMostEntriesInCommit) break;
+    order.push_back(job);
+  }
+  for (const std::uint64_t job : order) {
+    if (IsFull(batch)) return;
+    if (!tables.dirty_jobs_.Contains(job)) continue;
+    tables.dirty_jobs_.Erase(job);
+    AddJobToBatch(job, tables, batch);
   }
-  return chosen;
 }
 
 CommitBatch BuildBatch(SchedulerTables& tables, Instant now) {
   CommitBatch batch;
   batch.since_ = now;
-  for (const std::uint64_t job : ChooseJobs(tables)) {
-    AddJobToBatch(job, tables, batch);
-    tables.dirty_jobs_.erase(job);
-  }
+  AddJobs(tables, batch);
   for (const std::uint64_t job : tables.expired_jobs_) {
-    if (batch.expired_.size() >= kMostExpiredInCommit) break;
+    if (batch.expired_.size() >= kMostExpiredInCommit || IsFull(batch)) break;
     batch.expired_.push_back(job);
     batch.removals_.push_back(ProgressKey(job));
   }
@@ -118,7 +126,7 @@
   if (row == nullptr) return;
   const bool over = IsOver(row->state());
   // A job that ended while its commit was under way is not closed by it.
-  const bool closed = over && tables.dirty_jobs_.count(job) == 0;
+  const bool closed = over && !tables.dirty_jobs_.Contains(job);
   const bool new_job = !row->stored();
   tables.jobs_.Put(
       job,
@@ -152,7 +160,10 @@
   const CommitBatch batch = std::move(*tables.commit_);
   tables.commit_.reset();
   tables.store_failing_since_.reset();
-  tables.next_commit_ = tick.now() + tables.policy_.commit_pause();
+  // What did not fit into this commit is not kept waiting.
+  tables.next_commit_ = tables.dirty_jobs_.size() > kMostEntriesInCommit
+                            ? tick.now()
+                            : tick.now() + tables.policy_.commit_pause();
   tables.term_ = HolderTerm::Builder(tables.term_)
                      .revision(revision)
                      .restore_holder(false)
@@ -289,11 +300,13 @@
     return ContinueCommit(tables, tick);
   }
   FindExpired(tables, tick);
-  const bool wanted = !tables.dirty_jobs_.empty() ||
-                      !tables.expired_jobs_.empty() ||
-                      tables.term_.restore_holder();
-  if (!wanted) return;
-  if (tick.now() < tables.next_commit_) return tick.WakeAt(tables.next_commit_);
+  const bool now_wanted =
+      !tables.expired_jobs_.empty() || tables.term_.restore_holder();
+  const std::optional<Instant> due =
+      now_wanted ? tick.now() : tables.dirty_jobs_.DueAt(kProgressPause);
+  if (!due) return;
+  const Instant commit_at = std::max(*due, tables.next_commit_);
+  if (tick.now() < commit_at) return tick.WakeAt(commit_at);
   tables.commit_ = BuildBatch(tables, tick.now());
   Send(tables, tick);
 }
--- a/src/systems/scheduler/conclude_job.cc
+++ b/src/systems/scheduler/conclude_job.cc
@@ -147,7 +147,7 @@
            FieldMs("age_ms", tick.now() - row->accepted_at()),
            Field("tasks_left", row->tasks_left())});
   tables.jobs_.Put(job, JobRow::Builder(*row).state(state).Build());
-  tables.dirty_jobs_.insert(job);
+  tables.dirty_jobs_.Add(job, DirtyKind::kAwaited, tick.now());
   tables.placement_due_ = true;
   std::vector<TaskKey> keys;
   ForEachTask(job, *row->record()->definition(),
@@ -174,7 +174,7 @@
   const JobRow* job = tables.jobs_.Find(key.job());
   // The end may be forgotten only once the final state of the job is kept.
   if (IsOver(job->state()) && !job->closed()) {
-    tables.dirty_jobs_.insert(key.job());
+    tables.dirty_jobs_.Add(key.job(), DirtyKind::kAwaited, tick.now());
   }
   if (task->stage() == TaskStage::kDone) return;
   const bool current = task->stage() == TaskStage::kAssigned &&
@@ -194,7 +194,7 @@
   const bool long_running = task->step()->long_running();
   if (end.outcome() == RunOutcome::kDone && !long_running) {
     if (!current) StopSuperseded(key, tables, tick);
-    tables.dirty_jobs_.insert(key.job());
+    tables.dirty_jobs_.Add(key.job(), DirtyKind::kProgress, tick.now());
     const JobTask finished = *tables.tasks_.Find(key);
     if (finished.step()->gang()) {
       return FinishGang(key, end.run().run(), tables, tick);
@@ -212,7 +212,7 @@
   const JobTask changed = builder.Build();
   tables.tasks_.Put(key, changed);
   if (failed || !changed.checkpoint().empty()) {
-    tables.dirty_jobs_.insert(key.job());
+    tables.dirty_jobs_.Add(key.job(), DirtyKind::kProgress, tick.now());
   }
   if (failed && changed.failures() >= job->queue()->max_attempts()) {
     tick.counters().Add(Counter::kTasksFailed);
--- a/src/systems/scheduler/open_job.cc
+++ b/src/systems/scheduler/open_job.cc
@@ -216,7 +216,7 @@
     tables.steps_.Erase(StepOf(key));
   });
   tables.jobs_.Erase(job);
-  tables.dirty_jobs_.erase(job);
+  tables.dirty_jobs_.Erase(job);
 }
 
 JobProgress ProgressOf(std::uint64_t job, const SchedulerTables& tables) {
--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -188,7 +188,7 @@
     ForgetStray(name, end.run(), tables);
     TakeRunEnd(name, end, tables, tick);
     const std::uint64_t job = end.run().task().job();
-    if (tables.dirty_jobs_.count(job) == 0) continue;
+    if (!tables.dirty_jobs_.Contains(job)) continue;
     tables.unnoted_ends_.push_back(UnnotedEnd::Builder()
                                        .worker(name)
                                        .born_ms(born_ms)
@@ -327,7 +327,7 @@
   if (report.whole()) {
     const bool has_worker = report.facts().has_value();
     tables.workers_.Put(name, WorkerRow::Builder(*tables.workers_.Find(name))
-                                  .reported(has_worker)
+                                  .reported(has_worker && !report.more_ends())
                                   .granted_at(tick.now())
                                   .Build());
     // A runner without a worker says nothing of what the worker runs.
@@ -340,7 +340,7 @@
     LearnNeighbours(name, *report.neighbours(), tables, tick);
   }
   TakeEnds(name, report, tables, tick);
-  if (report.whole()) {
+  if (report.whole() && !report.more_ends()) {
     TakeWholeList(name, report, first, tables, tick);
   } else {
     TakeProgress(name, report, tables);
--- a/src/tables/runner_tables.h
+++ b/src/tables/runner_tables.h
@@ -60,6 +60,8 @@
   Table<TaskKey, HeldRun> runs_;
   /// Ends that the worker lists and the holder has not noted, by number.
   std::map<std::int64_t, RunEnd> ends_;
+  /// Whether the latest look listed only a part of the ends.
+  bool more_ends_ = false;
   std::int64_t ends_told_ = 0;
   std::int64_t ends_noted_ = 0;
   /// Whether the worker's life is known to be the one of the facts. After a
--- a/src/tables/scheduler_tables.h
+++ b/src/tables/scheduler_tables.h
@@ -16,6 +16,7 @@
 #include "messages/kvs_item.h"
 #include "tables/caller_waiting.h"
 #include "tables/commit_batch.h"
+#include "tables/dirty_jobs.h"
 #include "tables/holder_stage.h"
 #include "tables/holder_term.h"
 #include "tables/image_pair.h"
@@ -75,7 +76,7 @@
   /// of it is not known.
   std::map<MemberName, std::set<RunKey>> strays_;
   /// Jobs whose kept record is behind what is known.
-  std::set<std::uint64_t> dirty_jobs_;
+  DirtyJobs dirty_jobs_;
   std::vector<UnnotedEnd> unnoted_ends_;
   std::vector<CallerWaiting> callers_;
   /// Jobs whose state need not be told any longer.
--- a/test/cell/worker_report_test.cc
+++ b/test/cell/worker_report_test.cc
@@ -4,6 +4,7 @@
 #include "support/placement_fleet.h"
 #include "systems/runner/order_runs.h"
 #include "systems/runner/runner_node.h"
+#include "systems/runner/watch_worker.h"
 #include "systems/scheduler/commit_progress.h"
 
 namespace quetzalline {
@@ -115,7 +116,7 @@
   batch.jobs_ = {job};
   batch.ends_ = tables.unnoted_ends_;
   tables.commit_ = batch;
-  tables.dirty_jobs_.clear();
+  tables.dirty_jobs_.Clear();
 
   fleet.Report(
       0,
@@ -231,6 +232,73 @@
   BOOST_TEST(fleet.Waiting(job) == 2U);
 }
 
+// A worker lists only so many ends at once: a run that it lists neither as
+// running nor as ended may be among the others.
+BOOST_AUTO_TEST_CASE(a_run_that_may_have_ended_is_not_taken_for_lost) {
+  NarrowRunner runner;
+  RunnerTables& tables = runner.tables_;
+  const RunKey run = Run(1, 0, 1);
+  tables.runs_.Put(run.task(), HeldRun::Builder()
+                                   .run(1)
+                                   .stage(HeldStage::kRunning)
+                                   .known(true)
+                                   .confirmed_at(kFleetNow - seconds(2))
+                                   .Build());
+  const auto look = [&](bool more_ends) {
+    RunnerTick tick(kFleetNow, runner.random_, tables.counters_);
+    TakeHoldAnswer(HoldCall(), WorkerCall::Builder().sent_at(kFleetNow).Build(),
+                   WorkerAnswer::Builder()
+                       .verdict(WorkerVerdict::kDone)
+                       .ends({Done(1, Run(7, 0, 1))})
+                       .more_ends(more_ends)
+                       .Build(),
+                   tables, tick);
+    return tables.refusals_.size();
+  };
+  BOOST_TEST(look(true) == 0U);
+  BOOST_TEST(look(false) == 1U);
+}
+
+// The same for a new holder: nothing counts as never arrived.
+BOOST_AUTO_TEST_CASE(a_list_with_more_ends_to_come_returns_no_task) {
+  PlacementFleet fleet(1);
+  const std::uint64_t job = fleet.AddRunning(Batch(2), 0);
+  const MemberName name = PlacementFleet::Name(0);
+  SchedulerTables& tables = fleet.tables();
+  tables.workers_.Put(
+      name,
+      WorkerRow::Builder(*tables.workers_.Find(name)).reported(false).Build());
+  const auto report = [&](bool more_ends) {
+    fleet.Report(0, WorkerReport::Builder()
+                        .whole(true)
+                        .more_ends(more_ends)
+                        .facts(Life(1))
+                        .Build());
+    return fleet.Waiting(job);
+  };
+  BOOST_TEST(report(true) == 0U);
+  BOOST_TEST(report(false) == 2U);
+}
+
+// Answers a steady stream of small ends: what a caller waits for is kept before
+// progress, and no job waits behind those that change all the time.
+BOOST_AUTO_TEST_CASE(a_finished_job_is_kept_before_the_progress_of_others) {
+  constexpr std::uint64_t kBusy = 200;
+  DirtyJobs dirty;
+  for (std::uint64_t job = 1; job <= kBusy; ++job) {
+    dirty.Add(job, DirtyKind::kProgress, kFleetNow);
+  }
+  dirty.Add(kBusy + 1, DirtyKind::kProgress, kFleetNow);
+  dirty.Add(kBusy + 1, DirtyKind::kAwaited, kFleetNow + seconds(1));
+  BOOST_TEST(dirty.entries().begin()->second == kBusy + 1);
+  dirty.Erase(kBusy + 1);
+  dirty.Erase(1);
+  dirty.Add(1, DirtyKind::kProgress, kFleetNow + seconds(1));
+  BOOST_TEST(dirty.entries().begin()->second == 2U);
+  BOOST_TEST(dirty.entries().rbegin()->second == 1U);
+  BOOST_TEST((dirty.DueAt(milliseconds(200)) == kFleetNow + milliseconds(200)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace quetzalline
