A failed run counts once, however often its end is listed

Found by reading: a new holder loads the failures that are kept, and the worker lists the end again, since nobody told it to forget it; the failure was counted twice.

The failures of a task are the numbers of its failed runs.

Before: the new test counts two.

--- a/src/records/task_progress.h
+++ b/src/records/task_progress.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "core/value.h"
 
@@ -22,21 +23,23 @@
   std::int32_t step() const { return step_; }
   std::int32_t index() const { return index_; }
   bool done() const { return done_; }
-  std::int32_t failures() const { return failures_; }
+  /// Numbers of the runs that failed, each counted once however often their
+  /// ends are listed.
+  const std::vector<std::int64_t>& failed_runs() const { return failed_runs_; }
   std::int64_t last_run() const { return last_run_; }
   const std::string& checkpoint() const { return checkpoint_; }
 
   friend auto operator<=>(const TaskProgress&, const TaskProgress&) = default;
 
  private:
-  QUETZALLINE_VALUE(TaskProgress, occurrence_, step_, index_, done_, failures_,
-                    last_run_, checkpoint_)
+  QUETZALLINE_VALUE(TaskProgress, occurrence_, step_, index_, done_,
+                    failed_runs_, last_run_, checkpoint_)
 
   std::int32_t occurrence_ = 0;
   std::int32_t step_ = 0;
   std::int32_t index_ = 0;
   bool done_ = false;
-  std::int32_t failures_ = 0;
+  std::vector<std::int64_t> failed_runs_;
   std::int64_t last_run_ = 0;
   std::string checkpoint_;
 };
@@ -52,7 +55,9 @@
   Builder& step(std::int32_t value) { return Set(value_.step_, value); }
   Builder& index(std::int32_t value) { return Set(value_.index_, value); }
   Builder& done(bool value) { return Set(value_.done_, value); }
-  Builder& failures(std::int32_t value) { return Set(value_.failures_, value); }
+  Builder& failed_runs(std::vector<std::int64_t> value) {
+    return Set(value_.failed_runs_, std::move(value));
+  }
   Builder& last_run(std::int64_t value) { return Set(value_.last_run_, value); }
   Builder& checkpoint(std::string value) {
     return Set(value_.checkpoint_, std::move(value));
--- a/src/systems/scheduler/conclude_job.cc
+++ b/src/systems/scheduler/conclude_job.cc
@@ -87,6 +87,13 @@
   StopTask(key, Reason::kStaleAttempt, tables, tick);
 }
 
+// Whether the failure of the run has been counted: a worker lists an end again
+// to a later holder that knows its effect already.
+bool HasCounted(const JobTask& task, std::int64_t run) {
+  const auto& failed = task.failed_runs();
+  return std::find(failed.begin(), failed.end(), run) != failed.end();
+}
+
 // The checkpoint of an earlier run says less than that of a later one.
 std::string NewerCheckpoint(const JobTask& task, const RunEnd& end) {
   const bool newer = end.run().run() >= task.run() && !end.checkpoint().empty();
@@ -201,11 +208,16 @@
     }
     return FinishTask(key, finished, tables, tick);
   }
-  const bool failed = end.outcome() == RunOutcome::kFailed && !long_running;
+  const bool failed = end.outcome() == RunOutcome::kFailed && !long_running &&
+                      !HasCounted(*task, end.run().run());
   JobTask::Builder builder(*task);
   builder.checkpoint(NewerCheckpoint(*task, end))
-      .run(std::max(task->run(), end.run().run()))
-      .failures(task->failures() + (failed ? 1 : 0));
+      .run(std::max(task->run(), end.run().run()));
+  if (failed) {
+    std::vector<std::int64_t> failed_runs = task->failed_runs();
+    failed_runs.push_back(end.run().run());
+    builder.failed_runs(std::move(failed_runs));
+  }
   if (current) {
     builder.stage(TaskStage::kReady).ready_since(tick.now()).stopping(false);
   }
@@ -214,7 +226,8 @@
   if (failed || !changed.checkpoint().empty()) {
     tables.dirty_jobs_.Add(key.job(), DirtyKind::kProgress, tick.now());
   }
-  if (failed && changed.failures() >= job->queue()->max_attempts()) {
+  const auto failures = static_cast<std::int32_t>(changed.failed_runs().size());
+  if (failed && failures >= job->queue()->max_attempts()) {
     tick.counters().Add(Counter::kTasksFailed);
     ConcludeJob(key.job(), JobState::kFailed, Reason::kTooManyAttempts, tables,
                 tick);
--- a/src/systems/scheduler/open_job.cc
+++ b/src/systems/scheduler/open_job.cc
@@ -64,7 +64,7 @@
   if (known == nullptr) return builder.Build();
   return builder.stage(known->done() ? TaskStage::kDone : stage)
       .run(known->last_run())
-      .failures(known->failures())
+      .failed_runs(known->failed_runs())
       .checkpoint(known->checkpoint())
       .Build();
 }
@@ -228,13 +228,15 @@
       const JobTask* task = tables.tasks_.Find(key);
       if (task == nullptr) return;
       const bool done = task->stage() == TaskStage::kDone;
-      if (!done && task->failures() == 0 && task->checkpoint().empty()) return;
+      const bool untouched =
+          task->failed_runs().empty() && task->checkpoint().empty();
+      if (!done && untouched) return;
       tasks.push_back(TaskProgress::Builder()
                           .occurrence(key.occurrence())
                           .step(key.step())
                           .index(key.index())
                           .done(done)
-                          .failures(task->failures())
+                          .failed_runs(task->failed_runs())
                           .last_run(task->run())
                           .checkpoint(done ? "" : task->checkpoint())
                           .Build());
--- a/src/systems/scheduler/place_runs.cc
+++ b/src/systems/scheduler/place_runs.cc
@@ -173,7 +173,7 @@
         half_free && tick.now() - row.ready_since() >
                          tables.policy_.placement().longest_wait();
     const MemberName failed_on =
-        row.failures() > 0 ? row.worker() : MemberName();
+        row.failed_runs().empty() ? MemberName() : row.worker();
     const auto worker =
         ChooseWorker(key, step, service, overdue, failed_on, open, tables);
     if (!worker) return;
--- a/src/tables/job_task.h
+++ b/src/tables/job_task.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "core/ids.h"
 #include "core/job_step.h"
@@ -28,7 +29,9 @@
   std::int64_t run() const { return run_; }
   /// The runner of the latest run.
   const MemberName& worker() const { return worker_; }
-  std::int32_t failures() const { return failures_; }
+  /// Numbers of the runs that failed, each counted once however often their
+  /// ends are listed.
+  const std::vector<std::int64_t>& failed_runs() const { return failed_runs_; }
   const std::string& checkpoint() const { return checkpoint_; }
   Instant assigned_at() const { return assigned_at_; }
   /// Progress of the latest run as last reported.
@@ -43,13 +46,13 @@
   friend auto operator<=>(const JobTask&, const JobTask&) = default;
 
  private:
-  QUETZALLINE_VALUE(JobTask, stage_, run_, worker_, failures_, checkpoint_,
+  QUETZALLINE_VALUE(JobTask, stage_, run_, worker_, failed_runs_, checkpoint_,
                     assigned_at_, percent_, stopping_, step_, ready_since_)
 
   TaskStage stage_ = TaskStage{};
   std::int64_t run_ = 0;
   MemberName worker_;
-  std::int32_t failures_ = 0;
+  std::vector<std::int64_t> failed_runs_;
   std::string checkpoint_;
   Instant assigned_at_ = Instant{};
   std::int32_t percent_ = 0;
@@ -68,7 +71,9 @@
   Builder& worker(MemberName value) {
     return Set(value_.worker_, std::move(value));
   }
-  Builder& failures(std::int32_t value) { return Set(value_.failures_, value); }
+  Builder& failed_runs(std::vector<std::int64_t> value) {
+    return Set(value_.failed_runs_, std::move(value));
+  }
   Builder& checkpoint(std::string value) {
     return Set(value_.checkpoint_, std::move(value));
   }
--- a/test/cell/load_pattern_test.cc
+++ b/test/cell/load_pattern_test.cc
@@ -128,7 +128,7 @@
   fleet.tables().tasks_.Put(key,
                             JobTask::Builder(*fleet.tables().tasks_.Find(key))
                                 .run(1)
-                                .failures(1)
+                                .failed_runs({1})
                                 .worker(PlacementFleet::Name(0))
                                 .Build());
   fleet.Place();
--- a/test/cell/worker_report_test.cc
+++ b/test/cell/worker_report_test.cc
@@ -280,6 +280,34 @@
   BOOST_TEST(report(false) == 2U);
 }
 
+// A worker lists an end again to a later holder, which may have loaded its
+// effect from the store.
+BOOST_AUTO_TEST_CASE(a_failure_that_is_listed_again_counts_once) {
+  PlacementFleet fleet(1);
+  const std::uint64_t job = fleet.AddRunning(Batch(2), 0);
+  SchedulerTables& tables = fleet.tables();
+  const TaskKey task = Run(job, 0, 2).task();
+  tables.tasks_.Put(task, JobTask::Builder(*tables.tasks_.Find(task))
+                              .run(2)
+                              .failed_runs({1})
+                              .Build());
+  const auto fail = [&](std::int64_t number, std::int64_t run) {
+    fleet.Report(0, WorkerReport::Builder()
+                        .ends({RunEnd::Builder()
+                                   .number(number)
+                                   .run(Run(job, 0, run))
+                                   .outcome(RunOutcome::kFailed)
+                                   .Build()})
+                        .Build());
+    return tables.tasks_.Find(task)->failed_runs().size();
+  };
+  tables.jobs_.Put(job, JobRow::Builder(*tables.jobs_.Find(job))
+                            .queue(JobQueue::Builder().max_attempts(3).Build())
+                            .Build());
+  BOOST_TEST(fail(1, 1) == 1U);
+  BOOST_TEST(fail(2, 2) == 2U);
+}
+
 // Answers a steady stream of small ends: what a caller waits for is kept before
 // progress, and no job waits behind those that change all the time.
 BOOST_AUTO_TEST_CASE(a_finished_job_is_kept_before_the_progress_of_others) {
