Placement considers workers once for each step; the log says why work waits

And nothing said why work waited.

A step's candidates are found once, and only the worker that took a task is considered again; what each worker runs by image is kept beside its use. While work is left over, changes are gathered for 30 ms. A line tasks-wait, at most one a second of each kind, counts the workers by what stands against them.

--- a/src/systems/scheduler/choose_worker.cc
+++ b/src/systems/scheduler/choose_worker.cc
@@ -59,19 +59,22 @@
 // Whether tasks of another image serve on the worker.
 bool ServesOthers(const MemberName& name, const std::string& image,
                   const SchedulerTables& tables) {
-  for (const TaskKey& key : tables.tasks_.OnWorker(name)) {
-    const JobStep& step = *tables.tasks_.Find(key)->step();
-    if (step.target() > Duration() && step.image() != image) return true;
-  }
-  return false;
+  const auto& serving = tables.tasks_.ImagesOn(name).serving_;
+  return serving.size() > serving.count(image);
 }
 
-// Whether one task that fills is on the worker of which nothing is known yet.
+// Whether one image that fills is on the worker of which nothing is known yet
+// beside one that serves there.
 bool HasNewcomer(const MemberName& name, const SchedulerTables& tables) {
-  for (const TaskKey& key : tables.tasks_.OnWorker(name)) {
-    const JobTask& task = *tables.tasks_.Find(key);
-    if (!task.step()->fills()) continue;
-    if (ExpectNeighbours(name, *task.step(), tables).unknown_) return true;
+  const ImageUse& images = tables.tasks_.ImagesOn(name);
+  for (const auto& [filling, millicores] : images.filling_) {
+    for (const auto& [serving, tasks] : images.serving_) {
+      const bool known =
+          tables.press_.Find(
+              ImagePair::Builder().filling(filling).serving(serving).Build()) !=
+          nullptr;
+      if (!known) return true;
+    }
   }
   return false;
 }
@@ -87,6 +90,17 @@
   return !outlook.unknown_ || !HasNewcomer(name, tables);
 }
 
+// Whether the worker has the step's label and fewer of its tasks than it may.
+bool IsSuited(const StepKey& key, const JobStep& step, const MemberName& name,
+              const WorkerFacts& facts, const SchedulerTables& tables) {
+  if (!step.required_label().empty() &&
+      !HasLabel(facts, step.required_label())) {
+    return false;
+  }
+  return step.most_per_worker() == 0 ||
+         tables.tasks_.CountOnWorker(key, name) < step.most_per_worker();
+}
+
 bool IsOpen(const MemberName& name, const WorkerRow& worker,
             const SchedulerTables& tables, Instant now) {
   if (!worker.reported() || !worker.facts()) return false;
@@ -120,44 +134,69 @@
   return 2 * reserved < room;
 }
 
-std::optional<MemberName> ChooseWorker(const StepKey& key, const JobStep& step,
-                                       const ServiceName& service, bool overdue,
-                                       const MemberName& failed_on,
-                                       const std::vector<MemberName>& open,
-                                       const SchedulerTables& tables) {
+std::optional<WorkerCandidate> ConsiderWorker(
+    const StepKey& key, const JobStep& step, const ServiceName& service,
+    const MemberName& name, const SchedulerTables& tables, WaitCauses& causes) {
   const PlacementPolicy& policy = tables.policy_.placement();
-  std::optional<MemberName> best;
-  double least = 0.0;
+  const WorkerRow& worker = *tables.workers_.Find(name);
+  const WorkerFacts& facts = *worker.facts();
+  if (facts.service() != service || !IsSuited(key, step, name, facts, tables)) {
+    ++causes.unsuited_;
+    return std::nullopt;
+  }
+  const WorkerUse& use = tables.tasks_.UseOf(name);
+  if (!Fits(step, facts, use, policy)) {
+    ++causes.no_room_;
+    return std::nullopt;
+  }
+  const bool resting = worker.rests_until() > tables.last_tick_;
+  // What lasts has to run somewhere; anything else can wait a little.
+  if (resting && !step.long_running()) {
+    ++causes.resting_;
+    return std::nullopt;
+  }
+  WorkerCandidate candidate;
+  candidate.worker_ = name;
+  bool quiet = false;
+  if (step.fills() && use.serving_cpu() > 0) {
+    const NeighbourOutlook outlook = ExpectNeighbours(name, step, tables);
+    candidate.disturbs_ = !MayDisturb(name, outlook, tables);
+    quiet = !outlook.unknown_ && outlook.press_ < policy.quiet_percent();
+  }
+  if (candidate.disturbs_) ++causes.neighbours_;
+  const bool other_images =
+      step.target() > Duration() && ServesOthers(name, step.image(), tables);
+  candidate.cost_ = Cost(step, facts, use, policy, quiet, other_images) +
+                    (resting ? kRestingCost : 0.0);
+  return candidate;
+}
+
+std::vector<WorkerCandidate> FindCandidates(const StepKey& key,
+                                            const JobStep& step,
+                                            const ServiceName& service,
+                                            const std::vector<MemberName>& open,
+                                            const SchedulerTables& tables,
+                                            WaitCauses& causes) {
+  std::vector<WorkerCandidate> candidates;
   for (const MemberName& name : open) {
-    const WorkerFacts& facts = *tables.workers_.Find(name)->facts();
-    if (facts.service() != service) continue;
-    const WorkerUse& use = tables.tasks_.UseOf(name);
-    if (!Fits(step, facts, use, policy)) continue;
-    if (!step.required_label().empty() &&
-        !HasLabel(facts, step.required_label())) {
-      continue;
-    }
-    if (step.most_per_worker() > 0 &&
-        tables.tasks_.CountOnWorker(key, name) >= step.most_per_worker()) {
-      continue;
-    }
-    bool quiet = false;
-    if (step.fills() && use.serving_cpu() > 0) {
-      const NeighbourOutlook outlook = ExpectNeighbours(name, step, tables);
-      if (!overdue && !MayDisturb(name, outlook, tables)) continue;
-      quiet = !outlook.unknown_ && outlook.press_ < policy.quiet_percent();
-    }
-    const bool other_images =
-        step.target() > Duration() && ServesOthers(name, step.image(), tables);
-    double cost = Cost(step, facts, use, policy, quiet, other_images);
-    if (name == failed_on) cost += kRestingCost;
-    if (tables.workers_.Find(name)->rests_until() > tables.last_tick_) {
-      // What lasts has to run somewhere; anything else can wait a little.
-      if (!step.long_running()) continue;
-      cost += kRestingCost;
-    }
+    auto candidate = ConsiderWorker(key, step, service, name, tables, causes);
+    if (candidate) candidates.push_back(std::move(*candidate));
+  }
+  return candidates;
+}
+
+std::optional<std::size_t> BestCandidate(
+    const std::vector<WorkerCandidate>& candidates, bool overdue,
+    const MemberName& failed_on) {
+  std::optional<std::size_t> best;
+  double least = 0.0;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const WorkerCandidate& candidate = candidates[i];
+    if (candidate.disturbs_ && !overdue) continue;
+    const double cost =
+        candidate.cost_ + (candidate.worker_ == failed_on ? kRestingCost : 0.0);
     if (best && cost >= least) continue;
-    best = name;
+    best = i;
     least = cost;
   }
   return best;
--- a/src/systems/scheduler/learn_neighbours.cc
+++ b/src/systems/scheduler/learn_neighbours.cc
@@ -111,23 +111,10 @@
   }
 }
 
-// The images that serve on the worker.
-std::set<std::string> ServingImages(const MemberName& name,
-                                    const SchedulerTables& tables) {
-  std::set<std::string> images;
-  for (const TaskKey& key : tables.tasks_.OnWorker(name)) {
-    const JobStep& step = *tables.tasks_.Find(key)->step();
-    if (step.target() > Duration()) images.insert(step.image());
-  }
-  return images;
-}
-
-Cores FillingCores(const MemberName& name, const SchedulerTables& tables) {
+Cores FillingCores(const ImageUse& images) {
   Cores cores;
-  for (const TaskKey& key : tables.tasks_.OnWorker(name)) {
-    const JobStep& step = *tables.tasks_.Find(key)->step();
-    if (!step.fills()) continue;
-    cores[step.image()] += static_cast<double>(step.cpu()) / kMillicores;
+  for (const auto& [image, millicores] : images.filling_) {
+    cores[image] = static_cast<double>(millicores) / kMillicores;
   }
   return cores;
 }
@@ -151,9 +138,10 @@
 NeighbourOutlook ExpectNeighbours(const MemberName& name, const JobStep& step,
                                   const SchedulerTables& tables) {
   NeighbourOutlook outlook;
-  const Cores cores = FillingCores(name, tables);
+  const ImageUse& images = tables.tasks_.ImagesOn(name);
+  const Cores cores = FillingCores(images);
   const double count = static_cast<double>(step.cpu()) / kMillicores;
-  for (const std::string& serving : ServingImages(name, tables)) {
+  for (const auto& [serving, tasks] : images.serving_) {
     const ServingTail* seen = tables.tails_.Find(
         TailKey::Builder().worker(name).image(serving).Build());
     const ServingTail tail = seen == nullptr ? ServingTail() : *seen;
--- a/src/systems/scheduler/place_runs.cc
+++ b/src/systems/scheduler/place_runs.cc
@@ -22,6 +22,11 @@
 // Placement is repeated at this interval while work waits.
 constexpr Duration kPlacementInterval = std::chrono::milliseconds(200);
 
+// While work is left over, changes are gathered for this long before it is
+// tried again: a twentieth of the shortest objective.
+constexpr Duration kCrowdedPause = std::chrono::milliseconds(30);
+constexpr Duration kWaitLineInterval = std::chrono::seconds(1);
+
 // Lower comes first.
 enum class Urgency : std::uint8_t { kUrgent, kServing, kFilling, kHopeless };
 
@@ -124,12 +129,41 @@
   return tasks;
 }
 
-// The tasks of a gang start together, as one run, or not at all.
-void PlaceGang(const std::vector<TaskKey>& tasks, const StepKey& key,
-               const JobStep& step, const ServiceName& service,
-               const std::vector<MemberName>& open, SchedulerTables& tables,
-               SchedulerTick& tick) {
-  if (tasks.size() != static_cast<std::size_t>(step.count())) return;
+// One step while its ready tasks are placed.
+struct StepPlacement {
+  StepKey key_;
+  Shared<JobRecord> record_;
+  ServiceName service_;
+  std::vector<WorkerCandidate> candidates_;
+  WaitCauses causes_;
+
+  const JobStep& step() const {
+    return record_->definition()
+        ->steps()[static_cast<std::size_t>(key_.step())];
+  }
+};
+
+// The worker that took a task may have room for another one.
+void ConsiderAgain(std::size_t position, const SchedulerTables& tables,
+                   StepPlacement& placement) {
+  auto& candidates = placement.candidates_;
+  const auto at = candidates.begin() + static_cast<std::ptrdiff_t>(position);
+  const auto again =
+      ConsiderWorker(placement.key_, placement.step(), placement.service_,
+                     at->worker_, tables, placement.causes_);
+  if (again) {
+    *at = *again;
+  } else {
+    candidates.erase(at);
+  }
+}
+
+// The tasks of a gang start together, as one run, or not at all. Returns
+// whether they did.
+bool PlaceGang(const std::vector<TaskKey>& tasks, StepPlacement& placement,
+               SchedulerTables& tables, SchedulerTick& tick) {
+  const JobStep& step = placement.step();
+  if (tasks.size() != static_cast<std::size_t>(step.count())) return true;
   std::int64_t run = 0;
   std::string checkpoint;
   std::vector<JobTask> before;
@@ -141,46 +175,88 @@
     run = std::max(run, NextRun(before.back(), tables));
   }
   for (std::size_t i = 0; i < tasks.size(); ++i) {
-    const auto worker =
-        ChooseWorker(key, step, service, false, MemberName(), open, tables);
-    if (!worker) {
+    const auto best = BestCandidate(placement.candidates_, false, MemberName());
+    if (!best) {
       for (std::size_t k = 0; k < i; ++k) {
         tables.tasks_.Put(tasks[k], before[k]);
       }
-      return;
+      return false;
     }
-    Assign(tasks[i], *worker, run, checkpoint, tables, tick.now());
+    Assign(tasks[i], placement.candidates_[*best].worker_, run, checkpoint,
+           tables, tick.now());
+    ConsiderAgain(*best, tables, placement);
   }
   for (const TaskKey& task : tasks) Order(task, tables, tick);
+  return true;
 }
 
-void PlaceStep(const StepKey& key, bool half_free,
-               const std::vector<MemberName>& open, SchedulerTables& tables,
-               SchedulerTick& tick) {
-  const JobRow* job = tables.jobs_.Find(key.job());
-  const Shared<JobRecord> record = job->record();
-  const ServiceName service = job->queue()->service();
-  const JobStep& step =
-      record->definition()->steps()[static_cast<std::size_t>(key.step())];
-  const auto ready = tables.tasks_.ready().find(key);
-  const std::vector<TaskKey> tasks = TasksOf(key, ready->second);
-  if (step.gang()) {
-    return PlaceGang(tasks, key, step, service, open, tables, tick);
-  }
+// Places the tasks one by one. Returns whether all of them found a worker.
+bool PlaceTasks(const std::vector<TaskKey>& tasks, bool half_free,
+                StepPlacement& placement, SchedulerTables& tables,
+                SchedulerTick& tick) {
+  bool placed_all = true;
   for (const TaskKey& task : tasks) {
     const JobTask& row = *tables.tasks_.Find(task);
     const bool overdue =
         half_free && tick.now() - row.ready_since() >
                          tables.policy_.placement().longest_wait();
+    if (!placed_all && !overdue) continue;
     const MemberName failed_on =
         row.failed_runs().empty() ? MemberName() : row.worker();
-    const auto worker =
-        ChooseWorker(key, step, service, overdue, failed_on, open, tables);
-    if (!worker) return;
-    Assign(task, *worker, NextRun(row, tables), row.checkpoint(), tables,
-           tick.now());
+    const auto best = BestCandidate(placement.candidates_, overdue, failed_on);
+    if (!best) {
+      placed_all = false;
+      if (placement.candidates_.empty()) return false;
+      continue;
+    }
+    Assign(task, placement.candidates_[*best].worker_, NextRun(row, tables),
+           row.checkpoint(), tables, tick.now());
     Order(task, tables, tick);
+    ConsiderAgain(*best, tables, placement);
   }
+  return placed_all;
+}
+
+// Says now and then why work waits: of the work that fills and of the other,
+// what is next.
+void LogWait(const StepPlacement& placement, std::size_t open,
+             SchedulerTables& tables, SchedulerTick& tick) {
+  const bool fills = placement.step().fills();
+  Instant& next_line = tables.next_wait_lines_[fills];
+  if (tick.now() < next_line) return;
+  next_line = tick.now() + kWaitLineInterval;
+  const WaitCauses& causes = placement.causes_;
+  LogLine(
+      tick, "tasks-wait", placement.key_.job(),
+      {Field("step", placement.key_.step()), Field("fills", fills ? 1 : 0),
+       Field("cpu", placement.step().cpu()),
+       Field("memory_mb", placement.step().memory_mb()),
+       Field("steps_ready", tables.tasks_.ready().size()),
+       Field("open_workers", open), Field("no_room", causes.no_room_),
+       Field("neighbours", causes.neighbours_),
+       Field("resting", causes.resting_), Field("unsuited", causes.unsuited_)});
+}
+
+// Returns whether all ready tasks of the step found a worker.
+bool PlaceStep(const StepKey& key, bool half_free,
+               const std::vector<MemberName>& open, SchedulerTables& tables,
+               SchedulerTick& tick) {
+  const JobRow* job = tables.jobs_.Find(key.job());
+  StepPlacement placement;
+  placement.key_ = key;
+  placement.record_ = job->record();
+  placement.service_ = job->queue()->service();
+  placement.candidates_ =
+      FindCandidates(key, placement.step(), placement.service_, open, tables,
+                     placement.causes_);
+  const auto ready = tables.tasks_.ready().find(key);
+  const std::vector<TaskKey> tasks = TasksOf(key, ready->second);
+  const bool placed =
+      placement.step().gang()
+          ? PlaceGang(tasks, placement, tables, tick)
+          : PlaceTasks(tasks, half_free, placement, tables, tick);
+  if (!placed) LogWait(placement, open.size(), tables, tick);
+  return placed;
 }
 
 }  // namespace
@@ -188,16 +264,21 @@
 void PlaceRuns(SchedulerTables& tables, SchedulerTick& tick) {
   if (!IsActing(tables) || tables.tasks_.ready().empty()) return;
   if (!MayAct(tables, tick.now())) return;
-  if (!tables.placement_due_ && tick.now() < tables.next_placement_) {
-    return tick.WakeAt(tables.next_placement_);
-  }
+  const Instant next = tables.placement_due_ ? tables.earliest_placement_
+                                             : tables.next_placement_;
+  if (tick.now() < next) return tick.WakeAt(next);
   tables.placement_due_ = false;
   tables.next_placement_ = tick.now() + kPlacementInterval;
   const std::vector<MemberName> open = OpenWorkers(tables, tick.now());
   const bool half_free = IsHalfFree(open, tables);
+  bool placed_all = true;
   for (const ReadyStep& step : RankReadySteps(tables, tick.now())) {
-    PlaceStep(step.key_, half_free, open, tables, tick);
+    placed_all =
+        PlaceStep(step.key_, half_free, open, tables, tick) && placed_all;
   }
+  // While work is left over, passes are long and changes come often.
+  tables.earliest_placement_ =
+      placed_all ? tick.now() : tick.now() + kCrowdedPause;
   if (!tables.tasks_.ready().empty()) tick.WakeAt(tables.next_placement_);
 }
 
--- a/src/tables/job_task_table.cc
+++ b/src/tables/job_task_table.cc
@@ -22,6 +22,22 @@
   return builder.Build();
 }
 
+// Adds to the entry of an image, which is dropped once it is zero.
+template <typename Number>
+void AddTo(std::map<std::string, Number>& images, const std::string& image,
+           Number change) {
+  const auto entry = images.try_emplace(image, 0).first;
+  entry->second += change;
+  if (entry->second == 0) images.erase(entry);
+}
+
+void Change(ImageUse& images, const JobStep& step, std::int32_t factor) {
+  if (step.fills()) AddTo(images.filling_, step.image(), factor * step.cpu());
+  if (step.target() > Duration()) {
+    AddTo(images.serving_, step.image(), factor);
+  }
+}
+
 }  // namespace
 
 StepKey StepOf(const TaskKey& task) {
@@ -74,6 +90,12 @@
   return found == use_.end() ? kNone : found->second;
 }
 
+const ImageUse& JobTaskTable::ImagesOn(const MemberName& worker) const {
+  static const ImageUse kNone;
+  const auto found = images_.find(worker);
+  return found == images_.end() ? kNone : found->second;
+}
+
 std::int32_t JobTaskTable::CountOnWorker(const StepKey& step,
                                          const MemberName& worker) const {
   const std::set<TaskKey>& tasks = OnWorker(worker);
@@ -97,6 +119,7 @@
   on_worker_[row.worker()].insert(key);
   WorkerUse& use = use_[row.worker()];
   use = Changed(use, *row.step(), 1);
+  Change(images_[row.worker()], *row.step(), 1);
 }
 
 void JobTaskTable::RemoveFromIndexes(const TaskKey& key, const JobTask& row) {
@@ -110,6 +133,7 @@
   on_worker_[row.worker()].erase(key);
   WorkerUse& use = use_[row.worker()];
   use = Changed(use, *row.step(), -1);
+  Change(images_[row.worker()], *row.step(), -1);
 }
 
 }  // namespace quetzalline
--- a/src/tables/job_task_table.h
+++ b/src/tables/job_task_table.h
@@ -11,6 +11,7 @@
 #include "core/ids.h"
 #include "core/step_key.h"
 #include "core/task_key.h"
+#include "tables/image_use.h"
 #include "tables/job_task.h"
 #include "tables/worker_use.h"
 
@@ -39,6 +40,7 @@
   /// The tasks assigned to a worker.
   const std::set<TaskKey>& OnWorker(const MemberName& worker) const;
   const WorkerUse& UseOf(const MemberName& worker) const;
+  const ImageUse& ImagesOn(const MemberName& worker) const;
   /// The number of tasks of this step on the worker.
   std::int32_t CountOnWorker(const StepKey& step,
                              const MemberName& worker) const;
@@ -53,6 +55,7 @@
   std::set<TaskKey> in_doubt_;
   std::map<MemberName, std::set<TaskKey>> on_worker_;
   std::map<MemberName, WorkerUse> use_;
+  std::map<MemberName, ImageUse> images_;
 };
 
 }  // namespace quetzalline
--- a/src/tables/scheduler_tables.h
+++ b/src/tables/scheduler_tables.h
@@ -96,6 +96,10 @@
   /// Whether something changed that may let work be placed.
   bool placement_due_ = false;
   Instant next_placement_;
+  /// Changes before then are gathered.
+  Instant earliest_placement_;
+  /// When the log may say again why work waits, by whether the work fills.
+  std::map<bool, Instant> next_wait_lines_;
   Instant next_occurrence_look_;
   Instant next_preemption_;
   Instant next_consolidation_;
