Images that serve have workers of their own where there are enough workers

On the grown sites most steps that wait do so for the tails of neighbours (tasks-wait: 47 to 72 of 75 workers): every worker serves several images, and the most sensitive of them keeps loud tasks away. There are 75 workers and ten images.

With three workers or more for each image that serves, joining another image costs 1.5 of a worker instead of 0.3 (placement.roomy_image_cost).

The small sites have fewer than three workers for an image and keep 0.3.

--- a/src/systems/scheduler/choose_worker.cc
+++ b/src/systems/scheduler/choose_worker.cc
@@ -11,6 +11,8 @@
 constexpr Duration kFreshReport = std::chrono::milliseconds(900);
 // Keeps tasks off a worker that fails them, while there is another.
 constexpr double kRestingCost = 20.0;
+// With this many workers for each image that serves, images are kept apart.
+constexpr std::size_t kWorkersForImage = 3;
 
 bool HasLabel(const WorkerFacts& facts, const std::string& label) {
   return std::find(facts.labels().begin(), facts.labels().end(), label) !=
@@ -32,7 +34,8 @@
 // serve together on few workers and tasks that fill on the others; and data
 // that is far away, by the rack.
 double Cost(const JobStep& step, const WorkerFacts& facts, const WorkerUse& use,
-            const PlacementPolicy& policy, bool quiet, bool other_images) {
+            const PlacementPolicy& policy, bool quiet,
+            double other_image_cost) {
   const auto cpu = static_cast<double>(std::max<std::int64_t>(facts.cpu(), 1));
   const auto reserved = static_cast<double>(use.cpu()) / cpu;
   const auto filled = static_cast<double>(use.fill_cpu()) / cpu;
@@ -49,8 +52,7 @@
   // What serves is packed by image: the fewer images serve on a worker, the
   // more of what fills gets on with all of them.
   if (step.target() > Duration()) {
-    return far + filled - serving +
-           (other_images ? policy.other_image_cost() : 0.0);
+    return far + filled - serving + other_image_cost;
   }
   return far + filled - (serving > 0.0 ? policy.serving_cost() : 0.0) +
          reserved;
@@ -63,6 +65,14 @@
   return serving.size() > serving.count(image);
 }
 
+// What it costs a task to join tasks of another image that serve.
+double OtherImageCost(const SchedulerTables& tables,
+                      const PlacementPolicy& policy) {
+  const std::size_t images = tables.tasks_.serving_images().size();
+  const bool roomy = tables.workers_.size() >= kWorkersForImage * images;
+  return roomy ? policy.roomy_image_cost() : policy.other_image_cost();
+}
+
 // Whether one image that fills is on the worker of which nothing is known yet
 // beside one that serves there.
 bool HasNewcomer(const MemberName& name, const SchedulerTables& tables) {
@@ -166,7 +176,8 @@
   if (candidate.disturbs_) ++causes.neighbours_;
   const bool other_images =
       step.target() > Duration() && ServesOthers(name, step.image(), tables);
-  candidate.cost_ = Cost(step, facts, use, policy, quiet, other_images) +
+  const double image_cost = other_images ? OtherImageCost(tables, policy) : 0.0;
+  candidate.cost_ = Cost(step, facts, use, policy, quiet, image_cost) +
                     (resting ? kRestingCost : 0.0);
   return candidate;
 }
--- a/src/tables/job_task_table.cc
+++ b/src/tables/job_task_table.cc
@@ -31,11 +31,12 @@
   if (entry->second == 0) images.erase(entry);
 }
 
-void Change(ImageUse& images, const JobStep& step, std::int32_t factor) {
+void Change(ImageUse& images, std::map<std::string, std::int32_t>& serving,
+            const JobStep& step, std::int32_t factor) {
   if (step.fills()) AddTo(images.filling_, step.image(), factor * step.cpu());
-  if (step.target() > Duration()) {
-    AddTo(images.serving_, step.image(), factor);
-  }
+  if (step.target() == Duration()) return;
+  AddTo(images.serving_, step.image(), factor);
+  AddTo(serving, step.image(), factor);
 }
 
 }  // namespace
@@ -119,7 +120,7 @@
   on_worker_[row.worker()].insert(key);
   WorkerUse& use = use_[row.worker()];
   use = Changed(use, *row.step(), 1);
-  Change(images_[row.worker()], *row.step(), 1);
+  Change(images_[row.worker()], serving_images_, *row.step(), 1);
 }
 
 void JobTaskTable::RemoveFromIndexes(const TaskKey& key, const JobTask& row) {
@@ -133,7 +134,7 @@
   on_worker_[row.worker()].erase(key);
   WorkerUse& use = use_[row.worker()];
   use = Changed(use, *row.step(), -1);
-  Change(images_[row.worker()], *row.step(), -1);
+  Change(images_[row.worker()], serving_images_, *row.step(), -1);
 }
 
 }  // namespace quetzalline
--- a/src/tables/job_task_table.h
+++ b/src/tables/job_task_table.h
@@ -41,6 +41,10 @@
   const std::set<TaskKey>& OnWorker(const MemberName& worker) const;
   const WorkerUse& UseOf(const MemberName& worker) const;
   const ImageUse& ImagesOn(const MemberName& worker) const;
+  /// The number of assigned tasks with a tail target, by image.
+  const std::map<std::string, std::int32_t>& serving_images() const {
+    return serving_images_;
+  }
   /// The number of tasks of this step on the worker.
   std::int32_t CountOnWorker(const StepKey& step,
                              const MemberName& worker) const;
@@ -56,6 +60,7 @@
   std::map<MemberName, std::set<TaskKey>> on_worker_;
   std::map<MemberName, WorkerUse> use_;
   std::map<MemberName, ImageUse> images_;
+  std::map<std::string, std::int32_t> serving_images_;
 };
 
 }  // namespace quetzalline
--- a/src/tables/placement_policy.h
+++ b/src/tables/placement_policy.h
@@ -28,6 +28,9 @@
   double serving_cost() const { return serving_cost_; }
   /// What it costs a task that serves to join tasks of another image.
   double other_image_cost() const { return other_image_cost_; }
+  /// The same where there are at least three workers for each image that
+  /// serves, so that most images can have workers of their own.
+  double roomy_image_cost() const { return roomy_image_cost_; }
   /// What it is worth to run next to the data.
   double data_rack_bonus() const { return data_rack_bonus_; }
   /// Share of what tasks that serve reserve that they are expected to leave
@@ -48,13 +51,15 @@
 
  private:
   QUETZALLINE_VALUE(PlacementPolicy, highest_tail_percent_, quiet_percent_,
-                    serving_cost_, other_image_cost_, data_rack_bonus_,
-                    unused_percent_, trial_pace_, longest_wait_, unknown_press_)
+                    serving_cost_, other_image_cost_, roomy_image_cost_,
+                    data_rack_bonus_, unused_percent_, trial_pace_,
+                    longest_wait_, unknown_press_)
 
   double highest_tail_percent_ = 85.0;
   double quiet_percent_ = 6.0;
   double serving_cost_ = 4.0;
   double other_image_cost_ = 0.3;
+  double roomy_image_cost_ = 1.5;
   double data_rack_bonus_ = 0.4;
   std::int64_t unused_percent_ = 50;
   std::int32_t trial_pace_ = 30;
@@ -79,6 +84,9 @@
   Builder& other_image_cost(double value) {
     return Set(value_.other_image_cost_, value);
   }
+  Builder& roomy_image_cost(double value) {
+    return Set(value_.roomy_image_cost_, value);
+  }
   Builder& data_rack_bonus(double value) {
     return Set(value_.data_rack_bonus_, value);
   }
