Work of a worker that is gone while its runner lives starts elsewhere

Beside it: a worker that was cleared of what serves got the same tasks back at once, and was cleared again every 1.5 s.

A runner whose worker answers no call for 2 s extends no lease and gets no new work; once the last lease is surely over it tells that the worker left. What serves joins a worker that was cleared only where there is no other for 10 s.

Before: both new tests red.

--- a/src/messages/worker_report.h
+++ b/src/messages/worker_report.h
@@ -43,6 +43,8 @@
   const std::optional<NeighbourSample>& neighbours() const {
     return neighbours_;
   }
+  /// Whether the worker has answered no call for a while.
+  bool silent() const { return silent_; }
   /// Share of their speed that tasks that fill work at.
   std::int32_t fill_pace() const { return fill_pace_; }
 
@@ -51,7 +53,7 @@
  private:
   QUETZALLINE_VALUE(WorkerReport, session_, number_, whole_, more_ends_, facts_,
                     worker_left_, running_, ends_, refused_, neighbours_,
-                    fill_pace_)
+                    silent_, fill_pace_)
 
   std::int64_t session_ = 0;
   std::int64_t number_ = 0;
@@ -63,6 +65,7 @@
   std::vector<RunEnd> ends_;
   std::vector<RunRefused> refused_;
   std::optional<NeighbourSample> neighbours_;
+  bool silent_ = false;
   std::int32_t fill_pace_ = 100;
 };
 
@@ -91,6 +94,7 @@
   Builder& neighbours(std::optional<NeighbourSample> value) {
     return Set(value_.neighbours_, std::move(value));
   }
+  Builder& silent(bool value) { return Set(value_.silent_, value); }
   Builder& fill_pace(std::int32_t value) {
     return Set(value_.fill_pace_, value);
   }
--- a/src/systems/runner/follow_holder.cc
+++ b/src/systems/runner/follow_holder.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "systems/cell/log_fields.h"
+#include "systems/runner/track_silence.h"
 
 namespace quetzalline {
 namespace {
@@ -68,7 +69,9 @@
       .refused(std::exchange(tables.refusals_, {}))
       .worker_left(whole && tables.worker_left_)
       .neighbours(std::exchange(tables.neighbours_, std::nullopt))
+      .silent(IsWorkerSilent(tables, tick.now()))
       .fill_pace(tables.fill_pace_);
+  tables.told_silent_ = IsWorkerSilent(tables, tick.now());
   if (whole || tables.facts_due_) report.facts(tables.facts_);
   tables.facts_due_ = false;
   if (whole) tables.worker_left_ = false;
@@ -140,6 +143,7 @@
   tables.holder_heard_ = tick.now();
   const auto sent = tables.report_times_.find(grant.report());
   if (sent == tables.report_times_.end() || !tables.clock_) return;
+  if (IsWorkerSilent(tables, tick.now())) return;
   // The worker's clock may be slow, so that less of it has passed than here.
   constexpr std::int64_t kSlowestPerMille = 970;
   const auto passed = std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/src/systems/runner/runner_node.cc
+++ b/src/systems/runner/runner_node.cc
@@ -6,6 +6,7 @@
 #include "systems/runner/follow_holder.h"
 #include "systems/runner/order_runs.h"
 #include "systems/runner/set_pace.h"
+#include "systems/runner/track_silence.h"
 #include "systems/runner/watch_worker.h"
 
 namespace quetzalline {
@@ -24,6 +25,9 @@
   if (found == tables.calls_.end()) return;
   const WorkerCall call = found->second;
   tables.calls_.erase(found);
+  if (answer.verdict() != WorkerVerdict::kLost) {
+    tables.answered_at_ = tick.now();
+  }
   if (!CheckLife(answer, tables, tick)) return;
   ReadWorkerClock(answer, tables, tick.now());
   std::visit(
@@ -88,6 +92,8 @@
   tables.last_tick_ = tick.now();
   if (!paused) return;
   LogLine(tick, "pause-noticed", 0, {});
+  // Nobody asked the worker meanwhile.
+  tables.answered_at_ = tick.now();
   tables.orders_stale_until_ = tick.now() + kStaleOrders;
 }
 
@@ -124,6 +130,7 @@
   Register(tables_.policy_.member(), record, tables_.last_ticket_,
            tables_.registration_, tick);
   CheckHolder(tables_, tick);
+  LoseSilentWorker(tables_, tick);
   RepeatStops(tables_, tick);
   SetPace(tables_, tick);
   HoldWorker(tables_, tick);
--- /dev/null
+++ b/src/systems/runner/track_silence.cc
@@ -0,0 +1,41 @@
+#include "systems/runner/track_silence.h"
+
+#include "messages/worker_left.h"
+#include "systems/cell/log_fields.h"
+#include "systems/runner/watch_worker.h"
+
+namespace quetzalline {
+namespace {
+
+// Twice the longest time between two answers of a worker that is well: a look
+// that waits for an end, and the margin of its call.
+constexpr Duration kSilence = std::chrono::milliseconds(2000);
+// Workers' clocks may be this much slow, in thousandths.
+constexpr std::int64_t kClockDriftPerMille = 30;
+// Covers timers that fire late on the worker.
+constexpr Duration kLeaseMargin = std::chrono::milliseconds(400);
+
+}  // namespace
+
+bool IsWorkerSilent(const RunnerTables& tables, Instant now) {
+  return tables.facts_.has_value() && now - tables.answered_at_ > kSilence;
+}
+
+void LoseSilentWorker(RunnerTables& tables, RunnerTick& tick) {
+  if (!tables.facts_) return;
+  const bool silent = IsWorkerSilent(tables, tick.now());
+  if (silent != tables.told_silent_) tables.report_due_ = true;
+  if (!silent) return tick.WakeAt(tables.answered_at_ + kSilence + Duration(1));
+  const Duration lease = tables.policy_.task_lease();
+  const Instant over_at = tables.answered_at_ + kSilence + lease +
+                          lease * kClockDriftPerMille / 1000 + kLeaseMargin;
+  if (tick.now() < over_at) return tick.WakeAt(over_at);
+  LogLine(tick, "worker-silent", 0,
+          {Field("worker", tables.facts_->worker()),
+           Field("runs", tables.runs_.size()),
+           FieldMs("silent_ms", tick.now() - tables.answered_at_)});
+  const std::string worker = tables.facts_->worker();
+  TakeWorkerLeft(WorkerLeft::Builder().worker(worker).Build(), tables, tick);
+}
+
+}  // namespace quetzalline
--- a/src/systems/runner/watch_worker.cc
+++ b/src/systems/runner/watch_worker.cc
@@ -149,6 +149,10 @@
   LogLine(tick, "worker-seen", 0,
           {Field("worker", facts.worker()), Field("born_ms", facts.born_ms()),
            Field("draining", facts.draining() ? 1 : 0)});
+  const bool other = !tables.facts_ ||
+                     tables.facts_->worker() != facts.worker() ||
+                     tables.facts_->born_ms() != facts.born_ms();
+  if (other) tables.answered_at_ = tick.now();
   tables.facts_ = facts;
   tables.facts_sequence_ = seen.sequence();
   tables.facts_due_ = true;
--- a/src/systems/scheduler/choose_worker.cc
+++ b/src/systems/scheduler/choose_worker.cc
@@ -114,7 +114,7 @@
 bool IsOpen(const MemberName& name, const WorkerRow& worker,
             const SchedulerTables& tables, Instant now) {
   if (!worker.reported() || !worker.facts()) return false;
-  if (worker.facts()->draining()) return false;
+  if (worker.facts()->draining() || worker.silent()) return false;
   if (tables.strays_.count(name) > 0) return false;
   const MemberRow* member = tables.members_.Find(name);
   return member != nullptr && member->connection() &&
@@ -177,8 +177,10 @@
   const bool other_images =
       step.target() > Duration() && ServesOthers(name, step.image(), tables);
   const double image_cost = other_images ? OtherImageCost(tables, policy) : 0.0;
+  const bool kept_clear =
+      step.target() > Duration() && worker.clear_until() > tables.last_tick_;
   candidate.cost_ = Cost(step, facts, use, policy, quiet, image_cost) +
-                    (resting ? kRestingCost : 0.0);
+                    (resting || kept_clear ? kRestingCost : 0.0);
   return candidate;
 }
 
--- a/src/systems/scheduler/make_room.cc
+++ b/src/systems/scheduler/make_room.cc
@@ -23,6 +23,9 @@
 constexpr Duration kConsolidatePause = std::chrono::milliseconds(1500);
 // A worker is cleared while at most this share of it serves.
 constexpr std::int64_t kClearablePercent = 45;
+// What serves joins a worker that was cleared only where there is no other, for
+// as long as a few tasks that fill take.
+constexpr Duration kClearTime = std::chrono::milliseconds(10000);
 // A task that was placed lately is not moved again.
 constexpr Duration kSettledTime = std::chrono::milliseconds(5000);
 
@@ -161,6 +164,9 @@
   LogLine(tick, "worker-cleared", 0,
           {Field("worker", best->value()), Field("tasks", moved.size()),
            FieldMs("fills_waited_ms", waited)});
+  tables.workers_.Put(*best, WorkerRow::Builder(*tables.workers_.Find(*best))
+                                 .clear_until(tick.now() + kClearTime)
+                                 .Build());
   for (const TaskKey& key : moved) {
     StopTask(key, Reason::kLatency, tables, tick);
   }
--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -334,6 +334,7 @@
     if (!has_worker) return;
   }
   tables.workers_.Put(name, WorkerRow::Builder(*tables.workers_.Find(name))
+                                .silent(report.silent())
                                 .fill_pace(report.fill_pace())
                                 .Build());
   if (report.neighbours()) {
--- a/src/tables/runner_tables.h
+++ b/src/tables/runner_tables.h
@@ -46,6 +46,10 @@
   std::optional<WorkerFacts> facts_;
   std::int64_t facts_sequence_ = 0;
   std::optional<WorkerClock> clock_;
+  /// When the worker last answered a call, or was first heard of.
+  Instant answered_at_;
+  /// Whether the holder was last told that the worker is silent.
+  bool told_silent_ = false;
   /// When everything on the worker stops, by its clock; 0 before any lease.
   std::int64_t lease_end_ms_ = 0;
   /// How often the fence was raised in this session.
--- a/src/tables/worker_row.h
+++ b/src/tables/worker_row.h
@@ -33,8 +33,10 @@
   /// Failed runs in a row.
   std::int32_t failures() const { return failures_; }
   Instant rests_until() const { return rests_until_; }
-  /// Measured work for each unit of declared time, against its peers.
-  double speed() const { return speed_; }
+  /// Whether it has answered no call of its runner for a while.
+  bool silent() const { return silent_; }
+  /// Until then, no task that serves joins, since others were moved away.
+  Instant clear_until() const { return clear_until_; }
   /// Share of their speed that tasks that fill work at.
   std::int32_t fill_pace() const { return fill_pace_; }
 
@@ -42,7 +44,8 @@
 
  private:
   QUETZALLINE_VALUE(WorkerRow, facts_, reported_, granted_at_, ends_seen_,
-                    ends_noted_, failures_, rests_until_, speed_, fill_pace_)
+                    ends_noted_, failures_, rests_until_, silent_, clear_until_,
+                    fill_pace_)
 
   std::optional<WorkerFacts> facts_;
   bool reported_ = false;
@@ -51,7 +54,8 @@
   std::int64_t ends_noted_ = 0;
   std::int32_t failures_ = 0;
   Instant rests_until_ = Instant{};
-  double speed_ = 1.0;
+  bool silent_ = false;
+  Instant clear_until_ = Instant{};
   std::int32_t fill_pace_ = 100;
 };
 
@@ -75,7 +79,10 @@
   Builder& rests_until(Instant value) {
     return Set(value_.rests_until_, value);
   }
-  Builder& speed(double value) { return Set(value_.speed_, value); }
+  Builder& silent(bool value) { return Set(value_.silent_, value); }
+  Builder& clear_until(Instant value) {
+    return Set(value_.clear_until_, value);
+  }
   Builder& fill_pace(std::int32_t value) {
     return Set(value_.fill_pace_, value);
   }
--- a/test/cell/cell_test.cc
+++ b/test/cell/cell_test.cc
@@ -223,6 +223,23 @@
   BOOST_TEST(cell.log().StartsOf(job) == 3 + lost);
 }
 
+// Its runner lives and keeps in touch, so that only the worker's silence tells.
+BOOST_AUTO_TEST_CASE(work_of_a_worker_that_is_gone_starts_elsewhere) {
+  CalmCell calm;
+  VirtualCell& cell = calm.cell_;
+  cell.Submit(Lasting());
+  cell.RunFor(seconds(2));
+  BOOST_REQUIRE(RunningTasks(cell) == 3U);
+  for (std::size_t i = 0; i < cell.agents(); ++i) {
+    if (cell.worker(i).running() == 0) continue;
+    cell.worker(i).Crash();
+    break;
+  }
+  BOOST_REQUIRE(RunningTasks(cell) < 3U);
+  cell.RunFor(seconds(10));
+  BOOST_TEST(RunningTasks(cell) == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(an_order_carried_out_late_runs_nothing_twice) {
   CalmCell calm(7);
   VirtualCell& cell = calm.cell_;
--- a/test/cell/load_pattern_test.cc
+++ b/test/cell/load_pattern_test.cc
@@ -175,6 +175,24 @@
   BOOST_TEST(fleet.StopsAfter(ConsolidateServing) == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_worker_that_was_cleared_is_kept_clear) {
+  PlacementFleet fleet(2);
+  fleet.AddRunning(Serving(1, 13'000, "a"), 0);
+  const std::uint64_t moved = fleet.AddRunning(Serving(1, 10'000, "b"), 1);
+  fleet.Learn(0, "loud", 7000, "a", 400);
+  fleet.Learn(1, "loud", 7000, "b", 400);
+  fleet.AddJob(Filling(4, "loud"), seconds(1));
+  BOOST_REQUIRE(fleet.StopsAfter(ConsolidateServing) == 1U);
+  const TaskKey task = TaskKey::Builder().job(moved).Build();
+  JobTaskTable& tasks = fleet.tables().tasks_;
+  tasks.Put(task, JobTask::Builder(*tasks.Find(task))
+                      .stage(TaskStage::kReady)
+                      .stopping(false)
+                      .Build());
+  fleet.Place();
+  BOOST_TEST((tasks.Find(task)->worker() == PlacementFleet::Name(0)));
+}
+
 BOOST_AUTO_TEST_CASE(a_step_that_bounds_its_misses_is_not_moved) {
   PlacementFleet fleet(1);
   for (int i = 0; i < 4; ++i) {
