--- a/src/systems/runner/set_pace.cc
+++ b/src/systems/runner/set_pace.cc
@@ -130,6 +130,10 @@
       .Build();
 }
 
+bool HasTailTooHigh(const RunnerTables& tables) {
+  return WorstTail(tables) > kTooHighPercent;
+}
+
 bool IsMixed(const RunnerTables& tables) {
   bool serves = false;
   bool fills = false;
--- a/src/systems/runner/set_pace.h
+++ b/src/systems/runner/set_pace.h
@@ -19,6 +19,9 @@
 std::optional<NeighbourSample> SampleNeighbours(const RunnerTables& tables,
                                                 Instant now);
 
+/// Whether a task that serves is over its target.
+bool HasTailTooHigh(const RunnerTables& tables);
+
 /// Whether tasks fill beside tasks that serve.
 bool IsMixed(const RunnerTables& tables);
 
--- a/src/systems/runner/watch_worker.cc
+++ b/src/systems/runner/watch_worker.cc
@@ -228,7 +228,8 @@
     tables.next_hold_ = tick.now() + tables.policy_.noting_pause();
   }
   tables.neighbours_ = SampleNeighbours(tables, tick.now());
-  if (tables.neighbours_ && IsMixed(tables)) tables.report_due_ = true;
+  // A tail that is too high is told at once, others with the next report.
+  if (tables.neighbours_ && HasTailTooHigh(tables)) tables.report_due_ = true;
   if (!fenced || tables.session_.synced()) return;
   tables.whole_report_due_ = true;
   if (answer.more_ends()) return;
--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -23,6 +23,9 @@
 // A holder that most runners have not spoken to for this long, and that the
 // store has not confirmed for this long, grants nothing.
 constexpr Duration kContactWindow = std::chrono::milliseconds(1000);
+// Reports that come closer together share a grant: a third of the time after
+// which a worker without one gets no new work.
+constexpr Duration kGrantInterval = std::chrono::milliseconds(300);
 // A worker that refused a start is asked again after this.
 constexpr Duration kRefusalRest = std::chrono::milliseconds(250);
 // A holder ticks at least twice a second; a longer gap means that the process
@@ -329,6 +332,7 @@
     tables.workers_.Put(name, WorkerRow::Builder(*tables.workers_.Find(name))
                                   .reported(has_worker && !report.more_ends())
                                   .granted_at(tick.now())
+                                  .grant_sent_at(Instant())
                                   .Build());
     // A runner without a worker says nothing of what the worker runs.
     if (!has_worker) return;
@@ -360,9 +364,11 @@
     if (found == tables.connections_.end()) continue;
     const WorkerRow* worker = tables.workers_.Find(found->second);
     if (worker == nullptr) continue;
-    tables.workers_.Put(
-        found->second,
-        WorkerRow::Builder(*worker).granted_at(tick.now()).Build());
+    if (tick.now() - worker->grant_sent_at() < kGrantInterval) continue;
+    tables.workers_.Put(found->second, WorkerRow::Builder(*worker)
+                                           .granted_at(tick.now())
+                                           .grant_sent_at(tick.now())
+                                           .Build());
     tick.Emit(SendToRunner::Builder()
                   .connection(connection)
                   .message(GrantLease::Builder().report(number).Build())
--- a/src/tables/worker_row.h
+++ b/src/tables/worker_row.h
@@ -26,6 +26,8 @@
   bool reported() const { return reported_; }
   /// When its lease was granted last.
   Instant granted_at() const { return granted_at_; }
+  /// When the runner was last sent a grant.
+  Instant grant_sent_at() const { return grant_sent_at_; }
   /// The highest number of an end that was taken up.
   std::int64_t ends_seen() const { return ends_seen_; }
   /// The highest number that the runner may forget.
@@ -43,13 +45,14 @@
   friend auto operator<=>(const WorkerRow&, const WorkerRow&) = default;
 
  private:
-  QUETZALLINE_VALUE(WorkerRow, facts_, reported_, granted_at_, ends_seen_,
-                    ends_noted_, failures_, rests_until_, silent_, clear_until_,
-                    fill_pace_)
+  QUETZALLINE_VALUE(WorkerRow, facts_, reported_, granted_at_, grant_sent_at_,
+                    ends_seen_, ends_noted_, failures_, rests_until_, silent_,
+                    clear_until_, fill_pace_)
 
   std::optional<WorkerFacts> facts_;
   bool reported_ = false;
   Instant granted_at_ = Instant{};
+  Instant grant_sent_at_ = Instant{};
   std::int64_t ends_seen_ = 0;
   std::int64_t ends_noted_ = 0;
   std::int32_t failures_ = 0;
@@ -69,6 +72,9 @@
   }
   Builder& reported(bool value) { return Set(value_.reported_, value); }
   Builder& granted_at(Instant value) { return Set(value_.granted_at_, value); }
+  Builder& grant_sent_at(Instant value) {
+    return Set(value_.grant_sent_at_, value);
+  }
   Builder& ends_seen(std::int64_t value) {
     return Set(value_.ends_seen_, value);
   }
