A take-over does not wait for workers that are known to be gone

The holder keeps in the store that nothing runs on a worker that left or whose lease was surely over (vacant/NAME), and takes it back before anything starts there. A later holder need not hear of those.

Before: the new test finds nothing running 5 s after the restart.

--- a/src/systems/cell/cell_keys.cc
+++ b/src/systems/cell/cell_keys.cc
@@ -42,6 +42,10 @@
   return std::string(kMemberPrefix) + member.value();
 }
 
+std::string VacantKey(const MemberName& member) {
+  return std::string(kVacantPrefix) + member.value();
+}
+
 std::string_view AfterPrefix(std::string_view key, std::string_view prefix) {
   if (key.substr(0, prefix.size()) != prefix) return {};
   return key.substr(prefix.size());
--- a/src/systems/cell/cell_keys.h
+++ b/src/systems/cell/cell_keys.h
@@ -17,6 +17,8 @@
 inline constexpr std::string_view kJobPrefix = "jobs/";
 inline constexpr std::string_view kProgressPrefix = "progress/";
 inline constexpr std::string_view kMemberPrefix = "members/";
+/// Names the workers on which nothing runs, as long as nothing may start there.
+inline constexpr std::string_view kVacantPrefix = "vacant/";
 /// The operators' configuration; only they write it.
 inline constexpr std::string_view kConfigurationKey = "configuration";
 
@@ -28,6 +30,7 @@
 std::string JobKey(std::uint64_t job);
 std::string ProgressKey(std::uint64_t job);
 std::string MemberKey(const MemberName& member);
+std::string VacantKey(const MemberName& member);
 
 /// What follows the prefix in a key; empty where the key begins otherwise.
 std::string_view AfterPrefix(std::string_view key, std::string_view prefix);
--- a/src/systems/scheduler/choose_worker.cc
+++ b/src/systems/scheduler/choose_worker.cc
@@ -116,6 +116,7 @@
   if (!worker.reported() || !worker.facts()) return false;
   if (worker.facts()->draining() || worker.silent()) return false;
   if (tables.strays_.count(name) > 0) return false;
+  if (tables.vacant_.count(name) > 0) return false;
   const MemberRow* member = tables.members_.Find(name);
   return member != nullptr && member->connection() &&
          now - member->heard_at() <= kFreshReport &&
--- a/src/systems/scheduler/commit_progress.cc
+++ b/src/systems/scheduler/commit_progress.cc
@@ -8,6 +8,7 @@
 #include "systems/scheduler/call_kvs.h"
 #include "systems/scheduler/campaign.h"
 #include "systems/scheduler/open_job.h"
+#include "systems/scheduler/track_vacancy.h"
 
 namespace quetzalline {
 namespace {
@@ -73,6 +74,7 @@
 CommitBatch BuildBatch(SchedulerTables& tables, Instant now) {
   CommitBatch batch;
   batch.since_ = now;
+  AddVacancies(kMostEntriesInCommit, tables, batch);
   AddJobs(tables, batch);
   for (const std::uint64_t job : tables.expired_jobs_) {
     if (batch.expired_.size() >= kMostExpiredInCommit || IsFull(batch)) break;
@@ -184,6 +186,7 @@
                                                end) != batch.ends_.end();
                             }),
              open.end());
+  OpenOccupied(batch, tables);
   AnswerCallers(batch, tick);
   NoteKeptEnds(tables, tick);
 }
@@ -300,8 +303,9 @@
     return ContinueCommit(tables, tick);
   }
   FindExpired(tables, tick);
-  const bool now_wanted =
-      !tables.expired_jobs_.empty() || tables.term_.restore_holder();
+  const bool now_wanted = !tables.expired_jobs_.empty() ||
+                          !tables.vacancy_changes_.empty() ||
+                          tables.term_.restore_holder();
   const std::optional<Instant> due =
       now_wanted ? tick.now() : tables.dirty_jobs_.DueAt(kProgressPause);
   if (!due) return;
--- a/src/systems/scheduler/load_kept.cc
+++ b/src/systems/scheduler/load_kept.cc
@@ -80,6 +80,11 @@
                      tables.configuration_ = configuration;
                    },
                    [&](const MemberRecord& member) {
+                     const auto vacant = AfterPrefix(item.key(), kVacantPrefix);
+                     if (!vacant.empty()) {
+                       tables.vacant_.insert(MemberName(std::string(vacant)));
+                       return;
+                     }
                      const MemberName name(
                          std::string(AfterPrefix(item.key(), kMemberPrefix)));
                      AddMember(name, member, tables, tick);
@@ -114,7 +119,7 @@
   tables.stage_ = HolderLoading();
   tick.Emit(ReadWallClock());
   tables.loads_open_ = {std::string(kJobPrefix), std::string(kProgressPrefix),
-                        std::string(kMemberPrefix),
+                        std::string(kMemberPrefix), std::string(kVacantPrefix),
                         std::string(kConfigurationKey)};
   for (const std::string& prefix : tables.loads_open_) {
     Load(prefix, tables, tick);
--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -12,6 +12,7 @@
 #include "systems/scheduler/learn_neighbours.h"
 #include "systems/scheduler/open_job.h"
 #include "systems/scheduler/send_start.h"
+#include "systems/scheduler/track_vacancy.h"
 
 namespace quetzalline {
 namespace {
@@ -74,11 +75,13 @@
   tables.workers_.Put(name,
                       WorkerRow::Builder(worker).facts(std::nullopt).Build());
   ReturnAll(name, Reason::kInstanceLost, tables, tick);
+  MarkVacant(name, tables, tick);
 }
 
 void TakeFacts(const MemberName& name, const WorkerFacts& facts,
                SchedulerTables& tables, SchedulerTick& tick) {
   const WorkerRow worker = *tables.workers_.Find(name);
+  MarkOccupied(name, tables);
   WorkerRow::Builder builder(worker);
   builder.facts(facts);
   const bool other = worker.facts() && IsOtherLife(*worker.facts(), facts);
@@ -264,6 +267,18 @@
   }
 }
 
+// Whether the end of the worker's lease is of interest: it holds tasks, or it
+// is out of reach and not known as vacant yet.
+bool MayHaveLapsed(const MemberName& name, const WorkerRow& worker,
+                   const SchedulerTables& tables) {
+  if (!tables.tasks_.OnWorker(name).empty()) return true;
+  const MemberRow* member = tables.members_.Find(name);
+  const bool out_of_reach = member != nullptr && !member->connection();
+  const bool known =
+      tables.vacant_.count(name) > 0 || tables.vacancy_changes_.count(name) > 0;
+  return out_of_reach && !known && worker.granted_at() != Instant();
+}
+
 // The workers that hold tasks and whose lease is surely over: it has run out,
 // and no later holder can have renewed it, since the store has confirmed this
 // epoch after that.
@@ -271,7 +286,7 @@
                                    SchedulerTick& tick) {
   std::vector<MemberName> lapsed;
   for (const auto& [name, worker] : tables.workers_) {
-    if (tables.tasks_.OnWorker(name).empty()) continue;
+    if (!MayHaveLapsed(name, worker, tables)) continue;
     const Instant over_at = worker.granted_at() + LeaseBound(tables.policy_);
     if (tick.now() < over_at) {
       tick.WakeAt(over_at);
@@ -387,6 +402,7 @@
     tables.workers_.Put(name,
                         WorkerRow::Builder(worker).reported(false).Build());
     ReturnAll(name, Reason::kLeaseLapsed, tables, tick);
+    MarkVacant(name, tables, tick);
     const MemberRow* member = tables.members_.Find(name);
     if (member == nullptr || !member->connection()) continue;
     // A new session lists anew what the worker runs.
@@ -398,17 +414,18 @@
   const auto* acting = std::get_if<HolderActing>(&tables.stage_);
   if (acting == nullptr || tables.term_.settled()) return;
   std::size_t runners = 0;
+  std::size_t reported = 0;
   std::size_t answered = 0;
   bool answer_due = false;
   for (const auto& [name, worker] : tables.workers_) {
     const MemberRow* member = tables.members_.Find(name);
     ++runners;
-    if (worker.reported()) ++answered;
-    if (!worker.reported() && member != nullptr && member->connection()) {
-      answer_due = true;
-    }
+    if (worker.reported()) ++reported;
+    const bool sure = worker.reported() || tables.vacant_.count(name) > 0;
+    if (sure) ++answered;
+    if (!sure && member != nullptr && member->connection()) answer_due = true;
   }
-  if (2 * answered > runners && !tables.term_.majority_since()) {
+  if (2 * reported > runners && !tables.term_.majority_since()) {
     tables.term_ =
         HolderTerm::Builder(tables.term_).majority_since(tick.now()).Build();
   }
--- a/src/tables/commit_batch.h
+++ b/src/tables/commit_batch.h
@@ -23,6 +23,8 @@
   /// Jobs whose state is told no longer.
   std::vector<std::uint64_t> expired_;
   std::vector<UnnotedEnd> ends_;
+  /// Workers that are vacant no longer.
+  std::vector<MemberName> occupied_;
   std::vector<CallerWaiting> callers_;
   Instant since_;
   /// Sequence numbers of the tries, any of which the store may have taken.
--- a/src/tables/scheduler_tables.h
+++ b/src/tables/scheduler_tables.h
@@ -66,6 +66,11 @@
   std::optional<Instant> members_retry_at_;
   std::optional<Instant> configuration_retry_at_;
   Table<MemberName, WorkerRow> workers_;
+  /// Workers of which the store may say that nothing runs there. Nothing is
+  /// started on them before it says so no more.
+  std::set<MemberName> vacant_;
+  /// What the next commit says anew of that.
+  std::map<MemberName, bool> vacancy_changes_;
   /// What is learnt of neighbours, by image.
   Table<ImagePair, ImagePress> press_;
   Table<TailKey, ServingTail> tails_;
--- a/test/cell/cell_test.cc
+++ b/test/cell/cell_test.cc
@@ -240,6 +240,30 @@
   BOOST_TEST(RunningTasks(cell) == 3U);
 }
 
+// Every process is killed while a worker has gone for good: what its runner
+// said of that before is in the store.
+BOOST_AUTO_TEST_CASE(a_take_over_does_not_wait_for_a_worker_that_is_gone) {
+  CalmCell calm;
+  VirtualCell& cell = calm.cell_;
+  cell.Submit(Lasting());
+  cell.RunFor(seconds(2));
+  cell.worker(1).Crash();
+  cell.RunFor(seconds(12));
+  BOOST_REQUIRE(cell.kv().Find(VacantKey(MemberName("agent-1"))) != nullptr);
+  for (std::size_t i = 0; i < cell.agents(); ++i) {
+    cell.KillAgent(i);
+    if (i == 1) continue;
+    cell.worker(i).Crash();
+    cell.worker(i).Restart();
+  }
+  for (std::size_t i = 0; i < cell.agents(); ++i) cell.StartAgent(i);
+  cell.RunFor(seconds(5));
+  BOOST_TEST(RunningTasks(cell) == 3U);
+  cell.worker(1).Restart();
+  cell.RunFor(seconds(4));
+  BOOST_TEST((cell.kv().Find(VacantKey(MemberName("agent-1"))) == nullptr));
+}
+
 BOOST_AUTO_TEST_CASE(an_order_carried_out_late_runs_nothing_twice) {
   CalmCell calm(7);
   VirtualCell& cell = calm.cell_;
