A job counts as unknown only while the store shows the holder's epoch

An old holder that had not heard of two later ones looked for the job's progress, which a job without any does not have.

The holder knows every job, so that the store is asked for the epoch instead: if it is the holder's own, what the holder does not know is not there; if it is later, the holder steps down.

--- a/src/systems/scheduler/admit_jobs.cc
+++ b/src/systems/scheduler/admit_jobs.cc
@@ -30,10 +30,11 @@
   return tables.commit_ && now - tables.commit_->since_ > kStorePatience;
 }
 
+// The holder knows every job, so that one it does not know is not there, as
+// long as the store still shows its epoch.
 void Probe(const CallerWaiting& caller, SchedulerTables& tables,
            SchedulerTick& tick) {
-  GetKey(ProgressKey(caller.job()),
-         ProbingJob::Builder().caller(caller).Build(), tables, tick);
+  GetKey(kEpochKey, ProbingJob::Builder().caller(caller).Build(), tables, tick);
 }
 
 }  // namespace
@@ -141,12 +142,15 @@
   if (!IsActing(tables)) return;
   const auto* read = std::get_if<KvsItems>(&result);
   const JobRow* known = tables.jobs_.Find(caller.job());
-  if (read == nullptr || known != nullptr) {
+  const HolderRecord* kept = read == nullptr ? nullptr : HolderIn(*read);
+  if (kept == nullptr || known != nullptr) {
     return AnswerEntry(caller.connection(),
                        JobUndecided::Builder().ticket(caller.ticket()).Build(),
                        tick);
   }
-  if (!read->items().empty()) return StepDown("unknown job kept", tables, tick);
+  if (kept->epoch() != tables.term_.epoch()) {
+    return StepDown("a later epoch is kept", tables, tick);
+  }
   LogLine(tick, "job-unknown", caller.job(),
           {Field("store_revision", read->revision())});
   AnswerEntry(caller.connection(),
--- a/src/systems/scheduler/call_kvs.cc
+++ b/src/systems/scheduler/call_kvs.cc
@@ -82,4 +82,9 @@
       .Build();
 }
 
+const HolderRecord* HolderIn(const KvsItems& read) {
+  if (read.items().empty() || !read.items().front().record()) return nullptr;
+  return std::get_if<HolderRecord>(&*read.items().front().record());
+}
+
 }  // namespace quetzalline
--- a/src/systems/scheduler/call_kvs.h
+++ b/src/systems/scheduler/call_kvs.h
@@ -5,6 +5,7 @@
 #include <string_view>
 #include <vector>
 
+#include "messages/kvs_items.h"
 #include "systems/scheduler/scheduler_tick.h"
 #include "tables/scheduler_tables.h"
 
@@ -33,6 +34,9 @@
 /// A write of one key.
 KvsPut PutOf(std::string key, KvsRecord record, std::uint64_t lease = 0);
 
+/// The holder that the first item of a read names; null where it is none.
+const HolderRecord* HolderIn(const KvsItems& read);
+
 }  // namespace quetzalline
 
 #endif  // QUETZALLINE_SYSTEMS_SCHEDULER_CALL_KVS_H_
--- a/src/systems/scheduler/commit_progress.cc
+++ b/src/systems/scheduler/commit_progress.cc
@@ -340,10 +340,7 @@
   if (!IsActing(tables) || !tables.commit_) return;
   const auto* read = std::get_if<KvsItems>(&result);
   if (read == nullptr) return RetryCommit(true, tables, tick);
-  const HolderRecord* kept = nullptr;
-  if (!read->items().empty() && read->items().front().record()) {
-    kept = std::get_if<HolderRecord>(&*read->items().front().record());
-  }
+  const HolderRecord* kept = HolderIn(*read);
   if (kept == nullptr || kept->epoch() != tables.term_.epoch() ||
       kept->instance() != HolderSignature(tables.policy_)) {
     return StepDown("a later epoch is kept", tables, tick);
--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -467,10 +467,7 @@
   if (!IsActing(tables)) return;
   const auto* read = std::get_if<KvsItems>(&result);
   if (read == nullptr) return;
-  const HolderRecord* kept = nullptr;
-  if (!read->items().empty() && read->items().front().record()) {
-    kept = std::get_if<HolderRecord>(&*read->items().front().record());
-  }
+  const HolderRecord* kept = HolderIn(*read);
   if (kept == nullptr || kept->epoch() != tables.term_.epoch()) {
     return StepDown("a later epoch is kept", tables, tick);
   }
--- a/test/faults/cell_schedule_test.cc
+++ b/test/faults/cell_schedule_test.cc
@@ -30,6 +30,8 @@
     5587,
     // The model let a later life carry out an order of an earlier one.
     7265,
+    // An old holder took a job that only a later one knew for unknown.
+    8850,
 };
 
 void Play(std::uint64_t seed) {
