--- /dev/null
+++ b/src/systems/cell/lease_bound.h
@@ -0,0 +1,20 @@
+#ifndef QUETZALLINE_SYSTEMS_CELL_LEASE_BOUND_H_
+#define QUETZALLINE_SYSTEMS_CELL_LEASE_BOUND_H_
+
+#include "core/time.h"
+
+namespace quetzalline {
+
+/// The time after a grant by which a lease is surely over on the worker, whose
+/// clock may be slow.
+inline Duration LeaseBound(Duration lease) {
+  // Workers' clocks may be this much slow, in thousandths.
+  constexpr std::int64_t kClockDriftPerMille = 30;
+  // Covers timers that fire late and the way of the last grant.
+  constexpr Duration kLeaseMargin = std::chrono::milliseconds(400);
+  return lease + lease * kClockDriftPerMille / 1000 + kLeaseMargin;
+}
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_SYSTEMS_CELL_LEASE_BOUND_H_
--- a/src/systems/runner/track_silence.cc
+++ b/src/systems/runner/track_silence.cc
@@ -1,6 +1,7 @@
 #include "systems/runner/track_silence.h"
 
 #include "messages/worker_left.h"
+#include "systems/cell/lease_bound.h"
 #include "systems/cell/log_fields.h"
 #include "systems/runner/watch_worker.h"
 
@@ -10,10 +11,6 @@
 // Twice the longest time between two answers of a worker that is well: a look
 // that waits for an end, and the margin of its call.
 constexpr Duration kSilence = std::chrono::milliseconds(2000);
-// Workers' clocks may be this much slow, in thousandths.
-constexpr std::int64_t kClockDriftPerMille = 30;
-// Covers timers that fire late on the worker.
-constexpr Duration kLeaseMargin = std::chrono::milliseconds(400);
 
 }  // namespace
 
@@ -26,9 +23,8 @@
   const bool silent = IsWorkerSilent(tables, tick.now());
   if (silent != tables.told_silent_) tables.report_due_ = true;
   if (!silent) return tick.WakeAt(tables.answered_at_ + kSilence + Duration(1));
-  const Duration lease = tables.policy_.task_lease();
-  const Instant over_at = tables.answered_at_ + kSilence + lease +
-                          lease * kClockDriftPerMille / 1000 + kLeaseMargin;
+  const Instant over_at =
+      tables.answered_at_ + kSilence + LeaseBound(tables.policy_.task_lease());
   if (tick.now() < over_at) return tick.WakeAt(over_at);
   LogLine(tick, "worker-silent", 0,
           {Field("worker", tables.facts_->worker()),
--- a/src/systems/scheduler/place_runs.cc
+++ b/src/systems/scheduler/place_runs.cc
@@ -7,6 +7,7 @@
 #include "systems/scheduler/campaign.h"
 #include "systems/scheduler/choose_worker.h"
 #include "systems/scheduler/conclude_job.h"
+#include "systems/scheduler/confirm_epoch.h"
 #include "systems/scheduler/open_job.h"
 #include "systems/scheduler/send_start.h"
 #include "systems/scheduler/track_workers.h"
--- a/src/systems/scheduler/scheduler_node.cc
+++ b/src/systems/scheduler/scheduler_node.cc
@@ -2,11 +2,13 @@
 
 #include "systems/scheduler/campaign.h"
 #include "systems/scheduler/commit_progress.h"
+#include "systems/scheduler/confirm_epoch.h"
 #include "systems/scheduler/follow_members.h"
 #include "systems/scheduler/load_kept.h"
 #include "systems/scheduler/make_room.h"
 #include "systems/scheduler/open_job.h"
 #include "systems/scheduler/place_runs.h"
+#include "systems/scheduler/settle_doubt.h"
 #include "systems/scheduler/take_inputs.h"
 #include "systems/scheduler/track_workers.h"
 
--- a/src/systems/scheduler/take_inputs.cc
+++ b/src/systems/scheduler/take_inputs.cc
@@ -4,6 +4,7 @@
 #include "systems/scheduler/admit_jobs.h"
 #include "systems/scheduler/campaign.h"
 #include "systems/scheduler/commit_progress.h"
+#include "systems/scheduler/confirm_epoch.h"
 #include "systems/scheduler/follow_members.h"
 #include "systems/scheduler/load_kept.h"
 #include "systems/scheduler/track_workers.h"
--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -3,11 +3,13 @@
 #include <algorithm>
 
 #include "systems/cell/cell_keys.h"
+#include "systems/cell/lease_bound.h"
 #include "systems/cell/log_fields.h"
 #include "systems/scheduler/call_kvs.h"
 #include "systems/scheduler/campaign.h"
 #include "systems/scheduler/commit_progress.h"
 #include "systems/scheduler/conclude_job.h"
+#include "systems/scheduler/confirm_epoch.h"
 #include "systems/scheduler/follow_members.h"
 #include "systems/scheduler/learn_neighbours.h"
 #include "systems/scheduler/open_job.h"
@@ -17,31 +19,11 @@
 namespace quetzalline {
 namespace {
 
-// Workers' clocks may be this much slow, in thousandths.
-constexpr std::int64_t kClockDriftPerMille = 30;
-// Covers timers that fire late and the way of the last grant.
-constexpr Duration kLeaseMargin = std::chrono::milliseconds(400);
-// A holder that most runners have not spoken to for this long, and that the
-// store has not confirmed for this long, grants nothing.
-constexpr Duration kContactWindow = std::chrono::milliseconds(1000);
 // Reports that come closer together share a grant: a third of the time after
 // which a worker without one gets no new work.
 constexpr Duration kGrantInterval = std::chrono::milliseconds(300);
 // A worker that refused a start is asked again after this.
 constexpr Duration kRefusalRest = std::chrono::milliseconds(250);
-// A holder ticks at least twice a second; a longer gap means that the process
-// stood still, and what it hears next may be old.
-constexpr Duration kLongestTickGap = std::chrono::milliseconds(700);
-constexpr Duration kConfirmPause = std::chrono::milliseconds(300);
-// A new holder that few runners answer waits this long before it takes the
-// silent ones for lost.
-constexpr Duration kLongestDoubt = std::chrono::milliseconds(9000);
-
-Duration LeaseBound(const SchedulerPolicy& policy) {
-  const Duration lease = policy.task_lease();
-  return lease + lease * kClockDriftPerMille / 1000 + kLeaseMargin;
-}
-
 bool IsOtherLife(const WorkerFacts& a, const WorkerFacts& b) {
   return a.worker() != b.worker() || a.born_ms() != b.born_ms();
 }
@@ -225,25 +207,6 @@
   }
 }
 
-// Whether most runners spoke to this holder lately. Runners follow the highest
-// epoch that they know, so that no later holder can have most of them too.
-bool HasMajority(const SchedulerTables& tables, Instant now) {
-  std::size_t runners = 0;
-  std::size_t heard = 0;
-  for (const auto& [name, row] : tables.members_) {
-    if (row.record().role() != MemberRole::kRunner) continue;
-    ++runners;
-    if (row.connection() && now - row.heard_at() <= kContactWindow) ++heard;
-  }
-  return 2 * heard > runners;
-}
-
-void ConfirmEpoch(SchedulerTables& tables, SchedulerTick& tick) {
-  if (tick.now() < tables.next_confirm_) return;
-  tables.next_confirm_ = tick.now() + kConfirmPause;
-  GetKey(kEpochKey, ConfirmingEpoch(), tables, tick);
-}
-
 void CloseMember(ConnectionId connection, SchedulerTables& tables,
                  SchedulerTick& tick) {
   tick.Emit(CloseConnection::Builder().connection(connection).Build());
@@ -287,7 +250,8 @@
   std::vector<MemberName> lapsed;
   for (const auto& [name, worker] : tables.workers_) {
     if (!MayHaveLapsed(name, worker, tables)) continue;
-    const Instant over_at = worker.granted_at() + LeaseBound(tables.policy_);
+    const Instant over_at =
+        worker.granted_at() + LeaseBound(tables.policy_.task_lease());
     if (tick.now() < over_at) {
       tick.WakeAt(over_at);
     } else if (tables.term_.confirmed_at() < over_at) {
@@ -302,21 +266,6 @@
 
 }  // namespace
 
-bool MayAct(const SchedulerTables& tables, Instant now) {
-  if (now - tables.term_.confirmed_at() <= kContactWindow) return true;
-  return now >= tables.suspect_until_ && HasMajority(tables, now);
-}
-
-void NoticePause(SchedulerTables& tables, SchedulerTick& tick) {
-  const bool paused = tick.now() - tables.last_tick_ > kLongestTickGap;
-  tables.last_tick_ = tick.now();
-  if (!paused || !IsHolder(tables)) return;
-  LogLine(tick, "pause-noticed", 0, {Field("epoch", tables.term_.epoch())});
-  tables.suspect_until_ = tick.now() + kContactWindow;
-  tables.term_ =
-      HolderTerm::Builder(tables.term_).confirmed_at(Instant()).Build();
-}
-
 void HearMember(ConnectionId connection, SchedulerTables& tables, Instant now) {
   const auto found = tables.connections_.find(connection);
   if (found == tables.connections_.end()) return;
@@ -410,69 +359,4 @@
   }
 }
 
-void SettleDoubt(SchedulerTables& tables, SchedulerTick& tick) {
-  const auto* acting = std::get_if<HolderActing>(&tables.stage_);
-  if (acting == nullptr || tables.term_.settled()) return;
-  std::size_t runners = 0;
-  std::size_t reported = 0;
-  std::size_t answered = 0;
-  bool answer_due = false;
-  for (const auto& [name, worker] : tables.workers_) {
-    const MemberRow* member = tables.members_.Find(name);
-    ++runners;
-    if (worker.reported()) ++reported;
-    const bool sure = worker.reported() || tables.vacant_.count(name) > 0;
-    if (sure) ++answered;
-    if (!sure && member != nullptr && member->connection()) answer_due = true;
-  }
-  if (2 * reported > runners && !tables.term_.majority_since()) {
-    tables.term_ =
-        HolderTerm::Builder(tables.term_).majority_since(tick.now()).Build();
-  }
-  // A runner that was reached lists its runs soon, however busy both are.
-  Instant sure_at =
-      acting->since() + (answer_due ? 2 * kLongestDoubt : kLongestDoubt);
-  if (tables.term_.majority_since()) {
-    sure_at =
-        std::min(sure_at, *tables.term_.majority_since() + kContactWindow +
-                              LeaseBound(tables.policy_));
-  }
-  if (answered < runners) {
-    if (tick.now() < sure_at) return tick.WakeAt(sure_at);
-    // A later holder may have renewed the leases of the silent ones.
-    if (tables.term_.confirmed_at() < sure_at) {
-      ConfirmEpoch(tables, tick);
-      return tick.WakeAt(tables.next_confirm_);
-    }
-  }
-  tables.term_ = HolderTerm::Builder(tables.term_).settled(true).Build();
-  LogLine(tick, "tasks-settled", 0,
-          {Field("runners", runners), Field("answered", answered),
-           Field("tasks", tables.tasks_.in_doubt().size())});
-  const std::set<TaskKey> in_doubt = tables.tasks_.in_doubt();
-  std::set<std::pair<std::uint64_t, std::int32_t>> occurrences;
-  for (const TaskKey& key : in_doubt) {
-    const JobTask* task = tables.tasks_.Find(key);
-    tables.tasks_.Put(
-        key, JobTask::Builder(*task).stage(TaskStage::kBlocked).Build());
-    occurrences.insert({key.job(), key.occurrence()});
-  }
-  for (const auto& [job, occurrence] : occurrences) {
-    UnlockSteps(job, occurrence, tick.now(), tables);
-  }
-}
-
-void TakeEpochCheck(const KvsResult& result, SchedulerTables& tables,
-                    SchedulerTick& tick) {
-  if (!IsActing(tables)) return;
-  const auto* read = std::get_if<KvsItems>(&result);
-  if (read == nullptr) return;
-  const HolderRecord* kept = HolderIn(*read);
-  if (kept == nullptr || kept->epoch() != tables.term_.epoch()) {
-    return StepDown("a later epoch is kept", tables, tick);
-  }
-  tables.term_ =
-      HolderTerm::Builder(tables.term_).confirmed_at(tick.now()).Build();
-}
-
 }  // namespace quetzalline
