--- a/src/systems/scheduler/commit_progress.cc
+++ b/src/systems/scheduler/commit_progress.cc
@@ -21,7 +21,7 @@
 // Expired jobs that one commit removes, an entry each.
 constexpr std::size_t kMostExpiredInCommit = 4;
 // Ends of tasks are gathered for this long, so that several of one job are kept
-// at once: a fifth of the time after which callers ask for states again.
+// at once: a twenty-fifth of the five seconds in which ends have to be noted.
 constexpr Duration kProgressPause = std::chrono::milliseconds(200);
 constexpr Duration kExpiryLook = std::chrono::seconds(5);
 // Pause before a commit that failed is tried again, up to twice this.
--- a/src/systems/scheduler/place_runs.cc
+++ b/src/systems/scheduler/place_runs.cc
@@ -149,6 +149,8 @@
                    StepPlacement& placement) {
   auto& candidates = placement.candidates_;
   const auto at = candidates.begin() + static_cast<std::ptrdiff_t>(position);
+  // Each worker counts once.
+  if (at->disturbs_) --placement.causes_.neighbours_;
   const auto again =
       ConsiderWorker(placement.key_, placement.step(), placement.service_,
                      at->worker_, tables, placement.causes_);
