Gauges and a log line that show where tasks of a cell are held up

Cause: the logs name the tasks that wait for placement. They do not show how many tasks are assigned to a worker that has not listed its runs, nor that a runner reports without a worker, so the hypotheses look alike.

Change: the holder's metrics give the tasks in doubt, ready, assigned, and assigned to unlisted workers, and the workers listed and schedulable; worker-absent is logged when a runner without a worker reports although tasks are assigned to it.

--- a/src/adapters/metrics_text.cc
+++ b/src/adapters/metrics_text.cc
@@ -29,12 +29,20 @@
       });
 }
 
+void AppendGauge(const Gauge& gauge, std::string& text) {
+  const std::string name = "quetzalline_" + gauge.name();
+  text += "# TYPE " + name + " gauge\n";
+  text += name + " " + std::to_string(gauge.value()) + "\n";
+}
+
 }  // namespace
 
-std::string MetricsText(const Counters& counters) {
+std::string MetricsText(const Counters& counters,
+                        const std::vector<Gauge>& gauges) {
   std::string text;
   boost::mp11::mp_for_each<boost::describe::describe_enumerators<Counter>>(
       [&](auto counter) { AppendCounter(counter.value, counters, text); });
+  for (const Gauge& gauge : gauges) AppendGauge(gauge, text);
   return text;
 }
 
--- /dev/null
+++ b/src/systems/scheduler/measure_cell.cc
@@ -0,0 +1,47 @@
+#include "systems/scheduler/measure_cell.h"
+
+#include <string>
+
+#include "systems/scheduler/choose_worker.h"
+
+namespace quetzalline {
+namespace {
+
+Gauge MakeGauge(std::string name, std::size_t value) {
+  return Gauge::Builder()
+      .name(std::move(name))
+      .value(static_cast<std::int64_t>(value))
+      .Build();
+}
+
+}  // namespace
+
+std::vector<Gauge> MeasureCell(const SchedulerTables& tables) {
+  std::size_t ready = 0;
+  for (const auto& [step, indexes] : tables.tasks_.ready()) {
+    ready += indexes.size();
+  }
+  std::size_t assigned = 0;
+  std::size_t unlisted = 0;
+  std::size_t listed_workers = 0;
+  for (const auto& [name, worker] : tables.workers_) {
+    const std::size_t tasks = tables.tasks_.TasksOnWorker(name).size();
+    assigned += tasks;
+    if (worker.reported()) {
+      ++listed_workers;
+    } else {
+      unlisted += tasks;
+    }
+  }
+  const std::size_t schedulable =
+      SchedulableWorkers(tables, tables.last_tick_).size();
+  return {MakeGauge("cell_tasks_in_doubt", tables.tasks_.unreconciled().size()),
+          MakeGauge("cell_tasks_ready", ready),
+          MakeGauge("cell_tasks_assigned", assigned),
+          MakeGauge("cell_tasks_on_unlisted_workers", unlisted),
+          MakeGauge("cell_workers", tables.workers_.size()),
+          MakeGauge("cell_workers_listed", listed_workers),
+          MakeGauge("cell_workers_schedulable", schedulable)};
+}
+
+}  // namespace quetzalline
--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -67,6 +67,18 @@
   MarkConfirmedLost(name, tables, tick);
 }
 
+// Logs that a runner reports without a worker while the holder still has tasks
+// assigned to that worker.
+void LogAbsentWorker(const MemberName& name, const SchedulerTables& tables,
+                     SchedulerTick& tick) {
+  const WorkerRow& worker = *tables.workers_.Find(name);
+  const std::size_t tasks = tables.tasks_.TasksOnWorker(name).size();
+  if (tasks == 0) return;
+  LogLine(tick, "worker-absent", 0,
+          {Field("member", name.value()), Field("tasks", tasks),
+           FieldMs("since_grant_ms", tick.now() - worker.granted_at())});
+}
+
 void HandleFacts(const MemberName& name, const WorkerDescription& facts,
                  SchedulerTables& tables, SchedulerTick& tick) {
   const WorkerRow worker = *tables.workers_.Find(name);
@@ -306,6 +318,7 @@
   const bool first_list = !tables.workers_.Find(name)->reported();
   if (report.whole()) {
     const bool has_worker = report.facts().has_value();
+    if (!has_worker) LogAbsentWorker(name, tables, tick);
     tables.workers_.Put(name, WorkerRow::Builder(*tables.workers_.Find(name))
                                   .reported(has_worker && !report.more_ends())
                                   .granted_at(tick.now())
