--- /dev/null
+++ b/test/cell/absent_worker_test.cc
@@ -0,0 +1,213 @@
+#include <boost/test/unit_test.hpp>
+#include <optional>
+#include <vector>
+
+#include "support/placement_fleet.h"
+#include "support/virtual_cell.h"
+#include "systems/runner/runner_node.h"
+#include "systems/scheduler/measure_cell.h"
+
+namespace quetzalline {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kAgents = 5;
+constexpr std::int32_t kTasks = 4;
+// A task lease has certainly expired on the slowest worker by then, and
+// placement has had a second.
+constexpr Duration kLeaseAndPlacement = seconds(7);
+
+// A long-running job with its tasks on different workers of the cell.
+struct SpreadCell {
+  SpreadCell() : cell_(kAgents, 2, 1) {
+    cell_.RunFor(seconds(3));
+    const JobStep step = JobStep::Builder()
+                             .count(kTasks)
+                             .cpu(1000)
+                             .memory_mb(100)
+                             .estimate(milliseconds(500))
+                             .long_running(true)
+                             .most_per_worker(1)
+                             .Build();
+    cell_.Submit(JobDefinition::Builder().spec("spec").steps({step}).Build());
+    cell_.RunFor(seconds(2));
+  }
+  ~SpreadCell() {
+    for (const std::string& violation : cell_.log().violations()) {
+      BOOST_ERROR(violation);
+    }
+  }
+
+  std::size_t RunningTasks() {
+    std::size_t running = 0;
+    for (std::size_t i = 0; i < kAgents; ++i) {
+      running += cell_.worker(i).running();
+    }
+    return running;
+  }
+
+  // Returns an agent that is not the holder and whose worker runs a task.
+  std::size_t BusyFollower() {
+    for (std::size_t i = 0; i < kAgents; ++i) {
+      if (i != *cell_.Holder() && cell_.worker(i).running() > 0) return i;
+    }
+    BOOST_FAIL("every task is on the holder's instance");
+    return 0;
+  }
+
+  std::int64_t TasksOnUnlistedWorkers() {
+    const std::vector<Gauge> gauges =
+        MeasureCell(cell_.scheduler(*cell_.Holder()));
+    for (const Gauge& gauge : gauges) {
+      if (gauge.name() == "cell_tasks_on_unlisted_workers") {
+        return gauge.value();
+      }
+    }
+    return -1;
+  }
+
+  VirtualCell cell_;
+};
+
+const WorkerReport* FindReport(const std::vector<RunnerEffect>& effects) {
+  for (const RunnerEffect& effect : effects) {
+    const auto* sent = std::get_if<SendToHolder>(&effect);
+    if (sent == nullptr) continue;
+    const auto* report = std::get_if<WorkerReport>(&sent->message());
+    if (report != nullptr) return report;
+  }
+  return nullptr;
+}
+
+std::vector<RunnerInput> OpenSession(std::int64_t session) {
+  const ConnectionId connection(static_cast<std::uint64_t>(session));
+  return {
+      ConnectionOpened::Builder().connection(connection).Build(),
+      RunnerMessageReceived::Builder()
+          .connection(connection)
+          .message(AttachRunner::Builder().epoch(1).session(session).Build())
+          .Build()};
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(absent_workers)
+
+// A worker that is lost while its agent is down is never reported as lost. Its
+// tasks must not stay assigned to it after the agent has returned.
+BOOST_AUTO_TEST_CASE(tasks_of_a_worker_lost_with_its_agent_restart_elsewhere) {
+  SpreadCell spread;
+  VirtualCell& cell = spread.cell_;
+  BOOST_REQUIRE(spread.RunningTasks() == static_cast<std::size_t>(kTasks));
+  const std::size_t agent = spread.BusyFollower();
+  cell.worker(agent).Crash();
+  cell.KillAgent(agent);
+  cell.RunFor(seconds(1));
+  cell.StartAgent(agent);
+  cell.RunFor(seconds(1));
+  BOOST_TEST(spread.TasksOnUnlistedWorkers() == 1);
+  cell.RunFor(kLeaseAndPlacement);
+  BOOST_TEST(spread.RunningTasks() == static_cast<std::size_t>(kTasks));
+  BOOST_TEST(spread.TasksOnUnlistedWorkers() == 0);
+}
+
+// The only notice that a worker has shut down is lost with the connection to
+// the holder. The tasks must not stay assigned to the worker.
+BOOST_AUTO_TEST_CASE(tasks_restart_although_the_notice_of_a_shutdown_is_lost) {
+  SpreadCell spread;
+  VirtualCell& cell = spread.cell_;
+  const std::size_t agent = spread.BusyFollower();
+  cell.SetAgentPartitioned(agent, true, false);
+  cell.ShutDownWorker(agent);
+  cell.RunFor(seconds(1));
+  cell.SetAgentPartitioned(agent, false, false);
+  cell.RunFor(kLeaseAndPlacement);
+  BOOST_TEST(spread.RunningTasks() == static_cast<std::size_t>(kTasks));
+}
+
+// A worker that announces itself again soon after its agent's restart has kept
+// its runs. They must be adopted, not started a second time.
+BOOST_AUTO_TEST_CASE(runs_of_a_worker_that_outlives_its_agent_are_adopted) {
+  SpreadCell spread;
+  VirtualCell& cell = spread.cell_;
+  const std::size_t agent = spread.BusyFollower();
+  cell.KillAgent(agent);
+  cell.RunFor(seconds(1));
+  cell.StartAgent(agent);
+  cell.RunFor(kLeaseAndPlacement);
+  BOOST_TEST(spread.RunningTasks() == static_cast<std::size_t>(kTasks));
+  BOOST_TEST(spread.TasksOnUnlistedWorkers() == 0);
+}
+
+// A runner without a worker cannot extend any lease. Its reports must not renew
+// the lease that the holder counts for the worker.
+BOOST_AUTO_TEST_CASE(a_runner_without_a_worker_is_granted_no_lease) {
+  PlacementFleet fleet(1);
+  const MemberName name = PlacementFleet::Name(0);
+  SchedulerTables& tables = fleet.tables();
+  const Instant later = kFleetNow + milliseconds(800);
+  Random random(1);
+  SchedulerTick tick(later, random, tables.counters_);
+  HandleReport(ConnectionId(1),
+               WorkerReport::Builder().number(1).whole(true).Build(), tables,
+               tick);
+  GrantLeases(tables, tick);
+  BOOST_TEST((tables.workers_.Find(name)->granted_at() == kFleetNow));
+  for (const SchedulerEffect& effect : tick.TakeEffects()) {
+    const auto* sent = std::get_if<SendToRunner>(&effect);
+    if (sent == nullptr) continue;
+    BOOST_TEST(!std::holds_alternative<GrantLease>(sent->message()));
+  }
+}
+
+// A truncated list is no proof of what runs on the worker, but it shows that
+// the worker lives. Without leases its runs would be lost while it lists them.
+BOOST_AUTO_TEST_CASE(a_worker_with_a_truncated_list_keeps_its_lease) {
+  PlacementFleet fleet(1);
+  const MemberName name = PlacementFleet::Name(0);
+  SchedulerTables& tables = fleet.tables();
+  const WorkerDescription worker = *tables.workers_.Find(name)->facts();
+  const Instant later = kFleetNow + milliseconds(800);
+  Random random(1);
+  SchedulerTick tick(later, random, tables.counters_);
+  HandleReport(ConnectionId(1),
+               WorkerReport::Builder()
+                   .number(1)
+                   .whole(true)
+                   .more_ends(true)
+                   .facts(worker)
+                   .Build(),
+               tables, tick);
+  GrantLeases(tables, tick);
+  BOOST_TEST((tables.workers_.Find(name)->granted_at() == later));
+}
+
+// A report may be lost with its connection. The notice that the worker has left
+// must be part of every full report until another worker is known.
+BOOST_AUTO_TEST_CASE(a_notice_of_a_shutdown_is_repeated_in_the_next_session) {
+  RunnerNode node(RunnerPolicy(), 1);
+  node.RunTick(kFleetNow, OpenSession(1));
+  const WorkerDescription worker = WorkerDescription::Builder()
+                                       .worker("worker")
+                                       .born_ms(1)
+                                       .service(ServiceName("service"))
+                                       .Build();
+  const std::vector<RunnerInput> announced = {
+      WorkerAnnounced::Builder().facts(worker).sequence(1).Build()};
+  node.RunTick(kFleetNow, announced);
+  const std::vector<RunnerInput> left = {
+      WorkerLeft::Builder().worker("worker").Build()};
+  const auto first = node.RunTick(kFleetNow + milliseconds(10), left);
+  BOOST_REQUIRE(FindReport(first) != nullptr);
+  BOOST_TEST(FindReport(first)->worker_left());
+  const auto second =
+      node.RunTick(kFleetNow + milliseconds(20), OpenSession(2));
+  BOOST_REQUIRE(FindReport(second) != nullptr);
+  BOOST_TEST(FindReport(second)->worker_left());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace quetzalline
--- a/test/support/virtual_cell.cc
+++ b/test/support/virtual_cell.cc
@@ -137,6 +137,13 @@
   kv_.RejectCaller(AgentName(agent).value(), partitioned && store_too);
 }
 
+void VirtualCell::ShutDownWorker(std::size_t agent) {
+  VirtualWorker& worker = *agents_[agent].worker_;
+  const std::string name = worker.Announce().facts().worker();
+  worker.Crash();
+  agents_[agent].runner_->Post(WorkerLeft::Builder().worker(name).Build());
+}
+
 void VirtualCell::CloseConnections(std::size_t agent) {
   std::vector<ConnectionId> lost;
   for (const auto& [id, connection] : connections_) {
--- a/test/support/virtual_cell.h
+++ b/test/support/virtual_cell.h
@@ -70,6 +70,8 @@
   /// store_too, from the store; partitioned = false ends the partition.
   void SetAgentPartitioned(std::size_t agent, bool partitioned, bool store_too);
   void CloseConnections(std::size_t agent);
+  /// Shuts down the agent's worker, which announces this to its runner.
+  void ShutDownWorker(std::size_t agent);
   VirtualWorker& worker(std::size_t agent) { return *agents_[agent].worker_; }
   VirtualKv& kv() { return kv_; }
   JobInvariantLog& log() { return log_; }
