--- a/src/messages/grant_lease.h
+++ b/src/messages/grant_lease.h
@@ -10,14 +10,16 @@
 namespace quetzalline {
 
 /// Extends the lease of the worker's runs. The lease time starts when the
-/// runner sent the named report.
+/// runner sent the named report. Also shows that the holder is alive, to
+/// runners whose worker gets no lease too.
 class GrantLease {
  public:
   class Builder;
 
   static constexpr std::string_view kName = "grant-lease";
 
-  /// Number of the WorkerReport that the lease time starts with.
+  /// Number of the WorkerReport that the lease time starts with; 0 if no lease
+  /// is granted.
   std::int64_t report() const { return report_; }
 
   friend auto operator<=>(const GrantLease&, const GrantLease&) = default;
--- a/src/messages/worker_report.h
+++ b/src/messages/worker_report.h
@@ -37,8 +37,9 @@
   bool more_ends() const { return more_ends_; }
   /// Set if they have changed. In a full report, empty if no worker is known.
   const std::optional<WorkerDescription>& facts() const { return facts_; }
-  /// True if the worker announced its shutdown; set in full reports only. The
-  /// rest of the report then describes the worker's next incarnation.
+  /// True if the last known worker has shut down; set in full reports only, and
+  /// in all of them until one describes another incarnation. The rest of the
+  /// report then refers to that one.
   bool worker_left() const { return worker_left_; }
   /// In a full report all runs on the worker, otherwise those whose progress
   /// has changed.
--- a/src/systems/runner/manage_holder_session.cc
+++ b/src/systems/runner/manage_holder_session.cc
@@ -76,7 +76,7 @@
   tables.reported_unresponsive_ = IsWorkerUnresponsive(tables, tick.now());
   if (whole || tables.facts_due_) report.facts(tables.facts_);
   tables.facts_due_ = false;
-  if (whole) tables.worker_left_ = false;
+  if (whole && tables.facts_) tables.worker_left_ = false;
   tick.counters().Add(Counter::kHeartbeatsSent);
   tick.Emit(SendToHolder::Builder()
                 .connection(*tables.session_.connection())
--- a/src/systems/scheduler/track_members.cc
+++ b/src/systems/scheduler/track_members.cc
@@ -153,8 +153,9 @@
   tables.members_.Put(connected.member(), row);
   tables.connections_[connected.connection()] = connected.member();
   if (const WorkerRow* worker = tables.workers_.Find(connected.member())) {
-    tables.workers_.Put(connected.member(),
-                        WorkerRow::Builder(*worker).reported(false).Build());
+    tables.workers_.Put(
+        connected.member(),
+        WorkerRow::Builder(*worker).listing(RunListing::kNone).Build());
   }
   AttachMember(row, connected.connection(), tables, tick);
 }
@@ -170,8 +171,8 @@
         name, MemberRow::Builder(*row).connection(std::nullopt).Build());
   }
   if (const WorkerRow* worker = tables.workers_.Find(name)) {
-    tables.workers_.Put(name,
-                        WorkerRow::Builder(*worker).reported(false).Build());
+    tables.workers_.Put(
+        name, WorkerRow::Builder(*worker).listing(RunListing::kNone).Build());
   }
   LogLine(tick, "member-unreachable", 0, {Field("member", name.value())});
 }
--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -103,7 +103,7 @@
   // Commands to the previous incarnation may have reached the new one. Its
   // tasks stay assigned, and nothing is placed there, until it has listed its
   // runs.
-  if (new_incarnation) builder.reported(false);
+  if (new_incarnation) builder.listing(RunListing::kNone);
   tables.workers_.Put(name, builder.Build());
   tables.placement_due_ = true;
 }
@@ -255,15 +255,14 @@
 }
 
 // Returns true if the worker's lease has to be checked: it holds tasks, or it
-// is disconnected and not recorded as confirmed lost yet.
+// is not listed and not recorded as confirmed lost yet.
 bool NeedsLeaseCheck(const MemberName& name, const WorkerRow& worker,
                      const SchedulerTables& tables) {
   if (!tables.tasks_.TasksOnWorker(name).empty()) return true;
-  const MemberRow* member = tables.members_.Find(name);
-  const bool disconnected = member != nullptr && !member->connection();
   const bool known = tables.confirmed_lost_.count(name) > 0 ||
                      tables.confirmed_lost_changes_.count(name) > 0;
-  return disconnected && !known && worker.granted_at() != Instant();
+  return worker.listing() == RunListing::kNone && !known &&
+         worker.granted_at() != Instant();
 }
 
 // Returns the workers whose lease has certainly expired: its time is over, and
@@ -319,13 +318,19 @@
   if (report.whole()) {
     const bool has_worker = report.facts().has_value();
     if (!has_worker) LogAbsentWorker(name, tables, tick);
-    tables.workers_.Put(name, WorkerRow::Builder(*tables.workers_.Find(name))
-                                  .reported(has_worker && !report.more_ends())
-                                  .granted_at(tick.now())
-                                  .grant_sent_at(Instant())
-                                  .Build());
-    // A runner without a worker does not list runs.
-    if (!has_worker) return;
+    WorkerRow::Builder builder(*tables.workers_.Find(name));
+    // A runner without a worker lists no runs and extends no lease.
+    if (!has_worker) {
+      tables.workers_.Put(name, builder.listing(RunListing::kNone).Build());
+      return;
+    }
+    tables.workers_.Put(name,
+                        builder
+                            .listing(report.more_ends() ? RunListing::kTruncated
+                                                        : RunListing::kComplete)
+                            .granted_at(tick.now())
+                            .grant_sent_at(Instant())
+                            .Build());
   }
   tables.workers_.Put(name, WorkerRow::Builder(*tables.workers_.Find(name))
                                 .silent(report.silent())
@@ -355,14 +360,19 @@
     const WorkerRow* worker = tables.workers_.Find(found->second);
     if (worker == nullptr) continue;
     if (tick.now() - worker->grant_sent_at() < kGrantInterval) continue;
-    tables.workers_.Put(found->second, WorkerRow::Builder(*worker)
-                                           .granted_at(tick.now())
-                                           .grant_sent_at(tick.now())
-                                           .Build());
-    tick.Emit(SendToRunner::Builder()
-                  .connection(connection)
-                  .message(GrantLease::Builder().report(number).Build())
-                  .Build());
+    // That a runner reports does not mean that its worker lives.
+    const bool listed = worker->listing() != RunListing::kNone;
+    tables.workers_.Put(
+        found->second,
+        WorkerRow::Builder(*worker)
+            .granted_at(listed ? tick.now() : worker->granted_at())
+            .grant_sent_at(tick.now())
+            .Build());
+    tick.Emit(
+        SendToRunner::Builder()
+            .connection(connection)
+            .message(GrantLease::Builder().report(listed ? number : 0).Build())
+            .Build());
   }
 }
 
@@ -374,8 +384,8 @@
             {Field("member", name.value()),
              Field("tasks", tables.tasks_.TasksOnWorker(name).size())});
     const WorkerRow& worker = *tables.workers_.Find(name);
-    tables.workers_.Put(name,
-                        WorkerRow::Builder(worker).reported(false).Build());
+    tables.workers_.Put(
+        name, WorkerRow::Builder(worker).listing(RunListing::kNone).Build());
     ReturnAllTasks(name, Reason::kLeaseLapsed, tables, tick);
     MarkConfirmedLost(name, tables, tick);
     const MemberRow* member = tables.members_.Find(name);
--- a/src/tables/worker_row.h
+++ b/src/tables/worker_row.h
@@ -10,6 +10,7 @@
 #include "core/time.h"
 #include "core/value.h"
 #include "core/worker_description.h"
+#include "tables/run_listing.h"
 
 namespace quetzalline {
 
@@ -22,8 +23,9 @@
 
   /// Facts about the worker; empty while the runner has no worker.
   const std::optional<WorkerDescription>& facts() const { return facts_; }
+  RunListing listing() const { return listing_; }
   /// Returns true once all runs have been listed in this session.
-  bool reported() const { return reported_; }
+  bool reported() const { return listing_ == RunListing::kComplete; }
   /// Time at which the worker's lease was last granted, or at which the worker
   /// last listed all its runs; unset before.
   Instant granted_at() const { return granted_at_; }
@@ -49,12 +51,12 @@
   friend auto operator<=>(const WorkerRow&, const WorkerRow&) = default;
 
  private:
-  QUETZALLINE_VALUE(WorkerRow, facts_, reported_, granted_at_, grant_sent_at_,
+  QUETZALLINE_VALUE(WorkerRow, facts_, listing_, granted_at_, grant_sent_at_,
                     ends_seen_, ends_noted_, failures_, rests_until_, silent_,
                     clear_until_, fill_pace_)
 
   std::optional<WorkerDescription> facts_;
-  bool reported_ = false;
+  RunListing listing_ = RunListing::kNone;
   Instant granted_at_ = Instant{};
   Instant grant_sent_at_ = Instant{};
   std::int64_t ends_seen_ = 0;
@@ -74,7 +76,7 @@
   Builder& facts(std::optional<WorkerDescription> value) {
     return Set(value_.facts_, std::move(value));
   }
-  Builder& reported(bool value) { return Set(value_.reported_, value); }
+  Builder& listing(RunListing value) { return Set(value_.listing_, value); }
   Builder& granted_at(Instant value) { return Set(value_.granted_at_, value); }
   Builder& grant_sent_at(Instant value) {
     return Set(value_.grant_sent_at_, value);
