--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -157,16 +157,19 @@
                    SchedulerTick& tick) {
   if (first_list) tables.orphaned_runs_.erase(name);
   tables.placement_due_ = true;
-  std::set<TaskKey> listed;
+  std::set<RunKey> listed;
   for (const RunProgress& run : report.running()) {
-    listed.insert(run.run().task());
+    listed.insert(run.run());
     HandleListedRun(name, run, tables, tick);
   }
-  for (const RunEnd& end : report.ends()) listed.insert(end.run().task());
+  for (const RunEnd& end : report.ends()) listed.insert(end.run());
   if (!first_list) return;
   const std::set<TaskKey> assigned = tables.tasks_.TasksOnWorker(name);
   for (const TaskKey& key : assigned) {
-    if (listed.count(key) > 0) continue;
+    const std::int64_t run = tables.tasks_.Find(key)->run();
+    if (listed.count(RunKey::Builder().task(key).run(run).Build()) > 0) {
+      continue;
+    }
     ReturnTask(key, Reason::kNeverArrived, tables, tick);
   }
 }
--- a/test/cell/absent_worker_test.cc
+++ b/test/cell/absent_worker_test.cc
@@ -222,6 +222,35 @@
   BOOST_TEST(FindReport(second)->worker_left());
 }
 
+// The list of a new session contains the end of an earlier run of the task,
+// which has not been acknowledged. It is no trace of the later run, whose start
+// was lost with the connection.
+BOOST_AUTO_TEST_CASE(an_earlier_end_does_not_hide_that_a_start_was_lost) {
+  PlacementFleet fleet(1);
+  const std::uint64_t job =
+      fleet.AddRunning(JobStep::Builder().count(1).cpu(1000).Build(), 0);
+  const MemberName name = PlacementFleet::Name(0);
+  SchedulerTables& tables = fleet.tables();
+  const TaskKey task = TaskKey::Builder().job(job).index(0).Build();
+  tables.tasks_.Put(task,
+                    JobTask::Builder(*tables.tasks_.Find(task)).run(2).Build());
+  tables.workers_.Put(name, WorkerRow::Builder(*tables.workers_.Find(name))
+                                .listing(RunListing::kNone)
+                                .Build());
+  const RunEnd lapsed = RunEnd::Builder()
+                            .number(1)
+                            .run(RunKey::Builder().task(task).run(1).Build())
+                            .outcome(RunOutcome::kLapsed)
+                            .Build();
+  fleet.Report(0, WorkerReport::Builder()
+                      .number(1)
+                      .whole(true)
+                      .facts(*tables.workers_.Find(name)->facts())
+                      .ends({lapsed})
+                      .Build());
+  BOOST_TEST(fleet.Waiting(job) == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace quetzalline
