--- a/src/systems/scheduler/commit_progress.cc
+++ b/src/systems/scheduler/commit_progress.cc
@@ -191,7 +191,7 @@
                                         end) != batch.completions_.end();
                      }),
       unacknowledged.end());
-  AllowRecoveredWorkers(batch, tables);
+  ApplyLostWorkerChanges(batch, tables);
   AnswerCallers(batch, tick);
   AcknowledgeCompletions(tables, tick);
 }
--- a/src/systems/scheduler/confirm_epoch.cc
+++ b/src/systems/scheduler/confirm_epoch.cc
@@ -4,6 +4,7 @@
 #include "systems/cell/log_fields.h"
 #include "systems/scheduler/call_kvs.h"
 #include "systems/scheduler/leader_election.h"
+#include "systems/scheduler/runner_majority.h"
 
 namespace quetzalline {
 namespace {
@@ -14,17 +15,12 @@
 constexpr Duration kConfirmInterval = std::chrono::milliseconds(300);
 
 // Returns true if a majority of runners contacted this holder within
-// kContactWindow. Runners follow the highest epoch that they know, so no later
-// holder can have a majority at the same time.
+// kContactWindow.
 bool HasMajority(const SchedulerTables& tables, Instant now) {
-  std::size_t runners = 0;
-  std::size_t recent = 0;
-  for (const auto& [name, row] : tables.members_) {
-    if (row.record().role() != MemberRole::kRunner) continue;
-    ++runners;
-    if (row.connection() && now - row.heard_at() <= kContactWindow) ++recent;
-  }
-  return 2 * recent > runners;
+  return HasRunnerMajority(
+      tables, [&](const MemberName&, const MemberRow& row) {
+        return row.connection() && now - row.heard_at() <= kContactWindow;
+      });
 }
 
 }  // namespace
--- a/src/systems/scheduler/load_stored_state.cc
+++ b/src/systems/scheduler/load_stored_state.cc
@@ -88,6 +88,7 @@
               const auto lost = StripPrefix(item.key(), kConfirmedLostPrefix);
               if (!lost.empty()) {
                 tables.confirmed_lost_.insert(MemberName(std::string(lost)));
+                tables.stored_lost_.insert(MemberName(std::string(lost)));
                 return;
               }
               const MemberName name(
--- a/src/systems/scheduler/reconcile_tasks.cc
+++ b/src/systems/scheduler/reconcile_tasks.cc
@@ -5,6 +5,7 @@
 #include "systems/cell/log_fields.h"
 #include "systems/cell/max_lease_duration.h"
 #include "systems/scheduler/confirm_epoch.h"
+#include "systems/scheduler/runner_majority.h"
 #include "systems/scheduler/track_jobs.h"
 
 namespace quetzalline {
@@ -14,25 +15,32 @@
 // before it treats unresponsive runners as lost.
 constexpr Duration kMaxReconcileTime = std::chrono::milliseconds(9000);
 
+// Returns true if a majority of runners has listed all runs in this term.
+bool HasReportMajority(const SchedulerTables& tables) {
+  return HasRunnerMajority(
+      tables, [&](const MemberName& name, const MemberRow&) {
+        const WorkerRow* worker = tables.workers_.Find(name);
+        return worker != nullptr && worker->reported();
+      });
+}
+
 }  // namespace
 
 void ReconcileTasks(SchedulerTables& tables, SchedulerTick& tick) {
   const auto* acting = std::get_if<HolderActing>(&tables.stage_);
   if (acting == nullptr || tables.term_.settled()) return;
   std::size_t runners = 0;
-  std::size_t reported = 0;
   std::size_t answered = 0;
   bool answer_due = false;
   for (const auto& [name, worker] : tables.workers_) {
     const MemberRow* member = tables.members_.Find(name);
     ++runners;
-    if (worker.reported()) ++reported;
     const bool known =
         worker.reported() || tables.confirmed_lost_.count(name) > 0;
     if (known) ++answered;
     if (!known && member != nullptr && member->connection()) answer_due = true;
   }
-  if (2 * reported > runners && !tables.term_.majority_since()) {
+  if (!tables.term_.majority_since() && HasReportMajority(tables)) {
     tables.term_ =
         HolderTerm::Builder(tables.term_).majority_since(tick.now()).Build();
   }
--- a/src/systems/scheduler/track_lost_workers.cc
+++ b/src/systems/scheduler/track_lost_workers.cc
@@ -35,17 +35,22 @@
       // From here on the store may contain the record, even if the commit
       // fails.
       tables.confirmed_lost_.insert(name);
+      batch.lost_workers_.push_back(name);
       const MemberRecord record =
           MemberRecord::Builder().role(MemberRole::kRunner).Build();
       batch.puts_.push_back(MakePut(ConfirmedLostKey(name), record));
     } else {
+      tables.stored_lost_.erase(name);
       batch.recovered_workers_.push_back(name);
       batch.removals_.push_back(ConfirmedLostKey(name));
     }
   }
 }
 
-void AllowRecoveredWorkers(const CommitBatch& batch, SchedulerTables& tables) {
+void ApplyLostWorkerChanges(const CommitBatch& batch, SchedulerTables& tables) {
+  for (const MemberName& name : batch.lost_workers_) {
+    tables.stored_lost_.insert(name);
+  }
   for (const MemberName& name : batch.recovered_workers_) {
     tables.confirmed_lost_.erase(name);
   }
--- a/src/systems/scheduler/track_lost_workers.h
+++ b/src/systems/scheduler/track_lost_workers.h
@@ -23,8 +23,9 @@
 void AddLostWorkerChanges(std::size_t max_entries, SchedulerTables& tables,
                           CommitBatch& batch);
 
-/// Allows placement on the workers whose record a commit has removed.
-void AllowRecoveredWorkers(const CommitBatch& batch, SchedulerTables& tables);
+/// Applies the changes that a commit has stored. Allows placement on the
+/// workers whose record it has removed.
+void ApplyLostWorkerChanges(const CommitBatch& batch, SchedulerTables& tables);
 
 }  // namespace quetzalline
 
--- a/src/tables/commit_batch.h
+++ b/src/tables/commit_batch.h
@@ -26,6 +26,8 @@
   std::vector<std::uint64_t> expired_;
   /// Task completions that may be acknowledged once the commit is stored.
   std::vector<UnacknowledgedCompletion> completions_;
+  /// Workers that the commit records as confirmed lost.
+  std::vector<MemberName> lost_workers_;
   /// Workers that no longer count as confirmed lost once the commit is stored.
   std::vector<MemberName> recovered_workers_;
   /// Callers that are answered once the commit is stored.
--- a/src/tables/scheduler_tables.h
+++ b/src/tables/scheduler_tables.h
@@ -72,6 +72,8 @@
   /// nothing runs there. Nothing is started on them until that record is
   /// removed.
   std::set<MemberName> confirmed_lost_;
+  /// Workers that the store certainly records as confirmed lost.
+  std::set<MemberName> stored_lost_;
   /// Changes to these records for the next commit: true adds, false removes.
   std::map<MemberName, bool> confirmed_lost_changes_;
   /// Estimated interference between images.
--- a/test/cell/absent_worker_test.cc
+++ b/test/cell/absent_worker_test.cc
@@ -5,6 +5,7 @@
 #include "support/placement_fleet.h"
 #include "support/virtual_cell.h"
 #include "systems/runner/runner_node.h"
+#include "systems/scheduler/confirm_epoch.h"
 #include "systems/scheduler/measure_cell.h"
 
 namespace quetzalline {
@@ -222,6 +223,66 @@
   BOOST_TEST(FindReport(second)->worker_left());
 }
 
+// Machines that are replaced stay members for ever. Once they outnumber the
+// others, a failover waits longer than for the leases that may be left.
+BOOST_AUTO_TEST_CASE(a_takeover_needs_no_majority_of_replaced_machines) {
+  constexpr std::size_t kMembers = 9;
+  constexpr std::size_t kReplaced = 5;
+  VirtualCell cell(kMembers, 2, 1);
+  cell.RunFor(seconds(3));
+  std::size_t replaced = 0;
+  for (std::size_t i = 0; i < kMembers && replaced < kReplaced; ++i) {
+    if (i == *cell.Holder()) continue;
+    cell.ShutDownWorker(i);
+    cell.RunFor(seconds(1));
+    cell.KillAgent(i);
+    ++replaced;
+  }
+  const JobStep step = JobStep::Builder()
+                           .count(kTasks)
+                           .cpu(1000)
+                           .memory_mb(100)
+                           .estimate(milliseconds(500))
+                           .long_running(true)
+                           .most_per_worker(1)
+                           .Build();
+  cell.Submit(JobDefinition::Builder().spec("spec").steps({step}).Build());
+  cell.RunFor(seconds(2));
+  const std::size_t holder = *cell.Holder();
+  cell.worker(holder).Crash();
+  cell.KillAgent(holder);
+  cell.RunFor(seconds(3));
+  BOOST_REQUIRE(cell.Holder().has_value());
+  const SchedulerTables& tables = cell.scheduler(*cell.Holder());
+  BOOST_TEST(tables.tasks_.unreconciled().size() == 1U);
+  cell.RunFor(seconds(6));
+  BOOST_TEST(tables.tasks_.unreconciled().empty());
+}
+
+// A holder without the store acts for as long as a majority of runners follows
+// it. Machines that have been replaced must not count.
+BOOST_AUTO_TEST_CASE(a_holder_without_the_store_needs_no_replaced_machine) {
+  constexpr int kMembers = 11;
+  constexpr int kReplaced = 6;
+  PlacementFleet fleet(kMembers);
+  SchedulerTables& tables = fleet.tables();
+  for (int i = 0; i < kReplaced; ++i) {
+    const MemberName name = PlacementFleet::Name(i);
+    tables.members_.Put(name, MemberRow::Builder(*tables.members_.Find(name))
+                                  .connection(std::nullopt)
+                                  .Build());
+  }
+  tables.term_ =
+      HolderTerm::Builder(tables.term_).confirmed_at(Instant()).Build();
+  BOOST_TEST(!MayAct(tables, kFleetNow));
+  for (int i = 0; i < kReplaced; ++i) {
+    tables.confirmed_lost_.insert(PlacementFleet::Name(i));
+  }
+  BOOST_TEST(!MayAct(tables, kFleetNow));
+  tables.stored_lost_ = tables.confirmed_lost_;
+  BOOST_TEST(MayAct(tables, kFleetNow));
+}
+
 // The list of a new session contains the end of an earlier run of the task,
 // which has not been acknowledged. It is no trace of the later run, whose start
 // was lost with the connection.
