--- a/src/messages/grant_lease.h
+++ b/src/messages/grant_lease.h
@@ -10,8 +10,8 @@
 namespace quetzalline {
 
 /// Extends the lease of the worker's runs. The lease time starts when the
-/// runner sent the named report. Also shows that the holder is alive, to
-/// runners whose worker gets no lease too.
+/// runner sent the named report. Runners whose workers get no lease receive it
+/// too, as a sign that the holder is alive.
 class GrantLease {
  public:
   class Builder;
--- a/src/messages/worker_report.h
+++ b/src/messages/worker_report.h
@@ -38,8 +38,8 @@
   /// Set if they have changed. In a full report, empty if no worker is known.
   const std::optional<WorkerDescription>& facts() const { return facts_; }
   /// True if the last known worker has shut down; set in full reports only, and
-  /// in all of them until one describes another incarnation. The rest of the
-  /// report then refers to that one.
+  /// in all of them until one describes a worker again. The rest of the report
+  /// then refers to that one.
   bool worker_left() const { return worker_left_; }
   /// In a full report all runs on the worker, otherwise those whose progress
   /// has changed.
--- a/src/systems/scheduler/measure_cell.cc
+++ b/src/systems/scheduler/measure_cell.cc
@@ -1,6 +1,7 @@
 #include "systems/scheduler/measure_cell.h"
 
 #include <string>
+#include <utility>
 
 #include "systems/scheduler/choose_worker.h"
 
@@ -27,7 +28,7 @@
   for (const auto& [name, worker] : tables.workers_) {
     const std::size_t tasks = tables.tasks_.TasksOnWorker(name).size();
     assigned += tasks;
-    if (worker.reported()) {
+    if (worker.listed()) {
       ++listed_workers;
     } else {
       unlisted += tasks;
--- a/src/systems/scheduler/reconcile_tasks.cc
+++ b/src/systems/scheduler/reconcile_tasks.cc
@@ -15,12 +15,12 @@
 // before it treats unresponsive runners as lost.
 constexpr Duration kMaxReconcileTime = std::chrono::milliseconds(9000);
 
-// Returns true if a majority of runners has listed all runs in this term.
+// Returns true if a majority of runners has sent a full report in this term.
 bool HasReportMajority(const SchedulerTables& tables) {
   return HasRunnerMajority(
       tables, [&](const MemberName& name, const MemberRow&) {
         const WorkerRow* worker = tables.workers_.Find(name);
-        return worker != nullptr && worker->reported();
+        return worker != nullptr && worker->listing() != RunListing::kNone;
       });
 }
 
@@ -38,7 +38,10 @@
     const bool known =
         worker.reported() || tables.confirmed_lost_.count(name) > 0;
     if (known) ++answered;
-    if (!known && member != nullptr && member->connection()) answer_due = true;
+    const bool silent = worker.listing() == RunListing::kNone;
+    if (!known && silent && member != nullptr && member->connection()) {
+      answer_due = true;
+    }
   }
   if (!tables.term_.majority_since() && HasReportMajority(tables)) {
     tables.term_ =
--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -67,11 +67,17 @@
   MarkConfirmedLost(name, tables, tick);
 }
 
-// Logs that a runner reports without a worker while the holder still has tasks
-// assigned to that worker.
-void LogAbsentWorker(const MemberName& name, const SchedulerTables& tables,
-                     SchedulerTick& tick) {
-  const WorkerRow& worker = *tables.workers_.Find(name);
+// Handles a full report of a runner that knows no worker. It lists no runs and
+// extends no lease, but an earlier holder or runner may have granted one.
+void HandleAbsentWorker(const MemberName& name, SchedulerTables& tables,
+                        SchedulerTick& tick) {
+  const WorkerRow worker = *tables.workers_.Find(name);
+  const bool never_granted = worker.granted_at() == Instant();
+  tables.workers_.Put(
+      name, WorkerRow::Builder(worker)
+                .listing(RunListing::kNoWorker)
+                .granted_at(never_granted ? tick.now() : worker.granted_at())
+                .Build());
   const std::size_t tasks = tables.tasks_.TasksOnWorker(name).size();
   if (tasks == 0) return;
   LogLine(tick, "worker-absent", 0,
@@ -264,8 +270,7 @@
   if (!tables.tasks_.TasksOnWorker(name).empty()) return true;
   const bool known = tables.confirmed_lost_.count(name) > 0 ||
                      tables.confirmed_lost_changes_.count(name) > 0;
-  return worker.listing() == RunListing::kNone && !known &&
-         worker.granted_at() != Instant();
+  return !worker.listed() && !known && worker.granted_at() != Instant();
 }
 
 // Returns the workers whose lease has certainly expired: its time is over, and
@@ -319,16 +324,9 @@
   if (report.facts()) HandleFacts(name, *report.facts(), tables, tick);
   const bool first_list = !tables.workers_.Find(name)->reported();
   if (report.whole()) {
-    const bool has_worker = report.facts().has_value();
-    if (!has_worker) LogAbsentWorker(name, tables, tick);
-    WorkerRow::Builder builder(*tables.workers_.Find(name));
-    // A runner without a worker lists no runs and extends no lease.
-    if (!has_worker) {
-      tables.workers_.Put(name, builder.listing(RunListing::kNone).Build());
-      return;
-    }
+    if (!report.facts()) return HandleAbsentWorker(name, tables, tick);
     tables.workers_.Put(name,
-                        builder
+                        WorkerRow::Builder(*tables.workers_.Find(name))
                             .listing(report.more_ends() ? RunListing::kTruncated
                                                         : RunListing::kComplete)
                             .granted_at(tick.now())
@@ -364,17 +362,17 @@
     if (worker == nullptr) continue;
     if (tick.now() - worker->grant_sent_at() < kGrantInterval) continue;
     // That a runner reports does not mean that its worker lives.
-    const bool listed = worker->listing() != RunListing::kNone;
+    const bool alive = worker->listed() && !worker->silent();
     tables.workers_.Put(
         found->second,
         WorkerRow::Builder(*worker)
-            .granted_at(listed ? tick.now() : worker->granted_at())
+            .granted_at(alive ? tick.now() : worker->granted_at())
             .grant_sent_at(tick.now())
             .Build());
     tick.Emit(
         SendToRunner::Builder()
             .connection(connection)
-            .message(GrantLease::Builder().report(listed ? number : 0).Build())
+            .message(GrantLease::Builder().report(alive ? number : 0).Build())
             .Build());
   }
 }
@@ -386,12 +384,13 @@
     LogLine(tick, "worker-lost", 0,
             {Field("member", name.value()),
              Field("tasks", tables.tasks_.TasksOnWorker(name).size())});
-    const WorkerRow& worker = *tables.workers_.Find(name);
-    tables.workers_.Put(
-        name, WorkerRow::Builder(worker).listing(RunListing::kNone).Build());
     ReturnAllTasks(name, Reason::kLeaseLapsed, tables, tick);
     MarkConfirmedLost(name, tables, tick);
+    const WorkerRow worker = *tables.workers_.Find(name);
     const MemberRow* member = tables.members_.Find(name);
+    if (worker.listing() == RunListing::kNoWorker) continue;
+    tables.workers_.Put(
+        name, WorkerRow::Builder(worker).listing(RunListing::kNone).Build());
     if (member == nullptr || !member->connection()) continue;
     // In a new session the runner lists its runs again.
     CloseMember(*member->connection(), tables, tick);
--- a/src/tables/run_listing.h
+++ b/src/tables/run_listing.h
@@ -6,12 +6,18 @@
 
 namespace quetzalline {
 
-/// What a worker has listed in the present session with its runner. Only a
-/// worker that has listed something is known to be alive; only a complete list
-/// shows what does not run there.
-enum class RunListing : std::uint8_t { kNone, kTruncated, kComplete };
+/// What the present session with a runner has shown of its worker: nothing yet,
+/// that the runner knows no worker, a list of runs that is cut off at the limit
+/// of ends, or a complete one. Only a worker that has listed runs is known to
+/// be alive; only a complete list shows what does not run there.
+enum class RunListing : std::uint8_t {
+  kNone,
+  kNoWorker,
+  kTruncated,
+  kComplete
+};
 
-BOOST_DESCRIBE_ENUM(RunListing, kNone, kTruncated, kComplete)
+BOOST_DESCRIBE_ENUM(RunListing, kNone, kNoWorker, kTruncated, kComplete)
 
 }  // namespace quetzalline
 
--- a/src/tables/worker_row.h
+++ b/src/tables/worker_row.h
@@ -24,10 +24,15 @@
   /// Facts about the worker; empty while the runner has no worker.
   const std::optional<WorkerDescription>& facts() const { return facts_; }
   RunListing listing() const { return listing_; }
+  /// Returns true if the worker has shown in this session that it is alive.
+  bool listed() const {
+    return listing_ == RunListing::kTruncated ||
+           listing_ == RunListing::kComplete;
+  }
   /// Returns true once all runs have been listed in this session.
   bool reported() const { return listing_ == RunListing::kComplete; }
   /// Time at which the worker's lease was last granted, or at which the worker
-  /// last listed all its runs; unset before.
+  /// last began to list its runs in a session; unset before.
   Instant granted_at() const { return granted_at_; }
   /// Time at which a lease was last sent to the runner.
   Instant grant_sent_at() const { return grant_sent_at_; }
--- a/test/cell/absent_worker_test.cc
+++ b/test/cell/absent_worker_test.cc
@@ -114,7 +114,7 @@
   BOOST_TEST(spread.TasksOnUnlistedWorkers() == 0);
 }
 
-// The only notice that a worker has shut down is lost with the connection to
+// The first notice that a worker has shut down is lost with the connection to
 // the holder. The tasks must not stay assigned to the worker.
 BOOST_AUTO_TEST_CASE(tasks_restart_although_the_notice_of_a_shutdown_is_lost) {
   SpreadCell spread;
@@ -196,7 +196,70 @@
                    .Build(),
                tables, tick);
   GrantLeases(tables, tick);
-  BOOST_TEST((tables.workers_.Find(name)->granted_at() == later));
+  std::int64_t granted = 0;
+  for (const SchedulerEffect& effect : tick.TakeEffects()) {
+    const auto* sent = std::get_if<SendToRunner>(&effect);
+    if (sent == nullptr) continue;
+    const auto* grant = std::get_if<GrantLease>(&sent->message());
+    if (grant != nullptr) granted = grant->report();
+  }
+  BOOST_TEST(granted == 1);
+}
+
+// The runner of an unresponsive worker extends no lease. Counting a grant would
+// hold the tasks back for another lease after the worker has been lost.
+BOOST_AUTO_TEST_CASE(an_unresponsive_worker_is_granted_no_lease) {
+  PlacementFleet fleet(1);
+  const MemberName name = PlacementFleet::Name(0);
+  SchedulerTables& tables = fleet.tables();
+  Random random(1);
+  SchedulerTick tick(kFleetNow + milliseconds(800), random, tables.counters_);
+  HandleReport(ConnectionId(1),
+               WorkerReport::Builder().number(1).silent(true).Build(), tables,
+               tick);
+  GrantLeases(tables, tick);
+  BOOST_TEST((tables.workers_.Find(name)->granted_at() == kFleetNow));
+}
+
+// An agent returns without its worker, on which nothing ran. Later failovers
+// must not wait for the worker.
+BOOST_AUTO_TEST_CASE(an_idle_worker_lost_with_its_agent_is_confirmed_lost) {
+  SpreadCell spread;
+  VirtualCell& cell = spread.cell_;
+  for (std::size_t i = 0; i < kAgents; ++i) {
+    if (i == *cell.Holder() || cell.worker(i).running() > 0) continue;
+    cell.worker(i).Crash();
+    cell.KillAgent(i);
+    cell.RunFor(milliseconds(500));
+    cell.StartAgent(i);
+    cell.RunFor(kLeaseAndPlacement);
+    const MemberName name("agent-" + std::to_string(i));
+    BOOST_TEST(cell.scheduler(*cell.Holder()).confirmed_lost_.count(name) ==
+               1U);
+    return;
+  }
+  BOOST_FAIL("no idle worker beside the holder's");
+}
+
+// Agents without workers follow the new holder. A failover must wait for the
+// leases that may be left, not for a majority of workers.
+BOOST_AUTO_TEST_CASE(a_takeover_needs_no_majority_of_workers) {
+  SpreadCell spread;
+  VirtualCell& cell = spread.cell_;
+  std::vector<std::size_t> killed = {*cell.Holder()};
+  for (std::size_t i = 0; i < kAgents && killed.size() < 3; ++i) {
+    if (i != killed.front()) killed.push_back(i);
+  }
+  for (const std::size_t agent : killed) {
+    cell.worker(agent).Crash();
+    cell.KillAgent(agent);
+  }
+  cell.RunFor(milliseconds(500));
+  for (const std::size_t agent : killed) cell.StartAgent(agent);
+  cell.RunFor(seconds(10));
+  BOOST_REQUIRE(cell.Holder().has_value());
+  const SchedulerTables& tables = cell.scheduler(*cell.Holder());
+  BOOST_TEST(tables.tasks_.unreconciled().empty());
 }
 
 // A report may be lost with its connection. The notice that the worker has left
