--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -57,14 +57,19 @@
   if (orphaned->second.empty()) tables.orphaned_runs_.erase(orphaned);
 }
 
-// Handles the departure of a worker, whose tasks are returned to the queue.
+// Handles the departure of a worker. No lease is left there, but a later holder
+// may have started its tasks elsewhere meanwhile, so they are returned once the
+// store has confirmed the epoch, by ExpireWorkers().
 void HandleWorkerLeft(const MemberName& name, SchedulerTables& tables,
                       SchedulerTick& tick) {
   const WorkerRow& worker = *tables.workers_.Find(name);
-  tables.workers_.Put(name,
-                      WorkerRow::Builder(worker).facts(std::nullopt).Build());
-  ReturnAllTasks(name, Reason::kInstanceLost, tables, tick);
-  MarkConfirmedLost(name, tables, tick);
+  tables.workers_.Put(
+      name, WorkerRow::Builder(worker)
+                .facts(std::nullopt)
+                .listing(RunListing::kNoWorker)
+                .granted_at(tick.now() -
+                            MaxLeaseDuration(tables.policy_.task_lease()))
+                .Build());
 }
 
 // Handles a full report of a runner that knows no worker. It lists no runs and
--- a/test/faults/cell_schedule_test.cc
+++ b/test/faults/cell_schedule_test.cc
@@ -33,6 +33,8 @@
     7265,
     // A previous holder reported a job of its successor as not found.
     8850,
+    // A previous holder restarted the tasks of a worker that had shut down.
+    30370,
 };
 
 // The same for schedules with departures of workers.
