Test: jobs of a removed queue have to be carried out

Cause: MakeRow in track_jobs.cc looks the queue up in the newest configuration. Without one the job gets an empty service, which no worker has (the log says unsuited=5), and max_attempts 1, the default, so that the first failure ends it. That happens at a takeover and, without one, if a holder that knows the newer configuration accepts a job that an entry passed on under the older one.

Proposed: JobRecord stores the JobQueue under which the job was accepted: the entry sends it (SubmitJobRequest), the holder replaces it by the configured one if it is there, and MakeRow falls back to it. ApplyQueueSettings marks the job dirty when its queue changes, so that a later holder knows the last settings. Records without the field: look for the queue in the configuration, as now.

No logic in src/ is changed, and the test is red until it is.

--- a/test/cell/liveness_test.cc
+++ b/test/cell/liveness_test.cc
@@ -2,6 +2,7 @@
 #include <vector>
 
 #include "support/virtual_cell.h"
+#include "systems/cell/cell_keys.h"
 
 namespace quetzalline {
 namespace {
@@ -27,6 +28,18 @@
   return JobDefinition::Builder().spec("spec").steps(steps).Build();
 }
 
+JobDefinition TwoStepJob(milliseconds first_step_time) {
+  return Job(
+      {Step(2, 1000, first_step_time),
+       JobStep::Builder(Step(2, 1000, milliseconds(200))).after({0}).Build()});
+}
+
+bool IsDone(VirtualCell& cell, std::uint64_t job, std::int32_t step,
+            std::int32_t index = 0) {
+  return cell.log().IsDone(
+      TaskKey::Builder().job(job).step(step).index(index).Build());
+}
+
 // A cell that has elected its holder. Reports every violated invariant at its
 // end.
 struct ReadyCell {
@@ -56,6 +69,24 @@
   return passed;
 }
 
+// Puts a configuration without queues in force.
+void RemoveQueues(VirtualCell& cell) {
+  cell.kv().Put(std::string(kConfigurationKey),
+                SchedulerConfiguration::Builder()
+                    .version(2)
+                    .services({ServiceName("service")})
+                    .Build());
+}
+
+// Kills the holder's process and starts it again, so that another one takes
+// over.
+void RestartHolder(VirtualCell& cell) {
+  const std::size_t holder = *cell.Holder();
+  cell.KillAgent(holder);
+  cell.RunFor(milliseconds(300));
+  cell.StartAgent(holder);
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(liveness)
@@ -81,6 +112,60 @@
   BOOST_TEST(waited.count() < kMaxWait.count());
 }
 
+// A new configuration removes the queue of an accepted job. The next holder
+// has to carry the job out all the same.
+BOOST_AUTO_TEST_CASE(a_takeover_keeps_jobs_of_a_removed_queue) {
+  ReadyCell ready;
+  VirtualCell& cell = ready.cell_;
+  const std::uint64_t job = cell.Submit(TwoStepJob(seconds(3)));
+  cell.RunFor(milliseconds(300));
+  BOOST_REQUIRE(cell.IsAccepted(job));
+  RemoveQueues(cell);
+  cell.RunFor(milliseconds(500));
+  RestartHolder(cell);
+  cell.RunFor(seconds(60));
+  BOOST_TEST(IsDone(cell, job, 0));
+  BOOST_TEST(IsDone(cell, job, 1));
+}
+
+// After a takeover the number of attempts has to be that of the job's queue,
+// even if the queue was removed. Otherwise the first failure ends the job.
+BOOST_AUTO_TEST_CASE(a_takeover_keeps_the_attempts_of_a_removed_queue) {
+  ReadyCell ready;
+  VirtualCell& cell = ready.cell_;
+  for (std::size_t i = 0; i < cell.agents(); ++i) {
+    cell.worker(i).SetFailPercent(100);
+  }
+  const std::uint64_t job = cell.Submit(Job({Step(1, 1000, seconds(4))}));
+  cell.RunFor(milliseconds(300));
+  BOOST_REQUIRE(cell.log().StartsOf(job) == 1);
+  for (std::size_t i = 0; i < cell.agents(); ++i) {
+    cell.worker(i).SetFailPercent(0);
+  }
+  RemoveQueues(cell);
+  cell.RunFor(milliseconds(500));
+  RestartHolder(cell);
+  cell.RunFor(seconds(60));
+  BOOST_TEST(cell.log().StartsOf(job) == 2);
+  BOOST_TEST(IsDone(cell, job, 0));
+}
+
+// An entry passes a job on under the configuration that it knows, while the
+// holder already knows the next one, which removes the job's queue. A job that
+// the holder accepts nevertheless has to run.
+BOOST_AUTO_TEST_CASE(a_job_accepted_as_its_queue_is_removed_runs) {
+  ReadyCell ready;
+  VirtualCell& cell = ready.cell_;
+  // The configuration reaches the holder between the forwarding of the job and
+  // its arrival.
+  RemoveQueues(cell);
+  cell.RunFor(microseconds(1500));
+  const std::uint64_t job =
+      cell.Submit(Job({Step(1, 500, milliseconds(100))}), 1);
+  cell.RunFor(seconds(60));
+  BOOST_TEST(cell.IsAccepted(job) == IsDone(cell, job, 0));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace quetzalline
