Test: a worker whose clock stepped back has to be used

Cause: HandleWorkerAnnounced ignores an incarnation with an earlier start for ever, to keep late announcements out. HandleWorkerAnswer counts every answer but a lost one as a sign of life, before it asks whose answer it is: 421 (another worker), and answers with an earlier start. So the old worker never becomes unresponsive, its lease is renewed, and its tasks stay assigned. With the same name it takes one repeated stop call every 700 ms, which is answered and dropped (its poll is then never repeated: poll_in_flight_ stays set after CheckWorkerIncarnation).

Proposed: only an answer that belongs to the described incarnation (kDone or a refusal with its own start) sets worker_answered_at_. 421, or an answer with another start, in a call that was sent after the description was learnt proves that incarnation gone: HandleWorkerLeft, after which the next announcement is accepted. CheckWorkerIncarnation compares for inequality, with calls sent before the last announcement left out, and resets the poll flags in each case.

No logic in src/ is changed, and the test is red until it is.

--- a/test/cell/liveness_test.cc
+++ b/test/cell/liveness_test.cc
@@ -34,6 +34,12 @@
        JobStep::Builder(Step(2, 1000, milliseconds(200))).after({0}).Build()});
 }
 
+JobDefinition LongRunningJob(std::int32_t count) {
+  return Job({JobStep::Builder(Step(count, 2000, milliseconds(400)))
+                  .long_running(true)
+                  .Build()});
+}
+
 bool IsDone(VirtualCell& cell, std::uint64_t job, std::int32_t step,
             std::int32_t index = 0) {
   return cell.log().IsDone(
@@ -69,6 +75,14 @@
   return passed;
 }
 
+std::size_t RunningTasks(VirtualCell& cell) {
+  std::size_t running = 0;
+  for (std::size_t i = 0; i < cell.agents(); ++i) {
+    running += cell.worker(i).running();
+  }
+  return running;
+}
+
 // Puts a configuration without queues in force.
 void RemoveQueues(VirtualCell& cell) {
   cell.kv().Put(std::string(kConfigurationKey),
@@ -87,6 +101,15 @@
   cell.StartAgent(holder);
 }
 
+// Restarts all workers, so that they give the current time as their start.
+void RestartWorkers(VirtualCell& cell) {
+  for (std::size_t i = 0; i < cell.agents(); ++i) {
+    cell.worker(i).Crash();
+    cell.worker(i).Restart();
+  }
+  cell.RunFor(seconds(3));
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(liveness)
@@ -166,6 +189,49 @@
   BOOST_TEST(cell.IsAccepted(job) == IsDone(cell, job, 0));
 }
 
+// The clock of an instance steps back, and its next worker gives an earlier
+// start than the last one. The worker answers all calls, so its tasks must not
+// stay assigned to the one that is gone.
+BOOST_AUTO_TEST_CASE(a_worker_that_gives_an_earlier_start_is_used) {
+  ReadyCell ready(3);
+  VirtualCell& cell = ready.cell_;
+  RestartWorkers(cell);
+  const std::uint64_t job = cell.Submit(LongRunningJob(3));
+  cell.RunFor(seconds(2));
+  BOOST_REQUIRE(RunningTasks(cell) == 3U);
+  std::size_t busy = 0;
+  while (cell.worker(busy).running() == 0) ++busy;
+  const std::int64_t born_ms = cell.worker(busy).born_ms();
+  cell.worker(busy).Replace("next-worker", born_ms - 1);
+  BOOST_REQUIRE(RunningTasks(cell) < 3U);
+  cell.RunFor(seconds(60));
+  BOOST_TEST(RunningTasks(cell) == 3U);
+  BOOST_TEST(cell.runner(busy).facts_->worker() == "next-worker");
+  BOOST_TEST(cell.log().StartsOf(job) > 3);
+}
+
+// A worker restarts under its name with an earlier start while a run on it is
+// being stopped. The repeated stop calls are answered, but not by the worker
+// that had the run.
+BOOST_AUTO_TEST_CASE(answers_of_an_earlier_start_do_not_keep_a_worker_alive) {
+  ReadyCell ready(3);
+  VirtualCell& cell = ready.cell_;
+  RestartWorkers(cell);
+  const std::uint64_t stopped = cell.Submit(LongRunningJob(1));
+  const std::uint64_t other = cell.Submit(LongRunningJob(3));
+  cell.RunFor(seconds(2));
+  BOOST_REQUIRE(RunningTasks(cell) == 4U);
+  std::size_t busy = 0;
+  while (cell.worker(busy).running() < 2) ++busy;
+  cell.Cancel(stopped);
+  cell.RunFor(milliseconds(50));
+  cell.worker(busy).Replace("worker-" + std::to_string(busy),
+                            cell.worker(busy).born_ms() - 1);
+  cell.RunFor(seconds(60));
+  BOOST_TEST(RunningTasks(cell) == 3U);
+  BOOST_TEST(cell.log().StartsOf(other) > 3);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace quetzalline
--- a/test/support/virtual_worker.cc
+++ b/test/support/virtual_worker.cc
@@ -124,10 +124,16 @@
     const auto send = [this, answer](const WorkerAnswer& result) {
       events_.After(kOneWayLatency, [answer, result] { answer(result); });
     };
-    if (!alive_ || call.worker() != name_) {
-      return send(MakeListing(call.call(), alive_
-                                               ? WorkerCallOutcome::kOtherLife
-                                               : WorkerCallOutcome::kLost));
+    if (!alive_) {
+      return send(MakeListing(call.call(), WorkerCallOutcome::kLost));
+    }
+    if (call.worker() != name_) {
+      // A worker that another one was expected to be lists nothing of itself.
+      return send(WorkerAnswer::Builder()
+                      .call(call.call())
+                      .verdict(WorkerCallOutcome::kOtherLife)
+                      .clock_ms(ClockMs())
+                      .Build());
     }
     if (call.fence() < fence_) {
       return send(MakeListing(call.call(), WorkerCallOutcome::kFenced));
@@ -305,4 +311,11 @@
   draining_ = false;
 }
 
+void VirtualWorker::Replace(const std::string& name, std::int64_t born_ms) {
+  Crash();
+  Restart();
+  name_ = name;
+  born_ms_ = born_ms;
+}
+
 }  // namespace quetzalline
--- a/test/support/virtual_worker.h
+++ b/test/support/virtual_worker.h
@@ -44,6 +44,10 @@
   /// Ends all runs and loses the state; restarting begins a new incarnation.
   void Crash();
   void Restart();
+  /// Replaces the worker by another one at the same address, whose clock gives
+  /// its start as the given time, which may be before that of the last one.
+  void Replace(const std::string& name, std::int64_t born_ms);
+  std::int64_t born_ms() const { return born_ms_; }
   void SetDraining(bool draining) { draining_ = draining; }
   /// Sets the percentage of commands that time out and are executed late.
   void SetLatePercent(int percent) { late_percent_ = percent; }
