Test: a takeover must not wait again for a loss that was settled

Cause: a holder marks a worker as confirmed lost only if it has granted it a lease (granted_at in NeedsLeaseCheck, track_workers.cc). A machine that is lost together with a holder never reports to the next one, so it is never recorded, and every later takeover waits for it again: 6.6 s with a majority of runners, 9 s without. All tasks that are not listed as running wait meanwhile.

Proposed: when ReconcileTasks settles, it has proved that the leases of all unanswered runners have expired. It calls MarkConfirmedLost for them there (members without a connection and without a report in this term), so that the record vacant/NAME is stored.

No logic in src/ is changed, and the test is red until it is.

--- a/test/cell/liveness_test.cc
+++ b/test/cell/liveness_test.cc
@@ -232,6 +232,26 @@
   BOOST_TEST(cell.log().StartsOf(other) > 3);
 }
 
+// A machine is lost for good together with the holder. The next holder waits
+// until the leases there have expired; the one after it need not wait again.
+BOOST_AUTO_TEST_CASE(a_second_takeover_does_not_wait_for_the_same_loss) {
+  ReadyCell ready;
+  VirtualCell& cell = ready.cell_;
+  const std::size_t lost = *cell.Holder() == 0 ? 1 : 0;
+  cell.KillAgent(lost);
+  cell.worker(lost).Crash();
+  RestartHolder(cell);
+  cell.RunFor(seconds(30));
+  const std::uint64_t job = cell.Submit(TwoStepJob(milliseconds(500)));
+  cell.RunFor(milliseconds(200));
+  BOOST_REQUIRE(cell.IsAccepted(job));
+  RestartHolder(cell);
+  TimeUntil(cell, seconds(10), [&] { return cell.Holder().has_value(); });
+  const milliseconds waited =
+      TimeUntil(cell, seconds(30), [&] { return IsDone(cell, job, 1); });
+  BOOST_TEST(waited.count() < kMaxWait.count());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace quetzalline
