Test: a takeover must not wait for agents that have no worker

Cause: a runner without a worker never becomes reported, so ReconcileTasks neither counts it as answered nor towards the majority; as its agent is connected, the bound is doubled. Three of five such agents make every takeover wait 18 s (9 s twice). This is the takeover side of the known fault of agents that restart after their worker has gone.

Proposed: a complete report without a worker is an answer: record when the runner first said so, and once a lease that an earlier incarnation could have granted has expired, MarkConfirmedLost. Count it as reported for the majority at once, since it proves that the runner follows this epoch.

No logic in src/ is changed, and the test is red until it is.

--- a/test/cell/liveness_test.cc
+++ b/test/cell/liveness_test.cc
@@ -252,6 +252,31 @@
   BOOST_TEST(waited.count() < kMaxWait.count());
 }
 
+// Most workers are gone for good while their agents run on and restart. After
+// a takeover, agents without a worker have nothing to list.
+BOOST_AUTO_TEST_CASE(a_takeover_does_not_wait_for_agents_without_a_worker) {
+  ReadyCell ready;
+  VirtualCell& cell = ready.cell_;
+  const std::size_t holder = *cell.Holder();
+  int lost = 0;
+  for (std::size_t i = 0; i < cell.agents(); ++i) {
+    if (i == holder || lost == 3) continue;
+    ++lost;
+    cell.worker(i).Crash();
+    cell.KillAgent(i);
+    cell.StartAgent(i);
+  }
+  cell.RunFor(seconds(60));
+  const std::uint64_t job = cell.Submit(TwoStepJob(milliseconds(500)));
+  cell.RunFor(milliseconds(200));
+  BOOST_REQUIRE(cell.IsAccepted(job));
+  RestartHolder(cell);
+  TimeUntil(cell, seconds(10), [&] { return cell.Holder().has_value(); });
+  const milliseconds waited =
+      TimeUntil(cell, seconds(60), [&] { return IsDone(cell, job, 1); });
+  BOOST_TEST(waited.count() < kMaxWait.count());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace quetzalline
