Test: a gang whose ends are partly lost has to complete

Cause: FinishGang completes the other members only if their run has the same number. After a takeover, members whose end was lost with their worker have the stored number (0), so only those whose end is listed are done. The others become ready, and PlaceGang waits for ever for as many ready tasks as the gang has; it returns true, so nothing is logged either. The state is also stored.

Proposed: the end done of one member is the end of the gang: FinishGang finishes each member whose run is not higher than the one that ended (kInDoubt, kBlocked and kReady ones too). PlaceGang reports a ready gang that is not whole as waiting, and RestoreJob finishes a gang of which one member is stored as done.

No logic in src/ is changed, and the test is red until it is.

--- a/test/cell/liveness_test.cc
+++ b/test/cell/liveness_test.cc
@@ -277,6 +277,37 @@
   BOOST_TEST(waited.count() < kMaxWait.count());
 }
 
+// All tasks of a gang have ended, but the end of one is lost with its worker
+// before a new holder takes over. The gang must not wait for tasks that are
+// done already.
+BOOST_AUTO_TEST_CASE(a_gang_whose_ends_are_partly_lost_completes) {
+  ReadyCell ready;
+  VirtualCell& cell = ready.cell_;
+  const std::uint64_t job =
+      cell.Submit(Job({JobStep::Builder(Step(2, 16000, milliseconds(500)))
+                           .gang(true)
+                           .Build()}));
+  cell.RunFor(milliseconds(200));
+  BOOST_REQUIRE(RunningTasks(cell) == 2U);
+  std::size_t busy = 0;
+  while (cell.worker(busy).running() == 0) ++busy;
+  // The ends cannot be stored, so the workers keep them.
+  cell.kv().SetUnavailable(true);
+  cell.RunFor(milliseconds(600));
+  BOOST_REQUIRE(RunningTasks(cell) == 0U);
+  const std::size_t holder = *cell.Holder();
+  cell.KillAgent(holder);
+  cell.worker(busy).Crash();
+  cell.RunFor(milliseconds(300));
+  cell.kv().SetUnavailable(false);
+  cell.worker(busy).Restart();
+  cell.StartAgent(holder);
+  cell.RunFor(seconds(60));
+  cell.QueryJob(job);
+  cell.RunFor(milliseconds(100));
+  BOOST_TEST((cell.StateOf(job) == JobState::kCompleted));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace quetzalline
