Test: a lost acknowledgement of ends has to be sent again

Cause: AcknowledgeCompletions raises ends_noted when it sends (even if there is no connection) and never sends the same number again. A notice that is lost with its connection leaves the ends on the worker's list until another task ends there; meanwhile every poll returns at once, and the users count the ends as not taken note of.

Proposed: the complete report of a session says what the runner knows (or: ConnectMember sets ends_noted to 0), so that the first AcknowledgeCompletions of each session repeats the number. Do not raise ends_noted for a member without a connection.

No logic in src/ is changed, and the test is red until it is.

--- a/test/cell/liveness_test.cc
+++ b/test/cell/liveness_test.cc
@@ -308,6 +308,28 @@
   BOOST_TEST((cell.StateOf(job) == JobState::kCompleted));
 }
 
+// The holder acknowledges an end just as the connection to the runner closes.
+// The worker lists the end until it is acknowledged again.
+BOOST_AUTO_TEST_CASE(a_lost_acknowledgement_is_sent_again) {
+  ReadyCell ready;
+  VirtualCell& cell = ready.cell_;
+  cell.Submit(Job({Step(1, 500, milliseconds(500))}));
+  cell.RunFor(milliseconds(300));
+  std::size_t busy = 0;
+  while (cell.worker(busy).running() == 0) ++busy;
+  const MemberName name("agent-" + std::to_string(busy));
+  const SchedulerTables& holder = cell.scheduler(*cell.Holder());
+  for (int i = 0; i < 20'000; ++i) {
+    if (holder.workers_.Find(name)->ends_noted() > 0) break;
+    cell.RunFor(microseconds(100));
+  }
+  BOOST_REQUIRE(holder.workers_.Find(name)->ends_noted() == 1);
+  BOOST_REQUIRE(cell.runner(busy).ends_.size() == 1U);
+  cell.CloseConnections(busy);
+  cell.RunFor(seconds(60));
+  BOOST_TEST(cell.runner(busy).ends_.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace quetzalline
