Test: a list that was overtaken must not shut a worker out

Cause: two status polls may be in flight, one of them to raise the fence, and answers may overtake each other. The later answer brings the end of a run, then the earlier one lists it as running. The runner takes it for an unknown run and lists it to the holder, which has handled its end already: it records the run in orphaned_runs_ and sends a stop. The next poll lists the end again, RecordCompletions removes the run silently, and nothing ever removes it from orphaned_runs_. Nothing is placed on the worker until its connection closes.

Proposed: UpdateListedRuns ignores a listed run whose end is in ends_ or not above ends_noted_, and, more generally, the answer to a poll that was sent before the last one that was handled. In the holder, HandleListedRun ignores runs whose end is in the same report, and each complete report replaces the orphaned runs of its worker instead of adding to them.

No logic in src/ is changed, and the test is red until it is.

--- a/test/cell/liveness_test.cc
+++ b/test/cell/liveness_test.cc
@@ -1,8 +1,10 @@
 #include <boost/test/unit_test.hpp>
 #include <vector>
 
+#include "support/placement_fleet.h"
 #include "support/virtual_cell.h"
 #include "systems/cell/cell_keys.h"
+#include "systems/runner/runner_node.h"
 
 namespace quetzalline {
 namespace {
@@ -110,6 +112,117 @@
   cell.RunFor(seconds(3));
 }
 
+RunKey MakeRunKey(std::uint64_t job, std::int32_t index) {
+  return RunKey::Builder()
+      .task(TaskKey::Builder().job(job).index(index).Build())
+      .run(1)
+      .Build();
+}
+
+// A runner whose reports go to the holder of a fleet, and whose worker answers
+// as the test says. The clock advances with every input.
+class RunnerUnderTest {
+ public:
+  explicit RunnerUnderTest(PlacementFleet& fleet)
+      : fleet_(fleet), node_(RunnerPolicy(), 1) {}
+
+  // Connects the runner and announces its worker.
+  void Attach() {
+    Post(ConnectionOpened::Builder().connection(holder_).Build());
+    Post(RunnerMessageReceived::Builder()
+             .connection(holder_)
+             .message(AttachRunner::Builder().epoch(1).Build())
+             .Build());
+    Post(WorkerAnnounced::Builder()
+             .facts(WorkerDescription::Builder()
+                        .worker("agent-0")
+                        .born_ms(1)
+                        .service(ServiceName("service"))
+                        .cpu(kFleetMillicores)
+                        .memory_mb(250'000)
+                        .Build())
+             .sequence(1)
+             .Build());
+  }
+
+  // Starts a run; its call ends with the outcome.
+  void Start(const RunKey& run, WorkerCallOutcome outcome) {
+    Post(RunnerMessageReceived::Builder()
+             .connection(holder_)
+             .message(StartRun::Builder()
+                          .run(run)
+                          .born_ms(1)
+                          .cpu(1000)
+                          .memory_mb(100)
+                          .Build())
+             .Build());
+    Post(Answer(last_start_, outcome).Build());
+  }
+
+  void AnswerPoll(std::uint64_t call, const std::vector<RunKey>& running,
+                  const std::vector<RunEnd>& ends, bool more_ends = false) {
+    std::vector<WorkerRun> runs;
+    for (const RunKey& run : running) {
+      runs.push_back(WorkerRun::Builder()
+                         .progress(RunProgress::Builder().run(run).Build())
+                         .Build());
+    }
+    Post(Answer(call, WorkerCallOutcome::kDone)
+             .running(std::move(runs))
+             .ends(ends)
+             .more_ends(more_ends)
+             .Build());
+  }
+
+  std::uint64_t LastPoll() const { return last_poll_; }
+  const Table<TaskKey, TrackedRun>& runs() const {
+    return node_.tables().runs_;
+  }
+
+ private:
+  static WorkerAnswer::Builder Answer(std::uint64_t call,
+                                      WorkerCallOutcome outcome) {
+    return WorkerAnswer::Builder().call(call).verdict(outcome).born_ms(
+        outcome == WorkerCallOutcome::kLost ? 0 : 1);
+  }
+
+  void Post(const RunnerInput& input) {
+    now_ += milliseconds(100);
+    for (const RunnerEffect& effect : node_.RunTick(now_, {&input, 1})) {
+      if (const auto* poll = std::get_if<WorkerPoll>(&effect)) {
+        last_poll_ = poll->call();
+      }
+      if (const auto* start = std::get_if<WorkerStart>(&effect)) {
+        last_start_ = start->call();
+      }
+      const auto* sent = std::get_if<SendToHolder>(&effect);
+      if (sent == nullptr) continue;
+      if (const auto* report = std::get_if<WorkerReport>(&sent->message())) {
+        Forward(fleet_.Report(0, *report));
+      }
+    }
+  }
+
+  // Passes the holder's commands to the runner.
+  void Forward(const std::vector<SchedulerEffect>& effects) {
+    for (const SchedulerEffect& effect : effects) {
+      const auto* sent = std::get_if<SendToRunner>(&effect);
+      if (sent == nullptr) continue;
+      Post(RunnerMessageReceived::Builder()
+               .connection(holder_)
+               .message(sent->message())
+               .Build());
+    }
+  }
+
+  PlacementFleet& fleet_;
+  const ConnectionId holder_{1};
+  RunnerNode node_;
+  Instant now_ = kFleetNow;
+  std::uint64_t last_poll_ = 0;
+  std::uint64_t last_start_ = 0;
+};
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(liveness)
@@ -330,6 +443,33 @@
   BOOST_TEST(cell.runner(busy).ends_.empty());
 }
 
+// An answer to a status poll that was overtaken by a later one lists a run
+// whose end is known. The holder must not wait for that end again, since
+// nothing is placed on a worker with a run that it does not account for.
+BOOST_AUTO_TEST_CASE(an_overtaken_list_does_not_shut_a_worker_out) {
+  PlacementFleet fleet(1);
+  const std::uint64_t job = fleet.AddRunning(Step(2, 1000, seconds(9)), 0);
+  RunnerUnderTest runner(fleet);
+  runner.Attach();
+  runner.AnswerPoll(runner.LastPoll(), {}, {});
+  const RunKey ended = MakeRunKey(job, 0);
+  const RunKey lost = MakeRunKey(job, 1);
+  runner.Start(ended, WorkerCallOutcome::kDone);
+  const std::uint64_t long_poll = runner.LastPoll();
+  runner.Start(lost, WorkerCallOutcome::kLost);
+  const std::uint64_t fence_poll = runner.LastPoll();
+  BOOST_REQUIRE(fence_poll != long_poll);
+  const RunEnd end =
+      RunEnd::Builder().number(1).run(ended).outcome(RunOutcome::kDone).Build();
+  runner.AnswerPoll(long_poll, {}, {end});
+  runner.AnswerPoll(fence_poll, {ended}, {});
+  for (int i = 0; i < 20; ++i) {
+    runner.AnswerPoll(runner.LastPoll(), {}, {end});
+  }
+  BOOST_TEST(runner.runs().empty());
+  BOOST_TEST(fleet.tables().orphaned_runs_.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace quetzalline
