Test: a report with more ends has to be followed by a complete one

Cause: a runner that is synced lists an unknown run while its worker returns only a part of its ends. The complete report says more_ends, for which the holder sets reported to false. full_report_due_ is cleared, and only the first poll of a session sets it again, so no complete report follows: the worker gets no work, and its further ends are dropped with the reports that are not complete.

Proposed: SendDueReport keeps full_report_due_ set if the report that it sends says more_ends. The holder does not take back reported for that within a session.

--- a/test/cell/liveness_test.cc
+++ b/test/cell/liveness_test.cc
@@ -470,6 +470,27 @@
   BOOST_TEST(fleet.tables().orphaned_runs_.empty());
 }
 
+// A runner sends a complete report while its worker lists only some of its
+// ends. Once it lists the rest, the holder has to use the worker again.
+BOOST_AUTO_TEST_CASE(a_report_with_more_ends_is_followed_by_a_complete_one) {
+  PlacementFleet fleet(1);
+  RunnerUnderTest runner(fleet);
+  runner.Attach();
+  runner.AnswerPoll(runner.LastPoll(), {}, {});
+  const MemberName name = PlacementFleet::Name(0);
+  BOOST_REQUIRE(fleet.tables().workers_.Find(name)->reported());
+  const RunKey unknown = MakeRunKey(7, 0);
+  const RunEnd end = RunEnd::Builder()
+                         .number(1)
+                         .run(MakeRunKey(8, 0))
+                         .outcome(RunOutcome::kStopped)
+                         .Build();
+  runner.AnswerPoll(runner.LastPoll(), {unknown}, {end}, true);
+  for (int i = 0; i < 20; ++i) runner.AnswerPoll(runner.LastPoll(), {}, {});
+  BOOST_TEST(runner.runs().empty());
+  BOOST_TEST(fleet.tables().workers_.Find(name)->reported());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace quetzalline
