Test: a job that fits nowhere must not preempt long-running tasks

Cause: PreemptLongRunning stops a long-running task every 0.7 s for as long as any urgent task waits, whether or not the room would let it start. A task that can run nowhere (too large, label gone, queue removed) keeps all long-running tasks moving: each one is stopped again 5 s after its start.

Proposed: FindPreemptible takes only a victim whose removal makes room for the task that waits: same service, label and limit per worker, and Fits() without the victim. Otherwise it stops nothing.

No logic in src/ is changed, and the test is red until it is.

--- a/test/cell/liveness_test.cc
+++ b/test/cell/liveness_test.cc
@@ -491,6 +491,17 @@
   BOOST_TEST(fleet.tables().workers_.Find(name)->reported());
 }
 
+// A job that fits on no worker must not preempt long-running tasks, since
+// stopping them makes no room for it.
+BOOST_AUTO_TEST_CASE(a_job_that_fits_nowhere_preempts_nothing) {
+  ReadyCell ready;
+  VirtualCell& cell = ready.cell_;
+  const std::uint64_t service_job = cell.Submit(LongRunningJob(3));
+  cell.Submit(Job({Step(1, 20'000, milliseconds(100))}));
+  cell.RunFor(seconds(60));
+  BOOST_TEST(cell.log().StartsOf(service_job) == 3);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace quetzalline
