Test: a full service must not delay work on another's workers

Cause: IsHalfFree adds up the workers of all services. While those of one service are full, best-effort tasks of another wait beside a service with a high tail for as long as that lasts, however free their own workers are; the bound longest_wait (1.2 s) does not apply.

Proposed: PlaceStep asks IsHalfFree for the workers of its own service.

No logic in src/ is changed, and the test is red until it is.

--- a/test/cell/liveness_test.cc
+++ b/test/cell/liveness_test.cc
@@ -502,6 +502,37 @@
   BOOST_TEST(cell.log().StartsOf(service_job) == 3);
 }
 
+// The workers of another service are full. That says nothing about the room
+// that a best-effort task has on its own service's workers.
+BOOST_AUTO_TEST_CASE(a_full_service_does_not_delay_work_of_another) {
+  PlacementFleet fleet(4);
+  SchedulerTables& tables = fleet.tables();
+  for (int worker = 1; worker < 4; ++worker) {
+    const WorkerRow row = *tables.workers_.Find(PlacementFleet::Name(worker));
+    tables.workers_.Put(PlacementFleet::Name(worker),
+                        WorkerRow::Builder(row)
+                            .facts(WorkerDescription::Builder(*row.facts())
+                                       .service(ServiceName("other"))
+                                       .Build())
+                            .Build());
+    fleet.AddRunning(Step(1, kFleetMillicores, seconds(60)), worker);
+  }
+  const JobStep service = JobStep::Builder(Step(1, 8000, milliseconds(100)))
+                              .long_running(true)
+                              .image("service")
+                              .target(milliseconds(100))
+                              .Build();
+  fleet.AddRunning(service, 0);
+  fleet.Observe(0, "batch", 0, "service", 95);
+  const JobStep batch = JobStep::Builder(Step(1, 1000, seconds(1)))
+                            .image("batch")
+                            .fills(true)
+                            .Build();
+  const std::uint64_t job = fleet.AddJob(batch, seconds(30));
+  fleet.Place();
+  BOOST_TEST(fleet.Waiting(job) == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace quetzalline
