Test: a submission during the commit of its job has to be answered

Cause: BuildBatch takes the callers that wait at that moment. One that comes while the commit of its job is in flight stays in callers_ until the job changes again, so its call ends as undecided after 2.5 s. The same holds for a cancellation that comes while the final state of its job is being stored; that caller then stays in callers_ for ever.

Proposed: FinishCommit also answers the callers in callers_ whose job is stored (or closed, for a cancellation) and not dirty.

No logic in src/ is changed, and the test is red until it is.

--- a/test/cell/liveness_test.cc
+++ b/test/cell/liveness_test.cc
@@ -533,6 +533,23 @@
   BOOST_TEST(fleet.Waiting(job) == 0U);
 }
 
+// A caller repeats a submission while the commit of its job is in flight. The
+// commit answers the repetition too.
+BOOST_AUTO_TEST_CASE(a_submission_during_the_commit_of_its_job_is_answered) {
+  ReadyCell ready;
+  VirtualCell& cell = ready.cell_;
+  const SchedulerTables& holder = cell.scheduler(*cell.Holder());
+  const std::uint64_t job = cell.Submit(Job({Step(1, 500, seconds(30))}), 1);
+  for (int i = 0; i < 1000 && !holder.commit_; ++i) {
+    cell.RunFor(microseconds(100));
+  }
+  BOOST_REQUIRE(holder.commit_.has_value());
+  cell.Resubmit(job, 1);
+  cell.RunFor(seconds(10));
+  BOOST_TEST(cell.IsAccepted(job));
+  BOOST_TEST(holder.callers_.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace quetzalline
