Test: a minority of the members carries out jobs

Cause: it was in question whether a majority of members that are dead for good stops the cell, since members are never removed. It does not: each report asks for a grant, and GrantLeases reads the epoch from the store if there is no majority. Both tests pass on the present code, with and without a takeover.

Proposed: none. These are guards for the code as it is.

No logic in src/ is changed.

--- a/test/cell/liveness_test.cc
+++ b/test/cell/liveness_test.cc
@@ -103,6 +103,18 @@
   cell.StartAgent(holder);
 }
 
+// Kills six of eleven agents, and their workers, for good.
+void LoseMajority(VirtualCell& cell) {
+  const std::size_t holder = *cell.Holder();
+  int lost = 0;
+  for (std::size_t i = 0; i < cell.agents() && lost < 6; ++i) {
+    if (i == holder) continue;
+    ++lost;
+    cell.KillAgent(i);
+    cell.worker(i).Crash();
+  }
+}
+
 // Restarts all workers, so that they give the current time as their start.
 void RestartWorkers(VirtualCell& cell) {
   for (std::size_t i = 0; i < cell.agents(); ++i) {
@@ -550,6 +562,35 @@
   BOOST_TEST(holder.callers_.empty());
 }
 
+// Most of the machines that ever were members are gone for good, and nothing
+// happens but the submission of one job.
+BOOST_AUTO_TEST_CASE(a_minority_of_the_members_carries_out_jobs) {
+  ReadyCell ready(11);
+  VirtualCell& cell = ready.cell_;
+  LoseMajority(cell);
+  cell.RunFor(seconds(60));
+  const std::uint64_t job = cell.Submit(TwoStepJob(milliseconds(500)));
+  const milliseconds waited =
+      TimeUntil(cell, seconds(60), [&] { return IsDone(cell, job, 1); });
+  BOOST_TEST(waited.count() < kMaxWait.count());
+}
+
+// Most of the machines that ever were members are gone for good, as the holder
+// knows, when another one takes over.
+BOOST_AUTO_TEST_CASE(a_takeover_in_a_minority_carries_out_jobs) {
+  ReadyCell ready(11);
+  VirtualCell& cell = ready.cell_;
+  LoseMajority(cell);
+  cell.RunFor(seconds(60));
+  const std::uint64_t job = cell.Submit(TwoStepJob(milliseconds(500)));
+  cell.RunFor(milliseconds(200));
+  RestartHolder(cell);
+  TimeUntil(cell, seconds(10), [&] { return cell.Holder().has_value(); });
+  const milliseconds waited =
+      TimeUntil(cell, seconds(60), [&] { return IsDone(cell, job, 1); });
+  BOOST_TEST(waited.count() < kMaxWait.count());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace quetzalline
