--- a/src/systems/runner/watch_worker.cc
+++ b/src/systems/runner/watch_worker.cc
@@ -63,12 +63,15 @@
   return false;
 }
 
-void UpdateListedRuns(const WorkerAnswer& answer, RunnerTables& tables,
-                      RunnerTick& tick) {
+// Updates the runs that the worker lists as running. Adopts no unknown run from
+// an answer that was overtaken, since the run may have ended.
+void UpdateListedRuns(const WorkerAnswer& answer, bool overtaken,
+                      RunnerTables& tables, RunnerTick& tick) {
   for (const WorkerRun& listed : answer.running()) {
     const RunKey& run = listed.progress().run();
     const TrackedRun* known = tables.runs_.Find(run.task());
     const bool same = known != nullptr && known->run() == run.run();
+    if (!same && overtaken) continue;
     TrackedRun::Builder builder(same ? *known : TrackedRun());
     const bool stopping = same && known->stage() == TrackedRunStage::kStopping;
     builder.run(run.run())
@@ -225,7 +228,11 @@
     }
     return;
   }
-  UpdateListedRuns(answer, tables, tick);
+  // Another answer was handled since this poll was sent, and may be the later
+  // one.
+  const bool overtaken = call.sent_at() < tables.listed_at_;
+  tables.listed_at_ = tick.now();
+  UpdateListedRuns(answer, overtaken, tables, tick);
   RecordCompletions(answer, tables);
   const bool fenced =
       poll.raises_fence() && call.fence() == CurrentFencingToken(tables);
@@ -243,7 +250,7 @@
   if (tables.neighbours_ && IsTailOverTarget(tables)) tables.report_due_ = true;
   if (!fenced || tables.session_.synced()) return;
   tables.full_report_due_ = true;
-  if (answer.more_ends()) return;
+  if (overtaken || answer.more_ends()) return;
   tables.session_ =
       HolderSession::Builder(tables.session_).synced(true).Build();
 }
--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -149,13 +149,15 @@
   SendStart(name, key, tables, tick);
 }
 
-// Handles the list of runs in a complete report. Unsolicited lists may cross
-// with commands in flight, so only the first list of a session, before which no
-// command was sent, proves that an unlisted task never arrived.
+// Handles the list of runs in a complete report, which replaces the orphaned
+// runs of the worker. Unsolicited lists may cross with commands in flight, so
+// only the first list of a session, before which no command was sent, proves
+// that an unlisted task never arrived. Should such a command start a superseded
+// run, the runner refuses what does not fit beside it.
 void HandleRunList(const MemberName& name, const WorkerReport& report,
                    bool first_list, SchedulerTables& tables,
                    SchedulerTick& tick) {
-  if (first_list) tables.orphaned_runs_.erase(name);
+  tables.orphaned_runs_.erase(name);
   tables.placement_due_ = true;
   std::set<TaskKey> listed;
   for (const RunProgress& run : report.running()) {
--- a/src/tables/runner_tables.h
+++ b/src/tables/runner_tables.h
@@ -70,6 +70,8 @@
   bool fence_poll_in_flight_ = false;
   /// Earliest time of the next status poll.
   Instant next_poll_;
+  /// Time at which the answer to a status poll was last handled.
+  Instant listed_at_;
 
   Table<TaskKey, TrackedRun> runs_;
   /// Ends that the worker lists and the holder has not acknowledged, by number.
--- a/test/cell/worker_report_test.cc
+++ b/test/cell/worker_report_test.cc
@@ -295,6 +295,24 @@
   BOOST_TEST(report(false) == 2U);
 }
 
+// A runner may list a run whose end the holder has handled already. The next
+// complete report does not list it, so nothing is left to wait for.
+BOOST_AUTO_TEST_CASE(a_complete_report_replaces_the_orphaned_runs) {
+  PlacementFleet fleet(1);
+  const auto report = [&](std::vector<RunProgress> running) {
+    fleet.Report(0, WorkerReport::Builder()
+                        .whole(true)
+                        .facts(IncarnationStartedAt(1))
+                        .running(std::move(running))
+                        .Build());
+    return fleet.tables().orphaned_runs_.size();
+  };
+  const RunProgress orphaned =
+      RunProgress::Builder().run(MakeRunKey(7, 0, 1)).Build();
+  BOOST_TEST(report({orphaned}) == 1U);
+  BOOST_TEST(report({}) == 0U);
+}
+
 // A worker reports a completion again to a later holder, which may have loaded
 // its effect from the store. Counted twice, it would use up the attempts of the
 // task.
