--- a/src/systems/runner/manage_holder_session.cc
+++ b/src/systems/runner/manage_holder_session.cc
@@ -194,10 +194,12 @@
 
 void SendDueReport(RunnerTables& tables, RunnerTick& tick) {
   if (!tables.session_.connection()) return;
-  // The runs of a worker that was not polled in this session are unknown.
+  // The runs of a worker that was not polled in this session are unknown. Only
+  // before its runs are known is a list sent that lacks some of its ends;
+  // afterwards the list waits for them, and they are reported meanwhile.
   const bool whole =
       tables.full_report_due_ &&
-      (!tables.facts_ || tables.session_.synced() || tables.more_ends_);
+      (!tables.facts_ || tables.session_.synced() != tables.more_ends_);
   const bool due =
       whole || tables.report_due_ || tick.now() >= tables.next_report_;
   if (due) {
