--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -193,11 +193,12 @@
   if (!worker.facts()) return;
   const std::int64_t born_ms = worker.facts()->born_ms();
   std::int64_t seen = worker.ends_seen();
-  bool any = false;
+  std::int64_t noted = worker.ends_noted();
   for (const RunEnd& end : report.ends()) {
+    // The acknowledgement of an end that is listed again was lost.
+    noted = std::min(noted, end.number() - 1);
     if (end.number() <= seen) continue;
     seen = end.number();
-    any = true;
     EraseOrphanedRun(name, end.run(), tables);
     HandleRunEnd(name, end, tables, tick);
     const std::uint64_t job = end.run().task().job();
@@ -210,10 +211,11 @@
             .job(job)
             .Build());
   }
-  if (!any) return;
-  tables.workers_.Put(
-      name,
-      WorkerRow::Builder(*tables.workers_.Find(name)).ends_seen(seen).Build());
+  if (seen == worker.ends_seen() && noted == worker.ends_noted()) return;
+  tables.workers_.Put(name, WorkerRow::Builder(*tables.workers_.Find(name))
+                                .ends_seen(seen)
+                                .ends_noted(noted)
+                                .Build());
   AcknowledgeCompletions(tables, tick);
 }
 
