--- a/src/systems/runner/runner_node.cc
+++ b/src/systems/runner/runner_node.cc
@@ -25,9 +25,6 @@
   if (found == tables.calls_.end()) return;
   const WorkerCall call = found->second;
   tables.calls_.erase(found);
-  if (answer.verdict() != WorkerCallOutcome::kLost) {
-    tables.worker_answered_at_ = tick.now();
-  }
   if (!CheckWorkerIncarnation(answer, tables, tick)) return;
   UpdateWorkerClock(answer, tables, tick.now());
   std::visit(
--- a/src/systems/runner/watch_worker.cc
+++ b/src/systems/runner/watch_worker.cc
@@ -28,10 +28,31 @@
   tables.facts_sequence_ = 0;
   tables.incarnation_confirmed_ = false;
   tables.fill_pace_ = 100;
+  // Voids the commands without an answer, which may still reach the next
+  // incarnation.
+  ++tables.fence_raises_;
   tables.session_ =
       HolderSession::Builder(tables.session_).synced(false).Build();
 }
 
+bool IsSameIncarnation(const WorkerDescription& a, const WorkerDescription& b) {
+  return a.worker() == b.worker() && a.born_ms() == b.born_ms();
+}
+
+// Handles the end of the known incarnation, which another one has replaced. The
+// worker is not reported as left: its tasks stay assigned until the next
+// incarnation has listed its runs, since a late announcement may have hidden
+// the incarnation that runs them.
+void HandleWorkerReplaced(RunnerTables& tables, RunnerTick& tick) {
+  LogLine(tick, "worker-replaced", 0,
+          {Field("worker", tables.facts_->worker()),
+           Field("born_ms", tables.facts_->born_ms())});
+  tables.replaced_ = tables.facts_;
+  ResetWorkerState(tables);
+  tables.facts_.reset();
+  tables.full_report_due_ = true;
+}
+
 Duration PollTimeout(const RunnerTables& tables) {
   return HasMixedTasks(tables) ? tables.policy_.mixed_hold_wait()
                                : tables.policy_.hold_wait();
@@ -143,9 +164,9 @@
 void HandleWorkerAnnounced(const WorkerAnnounced& seen, RunnerTables& tables,
                            RunnerTick& tick) {
   const WorkerDescription& facts = seen.facts();
+  if (tables.replaced_ && IsSameIncarnation(*tables.replaced_, facts)) return;
+  const bool same = tables.facts_ && IsSameIncarnation(*tables.facts_, facts);
   if (tables.facts_) {
-    const bool same = tables.facts_->worker() == facts.worker() &&
-                      tables.facts_->born_ms() == facts.born_ms();
     if (!same && facts.born_ms() <= tables.facts_->born_ms()) return;
     if (same && seen.sequence() <= tables.facts_sequence_) return;
     if (!same) ResetWorkerState(tables);
@@ -157,10 +178,7 @@
   LogLine(tick, "worker-seen", 0,
           {Field("worker", facts.worker()), Field("born_ms", facts.born_ms()),
            Field("draining", facts.draining() ? 1 : 0)});
-  const bool new_incarnation = !tables.facts_ ||
-                               tables.facts_->worker() != facts.worker() ||
-                               tables.facts_->born_ms() != facts.born_ms();
-  if (new_incarnation) tables.worker_answered_at_ = tick.now();
+  if (!same) tables.worker_answered_at_ = tick.now();
   tables.facts_ = facts;
   tables.facts_sequence_ = seen.sequence();
   tables.facts_due_ = true;
@@ -181,21 +199,32 @@
                             RunnerTick& tick) {
   if (answer.verdict() == WorkerCallOutcome::kLost) {
     tables.incarnation_confirmed_ = false;
-  }
-  if (answer.born_ms() == 0 || !tables.facts_) return true;
-  if (answer.born_ms() == tables.facts_->born_ms()) {
-    tables.incarnation_confirmed_ = true;
     return true;
   }
-  if (answer.born_ms() < tables.facts_->born_ms()) return false;
+  if (!tables.facts_) return true;
+  // All calls in calls_ were sent after the known incarnation was announced, so
+  // another one that answers has replaced it, even if it gives an earlier
+  // start.
+  if (answer.verdict() == WorkerCallOutcome::kOtherLife) {
+    HandleWorkerReplaced(tables, tick);
+    return false;
+  }
+  const bool same = answer.born_ms() == tables.facts_->born_ms();
+  if (same) tables.incarnation_confirmed_ = true;
+  // An answer that names no incarnation is one of the known incarnation only
+  // while that is confirmed.
+  if (tables.incarnation_confirmed_) tables.worker_answered_at_ = tick.now();
+  if (same || answer.born_ms() == 0) return true;
   LogLine(tick, "worker-restarted", 0,
           {Field("worker", tables.facts_->worker()),
            Field("born_ms", answer.born_ms())});
   const WorkerDescription facts = WorkerDescription::Builder(*tables.facts_)
                                       .born_ms(answer.born_ms())
                                       .Build();
+  tables.replaced_ = tables.facts_;
   ResetWorkerState(tables);
   tables.facts_ = facts;
+  tables.worker_answered_at_ = tick.now();
   tables.facts_due_ = true;
   tables.report_due_ = true;
   return false;
--- a/src/systems/runner/watch_worker.h
+++ b/src/systems/runner/watch_worker.h
@@ -11,7 +11,7 @@
 
 /// Handles the worker's announcement of itself. A new incarnation of the worker
 /// has none of the runs of the previous one. Ignores announcements that are
-/// older than the known one.
+/// older than the known one, or of the incarnation that was replaced last.
 void HandleWorkerAnnounced(const WorkerAnnounced& seen, RunnerTables& tables,
                            RunnerTick& tick);
 /// Handles the departure of the worker: its state is discarded, and the next
@@ -19,9 +19,9 @@
 void HandleWorkerLeft(const WorkerLeft& left, RunnerTables& tables,
                       RunnerTick& tick);
 
-/// Compares the incarnation that answered with the known one, and replaces the
-/// known one by a newer one. Returns false if the answer came from another
-/// incarnation: it says nothing about commands that were sent to this one.
+/// Compares the incarnation that answered with the known one. Another one that
+/// answers has replaced the known one. Returns false in that case: the answer
+/// says nothing about commands that were sent to the known one.
 bool CheckWorkerIncarnation(const WorkerAnswer& answer, RunnerTables& tables,
                             RunnerTick& tick);
 
--- a/src/tables/runner_tables.h
+++ b/src/tables/runner_tables.h
@@ -51,9 +51,12 @@
 
   std::optional<WorkerDescription> facts_;
   std::int64_t facts_sequence_ = 0;
+  /// The last incarnation of which an answer showed that another one had
+  /// replaced it. Announcements of it may still arrive.
+  std::optional<WorkerDescription> replaced_;
   std::optional<WorkerClock> clock_;
-  /// Time at which the worker last answered a call, registered, or was given
-  /// new time because this process had been stalled.
+  /// Time at which the incarnation of facts_ last answered a call, registered,
+  /// or was given new time because this process had been stalled.
   Instant worker_answered_at_;
   /// True if the last report described the worker as unresponsive.
   bool reported_unresponsive_ = false;
--- a/test/cell/worker_report_test.cc
+++ b/test/cell/worker_report_test.cc
@@ -1,4 +1,5 @@
 #include <boost/test/unit_test.hpp>
+#include <optional>
 #include <vector>
 
 #include "support/placement_fleet.h"
@@ -69,6 +70,7 @@
                          .cpu(2000)
                          .memory_mb(1000)
                          .Build();
+    first_facts_ = tables_.facts_;
     tables_.session_ = HolderSession::Builder().epoch(1).synced(true).Build();
     Start(1, 1000);
   }
@@ -95,8 +97,35 @@
                   tables_, tick);
   }
 
+  void Announce(const std::string& worker, std::int64_t born_ms) {
+    RunnerTick tick(kFleetNow, random_, tables_.counters_);
+    HandleWorkerAnnounced(WorkerAnnounced::Builder()
+                              .facts(WorkerDescription::Builder(*first_facts_)
+                                         .worker(worker)
+                                         .born_ms(born_ms)
+                                         .Build())
+                              .sequence(++last_sequence_)
+                              .Build(),
+                          tables_, tick);
+  }
+
+  void CheckAnswer(WorkerCallOutcome outcome, std::int64_t born_ms) {
+    RunnerTick tick(kFleetNow, random_, tables_.counters_);
+    CheckWorkerIncarnation(
+        WorkerAnswer::Builder().verdict(outcome).born_ms(born_ms).Build(),
+        tables_, tick);
+  }
+
+  // Returns true if the runner knows this incarnation of its worker.
+  bool Knows(const std::string& worker, std::int64_t born_ms) const {
+    return tables_.facts_ && tables_.facts_->worker() == worker &&
+           tables_.facts_->born_ms() == born_ms;
+  }
+
   Random random_;
   RunnerTables tables_;
+  std::optional<WorkerDescription> first_facts_;
+  std::int64_t last_sequence_ = 0;
 };
 
 }  // namespace
@@ -342,6 +371,65 @@
   BOOST_TEST(fail(2, 2) == 2U);
 }
 
+// Answers show that a worker with an earlier start has replaced the known one.
+// A late announcement of the one that is gone must not bring it back.
+BOOST_AUTO_TEST_CASE(a_late_announcement_of_a_replaced_worker_is_ignored) {
+  TwoCoreRunner runner;
+  runner.Announce("worker", 10);
+  runner.CheckAnswer(WorkerCallOutcome::kDone, 5);
+  BOOST_TEST(runner.Knows("worker", 5));
+  runner.Announce("worker", 10);
+  BOOST_TEST(runner.Knows("worker", 5));
+  runner.CheckAnswer(WorkerCallOutcome::kOtherLife, 0);
+  BOOST_TEST(!runner.tables_.facts_.has_value());
+  runner.Announce("worker", 5);
+  BOOST_TEST(!runner.tables_.facts_.has_value());
+  runner.Announce("other", 3);
+  BOOST_TEST(runner.Knows("other", 3));
+}
+
+// An announcement says that the worker has an earlier start while nothing shows
+// that the known one is gone.
+BOOST_AUTO_TEST_CASE(an_earlier_start_replaces_no_worker_that_may_live) {
+  TwoCoreRunner runner;
+  runner.Announce("worker", 10);
+  runner.Announce("other", 5);
+  BOOST_TEST(runner.Knows("worker", 10));
+  runner.CheckAnswer(WorkerCallOutcome::kLost, 0);
+  runner.CheckAnswer(WorkerCallOutcome::kNoRoom, 0);
+  runner.Announce("other", 5);
+  BOOST_TEST(runner.Knows("worker", 10));
+}
+
+// The known worker may come from a late announcement, while the one that
+// answers runs the tasks. Reported as left, its tasks would start elsewhere.
+BOOST_AUTO_TEST_CASE(a_replaced_worker_is_not_reported_as_left) {
+  TwoCoreRunner runner;
+  runner.CheckAnswer(WorkerCallOutcome::kOtherLife, 0);
+  BOOST_TEST(!runner.tables_.worker_left_);
+  BOOST_TEST(runner.tables_.full_report_due_);
+}
+
+// A command without an answer may reach the next incarnation, which knows no
+// fencing token. Its first status poll has to make the command void.
+BOOST_AUTO_TEST_CASE(commands_to_an_earlier_incarnation_become_void) {
+  TwoCoreRunner runner;
+  const std::int64_t fence = CurrentFencingToken(runner.tables_);
+  runner.CheckAnswer(WorkerCallOutcome::kDone, 2);
+  BOOST_TEST(CurrentFencingToken(runner.tables_) > fence);
+}
+
+// An answer that does not name its incarnation says nothing about the known one
+// after a lost call.
+BOOST_AUTO_TEST_CASE(an_answer_of_an_unknown_incarnation_is_no_sign_of_life) {
+  TwoCoreRunner runner;
+  runner.CheckAnswer(WorkerCallOutcome::kLost, 0);
+  runner.CheckAnswer(WorkerCallOutcome::kDone, 0);
+  BOOST_TEST((runner.tables_.worker_answered_at_ == Instant()));
+  runner.CheckAnswer(WorkerCallOutcome::kDone, 1);
+  BOOST_TEST((runner.tables_.worker_answered_at_ == kFleetNow));
+}
+
 // Under a steady stream of small completions, a final state that a caller
 // waits for is stored before progress, and no job starves behind jobs that
 // change all the time.
