--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -160,13 +160,15 @@
   SendStart(name, key, tables, tick);
 }
 
-// Handles the list of runs in a complete report. Unsolicited lists may cross
-// with commands in flight, so only the first list of a session, before which no
-// command was sent, proves that an unlisted task never arrived.
+// Handles the list of runs in a complete report, which replaces the orphaned
+// runs of the worker. Unsolicited lists may cross with commands in flight, so
+// only the first list of a session, before which no command was sent, proves
+// that an unlisted task never arrived. Should such a command start a superseded
+// run, the runner refuses what does not fit beside it.
 void HandleRunList(const MemberName& name, const WorkerReport& report,
                    bool first_list, SchedulerTables& tables,
                    SchedulerTick& tick) {
-  if (first_list) tables.orphaned_runs_.erase(name);
+  tables.orphaned_runs_.erase(name);
   tables.placement_due_ = true;
   std::set<RunKey> listed;
   for (const RunProgress& run : report.running()) {
@@ -205,11 +207,12 @@
   if (!worker.facts()) return;
   const std::int64_t born_ms = worker.facts()->born_ms();
   std::int64_t seen = worker.ends_seen();
-  bool any = false;
+  std::int64_t noted = worker.ends_noted();
   for (const RunEnd& end : report.ends()) {
+    // The acknowledgement of an end that is listed again was lost.
+    noted = std::min(noted, end.number() - 1);
     if (end.number() <= seen) continue;
     seen = end.number();
-    any = true;
     EraseOrphanedRun(name, end.run(), tables);
     HandleRunEnd(name, end, tables, tick);
     const std::uint64_t job = end.run().task().job();
@@ -222,10 +225,11 @@
             .job(job)
             .Build());
   }
-  if (!any) return;
-  tables.workers_.Put(
-      name,
-      WorkerRow::Builder(*tables.workers_.Find(name)).ends_seen(seen).Build());
+  if (seen == worker.ends_seen() && noted == worker.ends_noted()) return;
+  tables.workers_.Put(name, WorkerRow::Builder(*tables.workers_.Find(name))
+                                .ends_seen(seen)
+                                .ends_noted(noted)
+                                .Build());
   AcknowledgeCompletions(tables, tick);
 }
 
