--- a/src/systems/scheduler/commit_progress.cc
+++ b/src/systems/scheduler/commit_progress.cc
@@ -146,8 +146,9 @@
   }
 }
 
-void AnswerCallers(const CommitBatch& batch, SchedulerTick& tick) {
-  for (const CallerWaiting& caller : batch.callers_) {
+void AnswerCallers(const std::vector<CallerWaiting>& callers,
+                   SchedulerTick& tick) {
+  for (const CallerWaiting& caller : callers) {
     LogLine(tick, caller.withdraws() ? "job-cancel-stored" : "job-stored",
             caller.job(), {FieldMs("wait_ms", tick.now() - caller.since())});
     if (caller.withdraws()) {
@@ -161,6 +162,23 @@
   }
 }
 
+// Returns true if the store contains what the caller asked for.
+bool IsStored(const CallerWaiting& caller, const SchedulerTables& tables) {
+  const JobRow* row = tables.jobs_.Find(caller.job());
+  if (row == nullptr) return false;
+  return caller.withdraws() ? row->closed() : row->stored();
+}
+
+// Answers the callers that came while the commit that they wait for was in
+// flight. No other commit of their jobs may follow.
+void AnswerLateCallers(SchedulerTables& tables, SchedulerTick& tick) {
+  const auto stored = std::stable_partition(
+      tables.callers_.begin(), tables.callers_.end(),
+      [&](const CallerWaiting& caller) { return !IsStored(caller, tables); });
+  AnswerCallers({stored, tables.callers_.end()}, tick);
+  tables.callers_.erase(stored, tables.callers_.end());
+}
+
 void FinishCommit(std::int64_t revision, SchedulerTables& tables,
                   SchedulerTick& tick) {
   const CommitBatch batch = std::move(*tables.commit_);
@@ -192,7 +210,8 @@
                      }),
       unacknowledged.end());
   AllowRecoveredWorkers(batch, tables);
-  AnswerCallers(batch, tick);
+  AnswerCallers(batch.callers_, tick);
+  AnswerLateCallers(tables, tick);
   AcknowledgeCompletions(tables, tick);
 }
 
--- a/test/cell/liveness_test.cc
+++ b/test/cell/liveness_test.cc
@@ -562,6 +562,25 @@
   BOOST_TEST(holder.callers_.empty());
 }
 
+// A caller repeats a cancellation while the commit of the first one is in
+// flight. The commit answers the repetition too.
+BOOST_AUTO_TEST_CASE(a_cancellation_during_the_commit_of_the_end_is_answered) {
+  ReadyCell ready;
+  VirtualCell& cell = ready.cell_;
+  const SchedulerTables& holder = cell.scheduler(*cell.Holder());
+  const std::uint64_t job = cell.Submit(Job({Step(1, 500, seconds(30))}));
+  cell.RunFor(milliseconds(500));
+  BOOST_REQUIRE(cell.IsAccepted(job));
+  cell.Cancel(job);
+  for (int i = 0; i < 1000 && !holder.commit_; ++i) {
+    cell.RunFor(microseconds(100));
+  }
+  BOOST_REQUIRE(holder.commit_.has_value());
+  cell.Cancel(job);
+  cell.RunFor(seconds(10));
+  BOOST_TEST(holder.callers_.empty());
+}
+
 // Most of the machines that ever were members are gone for good, and nothing
 // happens but the submission of one job.
 BOOST_AUTO_TEST_CASE(a_minority_of_the_members_carries_out_jobs) {
