--- a/src/systems/gateway/handle_job_calls.cc
+++ b/src/systems/gateway/handle_job_calls.cc
@@ -71,12 +71,12 @@
 }
 
 HolderMessage ToHolderMessage(const JobCall& call, std::uint64_t job,
-                              const std::string& queue) {
+                              const JobQueue& queue) {
   return std::visit(Overloaded{
                         [&](const SubmitCall& submit) -> HolderMessage {
                           const JobDefinition definition =
                               JobDefinition::Builder(**submit.definition())
-                                  .queue(queue)
+                                  .queue(queue.name())
                                   .Build();
                           return SubmitJobRequest::Builder()
                               .ticket(call.ticket())
@@ -84,6 +84,7 @@
                               .record(JobRecord::Builder()
                                           .definition(definition)
                                           .accepted_ms(call.unix_ms())
+                                          .queue(queue)
                                           .Build())
                               .Build();
                         },
@@ -91,7 +92,7 @@
                           if (job == 0) {
                             return ReadPendingCount::Builder()
                                 .ticket(call.ticket())
-                                .queue(queue)
+                                .queue(queue.name())
                                 .Build();
                           }
                           return ReadJobState::Builder()
@@ -130,7 +131,7 @@
   tables.expiries_.Set(call.ticket(), expires_at);
   tick.Emit(SendToHolder::Builder()
                 .connection(*holder)
-                .message(ToHolderMessage(call, job, queue.name()))
+                .message(ToHolderMessage(call, job, queue))
                 .Build());
 }
 
--- a/src/systems/scheduler/track_jobs.cc
+++ b/src/systems/scheduler/track_jobs.cc
@@ -39,18 +39,26 @@
   return longest;
 }
 
+// Returns the configured settings of the job's queue, or those under which the
+// job was accepted if the queue has been removed.
+Shared<JobQueue> QueueOf(const JobRecord& record,
+                         const SchedulerConfiguration& configuration) {
+  const JobQueue* configured =
+      FindQueue(record.definition()->queue(), configuration);
+  if (configured == nullptr) return record.queue();
+  return *configured;
+}
+
 JobRow MakeRow(const JobRecord& record, Instant accepted_at,
                const SchedulerTables& tables) {
-  const JobDefinition& definition = *record.definition();
-  const JobQueue* queue = FindQueue(definition.queue(), tables.configuration_);
-  const JobQueue known = queue == nullptr ? JobQueue() : *queue;
+  const Shared<JobQueue> queue = QueueOf(record, tables.configuration_);
   const auto critical_path = std::chrono::duration_cast<Duration>(
-      CriticalPath(definition) * known.stretch());
+      CriticalPath(*record.definition()) * queue->stretch());
   return JobRow::Builder()
       .record(record)
-      .queue(known)
+      .queue(queue)
       .accepted_at(accepted_at)
-      .due(accepted_at + critical_path + known.objective())
+      .due(accepted_at + critical_path + queue->objective())
       .state(JobState::kQueued)
       .Build();
 }
@@ -148,7 +156,11 @@
 
 void AddSubmittedJob(std::uint64_t job, const JobRecord& record, Instant now,
                      SchedulerTables& tables) {
-  const JobRow row = MakeRow(record, now, tables);
+  // The holder may know a newer configuration than the entry.
+  const JobRecord accepted = JobRecord::Builder(record)
+                                 .queue(QueueOf(record, tables.configuration_))
+                                 .Build();
+  const JobRow row = MakeRow(accepted, now, tables);
   tables.jobs_.Put(job, AddTasks(job, row, {}, TaskStage::kBlocked, tables));
 }
 
--- a/test/core/wire_test.cc
+++ b/test/core/wire_test.cc
@@ -4,6 +4,7 @@
 #include "wire/flex_encoding.h"
 #include "wire/frame_header.h"
 #include "wire/json_encoding.h"
+#include "wire/kvs_record_codec.h"
 #include "wire/message_codec.h"
 #include "wire/record_codec.h"
 
@@ -32,6 +33,53 @@
       .Build();
 }
 
+// A job record of the releases that did not store the queue.
+class RecordWithoutQueue {
+ public:
+  static constexpr std::string_view kName = "job-record";
+
+  RecordWithoutQueue() = default;
+  RecordWithoutQueue(Shared<JobDefinition> definition, std::int64_t accepted_ms)
+      : definition_(std::move(definition)), accepted_ms_(accepted_ms) {}
+
+  friend auto operator<=>(const RecordWithoutQueue&,
+                          const RecordWithoutQueue&) = default;
+
+ private:
+  QUETZALLINE_VALUE(RecordWithoutQueue, definition_, accepted_ms_)
+
+  Shared<JobDefinition> definition_;
+  std::int64_t accepted_ms_ = 0;
+};
+
+// Returns a job whose steps depend on all earlier ones.
+JobDefinition MakeDefinition(std::int32_t count) {
+  std::vector<JobStep> steps;
+  std::vector<std::int32_t> earlier;
+  for (std::int32_t number = 0; number < count; ++number) {
+    steps.push_back(JobStep::Builder().count(1).after(earlier).Build());
+    earlier.push_back(number);
+  }
+  return JobDefinition::Builder()
+      .queue("queue")
+      .spec(std::string(4000, 's'))
+      .steps(std::move(steps))
+      .Build();
+}
+
+JobQueue MakeQueue() {
+  return JobQueue::Builder()
+      .name("queue")
+      .host("jobs.example")
+      .prefix("/jobs/")
+      .service(ServiceName("service"))
+      .priority(3)
+      .max_attempts(4)
+      .stretch(1.5)
+      .objective(std::chrono::seconds(20))
+      .Build();
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(wire)
@@ -114,6 +162,58 @@
   BOOST_TEST(std::get<RequestId>(*decoded).sequence() == 6U);
 }
 
+BOOST_AUTO_TEST_CASE(a_job_record_survives_encoding) {
+  const JobRecord record = JobRecord::Builder()
+                               .definition(MakeDefinition(2))
+                               .accepted_ms(7)
+                               .queue(MakeQueue())
+                               .Build();
+  const auto decoded = DecodeKvsRecord(EncodeKvsRecord(record));
+  BOOST_REQUIRE(decoded);
+  BOOST_TEST((std::get<JobRecord>(*decoded) == record));
+}
+
+BOOST_AUTO_TEST_CASE(a_job_record_without_a_queue_is_decoded) {
+  using Earlier = std::variant<RecordWithoutQueue>;
+  const Earlier earlier = RecordWithoutQueue(MakeDefinition(2), 7);
+  const auto decoded = DecodeKvsRecord(FlexEncoder::Encode(earlier));
+  BOOST_REQUIRE(decoded);
+  BOOST_TEST(
+      (std::get<JobRecord>(*decoded) == JobRecord::Builder()
+                                            .definition(MakeDefinition(2))
+                                            .accepted_ms(7)
+                                            .Build()));
+}
+
+BOOST_AUTO_TEST_CASE(an_earlier_release_decodes_a_job_record_with_a_queue) {
+  using Earlier = std::variant<RecordWithoutQueue>;
+  const std::string bytes = EncodeKvsRecord(JobRecord::Builder()
+                                                .definition(MakeDefinition(2))
+                                                .accepted_ms(7)
+                                                .queue(MakeQueue())
+                                                .Build());
+  const auto decoded = FlexDecoder::Decode<Earlier>(bytes);
+  BOOST_REQUIRE(decoded);
+  BOOST_TEST((std::get<RecordWithoutQueue>(*decoded) ==
+              RecordWithoutQueue(MakeDefinition(2), 7)));
+}
+
+// The store accepts values of up to a megabyte, and a job has up to 256 steps.
+BOOST_AUTO_TEST_CASE(a_stored_job_is_far_smaller_than_the_store_allows) {
+  using Earlier = std::variant<RecordWithoutQueue>;
+  const Earlier earlier = RecordWithoutQueue(MakeDefinition(256), 7);
+  const std::size_t without = FlexEncoder::Encode(earlier).size();
+  const std::size_t with = EncodeKvsRecord(JobRecord::Builder()
+                                               .definition(MakeDefinition(256))
+                                               .accepted_ms(7)
+                                               .queue(MakeQueue())
+                                               .Build())
+                               .size();
+  BOOST_TEST_MESSAGE("bytes: " << with << ", without a queue: " << without);
+  BOOST_TEST(with < (std::size_t{1} << 20) / 4);
+  BOOST_TEST(with < without + 500);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace quetzalline
