--- a/src/systems/scheduler/load_stored_state.cc
+++ b/src/systems/scheduler/load_stored_state.cc
@@ -103,9 +103,6 @@
   RestoreJobs(tables, tick.now());
   tables.loaded_items_.clear();
   tables.stage_ = HolderActing::Builder().since(tick.now()).Build();
-  tables.term_ = HolderTerm::Builder(tables.term_)
-                     .settled(tables.tasks_.unreconciled().empty())
-                     .Build();
   LogLine(
       tick, "cell-loaded", 0,
       {Field("epoch", tables.term_.epoch()), Field("jobs", tables.jobs_.size()),
--- a/src/systems/scheduler/reconcile_tasks.cc
+++ b/src/systems/scheduler/reconcile_tasks.cc
@@ -6,6 +6,7 @@
 #include "systems/cell/max_lease_duration.h"
 #include "systems/scheduler/confirm_epoch.h"
 #include "systems/scheduler/track_jobs.h"
+#include "systems/scheduler/track_lost_workers.h"
 
 namespace quetzalline {
 namespace {
@@ -14,6 +15,48 @@
 // before it treats unresponsive runners as lost.
 constexpr Duration kMaxReconcileTime = std::chrono::milliseconds(9000);
 
+// Returns true if it is known what runs on the worker.
+bool IsKnown(const MemberName& name, const WorkerRow& worker,
+             const SchedulerTables& tables) {
+  return worker.reported() || tables.confirmed_lost_.count(name) > 0;
+}
+
+// Returns the time at which all leases granted by earlier holders have
+// certainly expired; empty before a majority of the runners follows this one.
+std::optional<Instant> EarlierLeasesExpireAt(const SchedulerTables& tables) {
+  const std::optional<Instant> majority_since = tables.term_.majority_since();
+  if (!majority_since) return std::nullopt;
+  return *majority_since + kContactWindow +
+         MaxLeaseDuration(tables.policy_.task_lease());
+}
+
+// Records that nothing runs on the workers of which this holder has heard
+// nothing, so that the next one need not wait for them again.
+void MarkUnansweredLost(SchedulerTables& tables, SchedulerTick& tick) {
+  const std::optional<Instant> expire_at = EarlierLeasesExpireAt(tables);
+  // A later holder may have renewed leases before the epoch was confirmed.
+  if (!expire_at || tables.term_.confirmed_at() < *expire_at) return;
+  for (const auto& [name, worker] : tables.workers_) {
+    const bool granted = worker.granted_at() != Instant();
+    if (granted || IsKnown(name, worker, tables)) continue;
+    MarkConfirmedLost(name, tables, tick);
+  }
+}
+
+void ReleaseTasks(SchedulerTables& tables, Instant now) {
+  const std::set<TaskKey> unknown_tasks = tables.tasks_.unreconciled();
+  std::set<std::pair<std::uint64_t, std::int32_t>> occurrences;
+  for (const TaskKey& key : unknown_tasks) {
+    const JobTask* task = tables.tasks_.Find(key);
+    tables.tasks_.Put(
+        key, JobTask::Builder(*task).stage(TaskStage::kBlocked).Build());
+    occurrences.insert({key.job(), key.occurrence()});
+  }
+  for (const auto& [job, occurrence] : occurrences) {
+    UnlockSteps(job, occurrence, now, tables);
+  }
+}
+
 }  // namespace
 
 void ReconcileTasks(SchedulerTables& tables, SchedulerTick& tick) {
@@ -27,8 +70,7 @@
     const MemberRow* member = tables.members_.Find(name);
     ++runners;
     if (worker.reported()) ++reported;
-    const bool known =
-        worker.reported() || tables.confirmed_lost_.count(name) > 0;
+    const bool known = IsKnown(name, worker, tables);
     if (known) ++answered;
     if (!known && member != nullptr && member->connection()) answer_due = true;
   }
@@ -40,10 +82,8 @@
   // busy, so it gets twice the time.
   Instant resolved_at = acting->since() + (answer_due ? 2 * kMaxReconcileTime
                                                       : kMaxReconcileTime);
-  if (tables.term_.majority_since()) {
-    resolved_at = std::min(resolved_at,
-                           *tables.term_.majority_since() + kContactWindow +
-                               MaxLeaseDuration(tables.policy_.task_lease()));
+  if (const auto expire_at = EarlierLeasesExpireAt(tables)) {
+    resolved_at = std::min(resolved_at, *expire_at);
   }
   if (answered < runners) {
     if (tick.now() < resolved_at) return tick.WakeAt(resolved_at);
@@ -57,17 +97,8 @@
   LogLine(tick, "tasks-reconciled", 0,
           {Field("runners", runners), Field("answered", answered),
            Field("tasks", tables.tasks_.unreconciled().size())});
-  const std::set<TaskKey> unknown_tasks = tables.tasks_.unreconciled();
-  std::set<std::pair<std::uint64_t, std::int32_t>> occurrences;
-  for (const TaskKey& key : unknown_tasks) {
-    const JobTask* task = tables.tasks_.Find(key);
-    tables.tasks_.Put(
-        key, JobTask::Builder(*task).stage(TaskStage::kBlocked).Build());
-    occurrences.insert({key.job(), key.occurrence()});
-  }
-  for (const auto& [job, occurrence] : occurrences) {
-    UnlockSteps(job, occurrence, tick.now(), tables);
-  }
+  MarkUnansweredLost(tables, tick);
+  ReleaseTasks(tables, tick.now());
 }
 
 }  // namespace quetzalline
--- a/src/systems/scheduler/reconcile_tasks.h
+++ b/src/systems/scheduler/reconcile_tasks.h
@@ -7,7 +7,8 @@
 namespace quetzalline {
 
 /// Reconciles the tasks of an earlier term whose state is unknown: releases
-/// them for placement once no worker can still be running them.
+/// them for placement once no worker can still be running them. Records the
+/// workers that have not answered by then as confirmed lost.
 void ReconcileTasks(SchedulerTables& tables, SchedulerTick& tick);
 
 }  // namespace quetzalline
--- a/src/tables/holder_term.h
+++ b/src/tables/holder_term.h
@@ -33,7 +33,8 @@
   bool restore_holder() const { return restore_holder_; }
   /// Time at which the store last confirmed this epoch.
   Instant confirmed_at() const { return confirmed_at_; }
-  /// Returns true once no task has an unknown state.
+  /// Returns true once no task has an unknown state and the workers that did
+  /// not answer are recorded as lost.
   bool settled() const { return settled_; }
   /// Time at which a majority of the runners first accepted this epoch.
   const std::optional<Instant>& majority_since() const {
--- /dev/null
+++ b/test/cell/takeover_test.cc
@@ -0,0 +1,111 @@
+#include <boost/test/unit_test.hpp>
+
+#include "support/placement_fleet.h"
+#include "systems/scheduler/reconcile_tasks.h"
+
+namespace quetzalline {
+namespace {
+
+using std::chrono::seconds;
+
+// A holder that has taken over from another one. The task of its only job may
+// be running on one of the workers that have not reported yet.
+struct TakeoverFleet {
+  explicit TakeoverFleet(int silent) : fleet_(5) {
+    const JobStep step = JobStep::Builder()
+                             .count(1)
+                             .cpu(1000)
+                             .memory_mb(100)
+                             .estimate(seconds(60))
+                             .Build();
+    const TaskKey key = TaskKey::Builder().job(fleet_.AddJob(step)).Build();
+    run_ = RunKey::Builder().task(key).run(1).Build();
+    SchedulerTables& tables = fleet_.tables();
+    tables.tasks_.Put(key, JobTask::Builder(*tables.tasks_.Find(key))
+                               .stage(TaskStage::kInDoubt)
+                               .run(1)
+                               .Build());
+    tables.term_ = HolderTerm::Builder(tables.term_).settled(false).Build();
+    facts_ = *tables.workers_.Find(kLast)->facts();
+    for (int worker = 5 - silent; worker < 5; ++worker) {
+      tables.workers_.Put(PlacementFleet::Name(worker), WorkerRow());
+    }
+  }
+
+  // Handles a complete report of the last runner, whose worker runs the task.
+  void ReportRun(Duration since_takeover, bool more_ends) {
+    SchedulerTables& tables = fleet_.tables();
+    SchedulerTick tick(kFleetNow + since_takeover, random_, tables.counters_);
+    HandleReport(ConnectionId(5),
+                 WorkerReport::Builder()
+                     .whole(true)
+                     .more_ends(more_ends)
+                     .facts(facts_)
+                     .running({RunProgress::Builder().run(run_).Build()})
+                     .Build(),
+                 tables, tick);
+  }
+
+  // Reconciles the tasks; the store has just confirmed the epoch.
+  void Reconcile(Duration since_takeover) {
+    const Instant now = kFleetNow + since_takeover;
+    SchedulerTables& tables = fleet_.tables();
+    SchedulerTick tick(now, random_, tables.counters_);
+    tables.term_ = HolderTerm::Builder(tables.term_).confirmed_at(now).Build();
+    ReconcileTasks(tables, tick);
+  }
+
+  TaskStage Stage() {
+    return fleet_.tables().tasks_.Find(run_.task())->stage();
+  }
+  bool IsSettled() { return fleet_.tables().term_.settled(); }
+  std::size_t RecordedAsLost() {
+    return fleet_.tables().confirmed_lost_changes_.size();
+  }
+
+  const MemberName kLast = PlacementFleet::Name(4);
+  PlacementFleet fleet_;
+  RunKey run_;
+  WorkerDescription facts_;
+  Random random_{1};
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(takeovers)
+
+// Once a majority of the runners has followed this holder for as long as a
+// lease of an earlier holder lasts, nothing runs on the others.
+BOOST_AUTO_TEST_CASE(a_takeover_records_unanswered_workers_as_lost) {
+  TakeoverFleet takeover(2);
+  takeover.Reconcile(Duration());
+  takeover.Reconcile(seconds(5));
+  BOOST_TEST(takeover.RecordedAsLost() == 0U);
+  takeover.Reconcile(seconds(8));
+  BOOST_TEST(takeover.IsSettled());
+  BOOST_TEST(takeover.RecordedAsLost() == 2U);
+}
+
+// Without a majority, an earlier holder may still grant leases.
+BOOST_AUTO_TEST_CASE(a_takeover_in_a_minority_records_no_worker_as_lost) {
+  TakeoverFleet takeover(3);
+  takeover.Reconcile(Duration());
+  takeover.Reconcile(seconds(19));
+  BOOST_TEST(takeover.IsSettled());
+  BOOST_TEST(takeover.RecordedAsLost() == 0U);
+}
+
+// This holder granted a lease to the last worker.
+BOOST_AUTO_TEST_CASE(a_worker_with_a_lease_is_not_recorded_as_lost) {
+  TakeoverFleet takeover(2);
+  takeover.Reconcile(Duration());
+  takeover.ReportRun(seconds(1), true);
+  takeover.Reconcile(seconds(8));
+  BOOST_TEST(takeover.RecordedAsLost() == 1U);
+  BOOST_TEST(takeover.fleet_.tables().confirmed_lost_changes_.count(
+                 takeover.kLast) == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace quetzalline
