--- a/src/systems/scheduler/choose_worker.cc
+++ b/src/systems/scheduler/choose_worker.cc
@@ -175,14 +175,12 @@
     return std::nullopt;
   }
   const bool quarantined = worker.rests_until() > tables.last_tick_;
-  // Long-running services have to run somewhere; other tasks wait until the
-  // quarantine ends.
-  if (quarantined && !step.long_running()) {
-    ++causes.quarantined_;
-    return std::nullopt;
-  }
   WorkerCandidate candidate;
   candidate.worker_ = name;
+  // Long-running services have to run somewhere; other tasks wait until the
+  // quarantine ends or they are overdue.
+  candidate.quarantined_ = quarantined && !step.long_running();
+  if (candidate.quarantined_) ++causes.quarantined_;
   bool low_interference = false;
   if (step.fills() && use.serving_cpu() > 0) {
     const InterferenceForecast forecast =
@@ -223,7 +221,8 @@
   double least = 0.0;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const WorkerCandidate& candidate = candidates[i];
-    if (candidate.interferes_ && !overdue) continue;
+    const bool avoided = candidate.interferes_ || candidate.quarantined_;
+    if (avoided && !overdue) continue;
     const double cost =
         candidate.cost_ +
         (candidate.worker_ == failed_on ? kLastResortCost : 0.0);
--- a/src/systems/scheduler/choose_worker.h
+++ b/src/systems/scheduler/choose_worker.h
@@ -27,6 +27,10 @@
   /// True if the task would raise the tail latency of services on the worker
   /// too far. Such a candidate is used only for overdue tasks.
   bool interferes_ = false;
+  /// True if the worker is in quarantine or back-off and the task can wait for
+  /// its end. Such a candidate is used only for overdue tasks, if there is no
+  /// other.
+  bool quarantined_ = false;
 };
 
 /// Counts the schedulable workers that cannot take a task of a step, by cause.
@@ -43,9 +47,9 @@
 
 /// Returns the worker as a candidate for a task of the step, or nothing if the
 /// task cannot start there; `causes` then counts the cause. A candidate that
-/// would interfere is returned and counted as well. Urgent and best-effort
-/// tasks prefer workers with free capacity; services are packed on workers that
-/// run services already.
+/// would interfere or is quarantined is returned and counted as well. Urgent
+/// and best-effort tasks prefer workers with free capacity; services are packed
+/// on workers that run services already.
 std::optional<WorkerCandidate> EvaluateWorker(
     const StepKey& key, const JobStep& step, const ServiceName& service,
     const MemberName& name, const SchedulerTables& tables, WaitCauses& causes);
@@ -59,7 +63,8 @@
     WaitCauses& causes);
 
 /// Returns the index of the candidate with the lowest cost, or nothing if there
-/// is none. Candidates that would interfere are considered only if `overdue`.
+/// is none. Candidates that would interfere or are quarantined are considered
+/// only if `overdue`.
 /// The worker `failed_on`, on which the task has failed before, is used only if
 /// there is no other.
 std::optional<std::size_t> BestCandidate(
--- a/src/systems/scheduler/finish_job.cc
+++ b/src/systems/scheduler/finish_job.cc
@@ -21,27 +21,62 @@
          "." + std::to_string(key.index());
 }
 
+// Returns true if at most half of the service's workers have reached the number
+// of failures for a quarantine. If more have, the failures do not distinguish
+// one worker from the others: the tasks are at fault.
+bool AreMostWorkersSound(const ServiceName& service,
+                         const SchedulerTables& tables) {
+  std::size_t workers = 0;
+  std::size_t failing = 0;
+  for (const auto& [name, worker] : tables.workers_) {
+    if (!worker.reported() || !worker.facts()) continue;
+    if (worker.facts()->service() != service) continue;
+    ++workers;
+    if (worker.failures() >= kFailuresBeforeQuarantine) ++failing;
+  }
+  return 2 * failing <= workers;
+}
+
+// Returns true if the end of a run of the task, which may be unknown, is
+// evidence about its worker. A task that has failed before, on another worker
+// if there was one, is more likely to be at fault than the worker.
+bool IsEvidence(const JobTask* task, RunOutcome outcome) {
+  if (task == nullptr) return true;
+  if (task->step()->long_running()) return false;
+  return outcome != RunOutcome::kFailed || task->failed_runs().empty();
+}
+
 // Counts the failures of a worker since its last successful run and quarantines
-// it after too many.
-void CountOutcome(const MemberName& name, RunOutcome outcome, Instant now,
-                  SchedulerTables& tables) {
+// it after too many, unless most workers of its service fail as well. The task
+// may be unknown.
+void CountOutcome(const MemberName& name, const JobTask* task,
+                  RunOutcome outcome, Instant now, SchedulerTables& tables) {
   const WorkerRow* worker = tables.workers_.Find(name);
-  if (worker == nullptr) return;
+  if (worker == nullptr || !IsEvidence(task, outcome)) return;
   if (outcome == RunOutcome::kDone) {
     if (worker->failures() == 0) return;
     tables.workers_.Put(name, WorkerRow::Builder(*worker).failures(0).Build());
     return;
   }
   if (outcome != RunOutcome::kFailed) return;
-  WorkerRow::Builder builder(*worker);
-  const std::int32_t failures = worker->failures() + 1;
-  builder.failures(failures);
-  if (failures >= kFailuresBeforeQuarantine) {
-    const std::int32_t shift =
-        std::min(failures - kFailuresBeforeQuarantine, kMaxQuarantineShift);
-    builder.rests_until(now + kInitialQuarantine * (1 << shift));
+  // Runs that end during a quarantine were started before it, so their failures
+  // are no further evidence.
+  if (worker->failures() >= kFailuresBeforeQuarantine &&
+      now < worker->rests_until()) {
+    return;
   }
-  tables.workers_.Put(name, builder.Build());
+  const std::int32_t failures = worker->failures() + 1;
+  const WorkerRow counted =
+      WorkerRow::Builder(*worker).failures(failures).Build();
+  tables.workers_.Put(name, counted);
+  if (failures < kFailuresBeforeQuarantine || !counted.facts()) return;
+  if (!AreMostWorkersSound(counted.facts()->service(), tables)) return;
+  const std::int32_t shift =
+      std::min(failures - kFailuresBeforeQuarantine, kMaxQuarantineShift);
+  tables.workers_.Put(name,
+                      WorkerRow::Builder(counted)
+                          .rests_until(now + kInitialQuarantine * (1 << shift))
+                          .Build());
 }
 
 void FinishTask(const TaskKey& key, const JobTask& task,
@@ -184,8 +219,7 @@
                   SchedulerTables& tables, SchedulerTick& tick) {
   const TaskKey& key = end.run().task();
   const JobTask* task = tables.tasks_.Find(key);
-  const bool is_service = task != nullptr && task->step()->long_running();
-  if (!is_service) CountOutcome(worker, end.outcome(), tick.now(), tables);
+  CountOutcome(worker, task, end.outcome(), tick.now(), tables);
   if (task == nullptr) return;
   const JobRow* job = tables.jobs_.Find(key.job());
   // A completion is acknowledged only once its job's final state is stored.
--- a/src/systems/scheduler/place_runs.cc
+++ b/src/systems/scheduler/place_runs.cc
@@ -165,6 +165,7 @@
       candidates.begin() + static_cast<std::ptrdiff_t>(position);
   // Each worker is counted once.
   if (candidate->interferes_) --placement.causes_.interference_;
+  if (candidate->quarantined_) --placement.causes_.quarantined_;
   const auto updated =
       EvaluateWorker(placement.key_, placement.step(), placement.service_,
                      candidate->worker_, tables, placement.causes_);
@@ -175,24 +176,37 @@
   }
 }
 
+// Returns true if the task has waited so long, beside free capacity, that it
+// may use workers that are otherwise avoided.
+bool IsOverdue(const JobTask& task, bool half_free,
+               const SchedulerTables& tables, Instant now) {
+  return half_free &&
+         now - task.ready_since() > tables.policy_.placement().longest_wait();
+}
+
 // Places all tasks of a gang as one run, or none of them. Returns false if not
 // all of them found a worker.
-bool PlaceGang(const std::vector<TaskKey>& tasks, StepPlacement& placement,
-               SchedulerTables& tables, SchedulerTick& tick) {
+bool PlaceGang(const std::vector<TaskKey>& tasks, bool half_free,
+               StepPlacement& placement, SchedulerTables& tables,
+               SchedulerTick& tick) {
   const JobStep& step = placement.step();
   if (tasks.size() != static_cast<std::size_t>(step.count())) return true;
   std::int64_t run = 0;
   std::string checkpoint;
+  bool overdue = true;
   std::vector<JobTask> previous;
   for (const TaskKey& task : tasks) {
     previous.push_back(*tables.tasks_.Find(task));
+    overdue =
+        overdue && IsOverdue(previous.back(), half_free, tables, tick.now());
     if (previous.back().run() >= run && !previous.back().checkpoint().empty()) {
       checkpoint = previous.back().checkpoint();
     }
     run = std::max(run, NextRun(previous.back(), tables));
   }
   for (std::size_t i = 0; i < tasks.size(); ++i) {
-    const auto best = BestCandidate(placement.candidates_, false, MemberName());
+    const auto best =
+        BestCandidate(placement.candidates_, overdue, MemberName());
     if (!best) {
       for (std::size_t k = 0; k < i; ++k) {
         tables.tasks_.Put(tasks[k], previous[k]);
@@ -215,9 +229,7 @@
   bool placed_all = true;
   for (const TaskKey& task : tasks) {
     const JobTask& row = *tables.tasks_.Find(task);
-    const bool overdue =
-        half_free && tick.now() - row.ready_since() >
-                         tables.policy_.placement().longest_wait();
+    const bool overdue = IsOverdue(row, half_free, tables, tick.now());
     if (!placed_all && !overdue) continue;
     const MemberName failed_on =
         row.failed_runs().empty() ? MemberName() : row.worker();
@@ -272,7 +284,7 @@
   const std::vector<TaskKey> tasks = TasksOf(key, ready->second);
   const bool placed =
       placement.step().gang()
-          ? PlaceGang(tasks, placement, tables, tick)
+          ? PlaceGang(tasks, half_free, placement, tables, tick)
           : PlaceTasks(tasks, half_free, placement, tables, tick);
   if (!placed) LogWait(placement, schedulable.size(), tables, tick);
   return placed;
--- a/test/cell/cell_test.cc
+++ b/test/cell/cell_test.cc
@@ -321,8 +321,9 @@
   }
 }
 
-// The failures of one job quarantine the only worker. A long-running service
-// must start there all the same, or it would have nowhere to run.
+// All tasks of one job fail on the only worker. A long-running service must
+// start there all the same, or it would have nowhere to run. A worker that is
+// quarantined is in liveness/long_running_tasks_use_a_quarantined_worker_last.
 BOOST_AUTO_TEST_CASE(a_quarantined_worker_still_gets_long_running_tasks) {
   VirtualCell cell(1, 1, 3);
   cell.RunFor(seconds(3));
@@ -333,7 +334,7 @@
                       .Build());
   cell.worker(0).SetFailPercent(100);
   cell.RunFor(seconds(1));
-  // The only worker is quarantined, but still takes long-running tasks.
+  // The only worker still takes long-running tasks.
   const std::uint64_t service_job = cell.Submit(LongRunningJob());
   cell.RunFor(seconds(1));
   BOOST_TEST(cell.log().StartsOf(failing) >= 8);
--- a/test/cell/liveness_test.cc
+++ b/test/cell/liveness_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <vector>
 
@@ -85,6 +86,14 @@
   return running;
 }
 
+std::size_t QuarantinedWorkers(VirtualCell& cell) {
+  std::size_t quarantined = 0;
+  for (const auto& [name, worker] : cell.scheduler(*cell.Holder()).workers_) {
+    if (worker.rests_until() > cell.now()) ++quarantined;
+  }
+  return quarantined;
+}
+
 // Puts a configuration without queues in force.
 void RemoveQueues(VirtualCell& cell) {
   cell.kv().Put(std::string(kConfigurationKey),
@@ -260,6 +269,94 @@
   BOOST_TEST(waited.count() < kMaxWait.count());
 }
 
+// Many jobs whose tasks fail by their own fault keep coming. They say nothing
+// about a single worker, so other work must not wait for free workers.
+BOOST_AUTO_TEST_CASE(a_wave_of_failing_jobs_delays_no_other_job) {
+  ReadyCell ready;
+  VirtualCell& cell = ready.cell_;
+  for (std::size_t i = 0; i < cell.agents(); ++i) {
+    cell.worker(i).SetFailPercent(100);
+  }
+  milliseconds longest{0};
+  for (int wave = 0; wave < 10; ++wave) {
+    for (int i = 0; i < 8; ++i) {
+      cell.Submit(Job({Step(5, 500, milliseconds(200))}));
+    }
+    cell.RunFor(seconds(2));
+    BOOST_TEST(2 * QuarantinedWorkers(cell) <= cell.agents());
+    const std::uint64_t job =
+        cell.Submit(Job({Step(1, 500, milliseconds(100))}));
+    longest = std::max(longest, TimeUntil(cell, seconds(30), [&] {
+                         return cell.log().StartsOf(job) > 0;
+                       }));
+  }
+  BOOST_TEST(longest.count() < kMaxWait.count());
+}
+
+// One worker fails every task. While others are free, it gets none, so that the
+// attempts of tasks are not used up there.
+BOOST_AUTO_TEST_CASE(a_worker_that_fails_every_task_is_avoided) {
+  ReadyCell ready;
+  VirtualCell& cell = ready.cell_;
+  cell.worker(0).SetFailPercent(100);
+  cell.Submit(Job({Step(40, 1000, milliseconds(200))}));
+  cell.RunFor(seconds(1));
+  for (int i = 0; i < 20; ++i) {
+    cell.Submit(Job({Step(10, 1000, milliseconds(200))}));
+    cell.RunFor(milliseconds(40));
+    BOOST_TEST(cell.worker(0).running() == 0U);
+  }
+}
+
+// A task can run only on a worker in quarantine. It may wait for the end of the
+// quarantine, but not for ever.
+BOOST_AUTO_TEST_CASE(an_overdue_task_uses_a_quarantined_worker) {
+  PlacementFleet fleet(4);
+  SchedulerTables& tables = fleet.tables();
+  const MemberName name = PlacementFleet::Name(0);
+  const WorkerRow row = *tables.workers_.Find(name);
+  tables.workers_.Put(name, WorkerRow::Builder(row)
+                                .facts(WorkerDescription::Builder(*row.facts())
+                                           .labels({"label"})
+                                           .Build())
+                                .rests_until(kFleetNow + seconds(16))
+                                .Build());
+  const JobStep step = JobStep::Builder(Step(1, 1000, milliseconds(100)))
+                           .required_label("label")
+                           .Build();
+  const JobStep gang = JobStep::Builder(step).gang(true).Build();
+  const std::uint64_t fresh = fleet.AddJob(step);
+  const std::uint64_t fresh_gang = fleet.AddJob(gang);
+  const std::uint64_t overdue = fleet.AddJob(step, milliseconds(1500));
+  const std::uint64_t overdue_gang = fleet.AddJob(gang, milliseconds(1500));
+  fleet.Place();
+  BOOST_TEST(fleet.Waiting(fresh) == 1U);
+  BOOST_TEST(fleet.Waiting(fresh_gang) == 1U);
+  BOOST_TEST(fleet.Waiting(overdue) == 0U);
+  BOOST_TEST(fleet.Waiting(overdue_gang) == 0U);
+}
+
+// A long-running task starts on a quarantined worker at once if there is no
+// other, and on another if there is one.
+BOOST_AUTO_TEST_CASE(long_running_tasks_use_a_quarantined_worker_last) {
+  PlacementFleet fleet(2);
+  SchedulerTables& tables = fleet.tables();
+  const MemberName name = PlacementFleet::Name(0);
+  tables.workers_.Put(name, WorkerRow::Builder(*tables.workers_.Find(name))
+                                .rests_until(kFleetNow + seconds(16))
+                                .Build());
+  const JobStep step =
+      JobStep::Builder(Step(1, kFleetMillicores, milliseconds(100)))
+          .long_running(true)
+          .Build();
+  fleet.AddJob(step);
+  fleet.Place();
+  BOOST_TEST(fleet.TasksOnWorker(0) == 0U);
+  fleet.AddJob(step);
+  fleet.Place();
+  BOOST_TEST(fleet.TasksOnWorker(0) == 1U);
+}
+
 // A new configuration removes the queue of an accepted job. The next holder
 // has to carry the job out all the same.
 BOOST_AUTO_TEST_CASE(a_takeover_keeps_jobs_of_a_removed_queue) {
