--- a/src/systems/scheduler/choose_worker.cc
+++ b/src/systems/scheduler/choose_worker.cc
@@ -147,13 +147,16 @@
   return schedulable;
 }
 
-bool IsHalfFree(const std::vector<MemberName>& schedulable,
+bool IsHalfFree(const ServiceName& service,
+                const std::vector<MemberName>& schedulable,
                 const SchedulerTables& tables) {
   std::int64_t reserved = 0;
   std::int64_t capacity = 0;
   for (const MemberName& name : schedulable) {
+    const WorkerDescription& facts = *tables.workers_.Find(name)->facts();
+    if (facts.service() != service) continue;
     reserved += tables.tasks_.UseOf(name).cpu();
-    capacity += tables.workers_.Find(name)->facts()->cpu();
+    capacity += facts.cpu();
   }
   return 2 * reserved < capacity;
 }
--- a/src/systems/scheduler/choose_worker.h
+++ b/src/systems/scheduler/choose_worker.h
@@ -15,8 +15,10 @@
 std::vector<MemberName> SchedulableWorkers(const SchedulerTables& tables,
                                            Instant now);
 
-/// Returns true if less than half of the schedulable workers' CPU is reserved.
-bool IsHalfFree(const std::vector<MemberName>& schedulable,
+/// Returns true if less than half of the CPU of the service's schedulable
+/// workers is reserved.
+bool IsHalfFree(const ServiceName& service,
+                const std::vector<MemberName>& schedulable,
                 const SchedulerTables& tables);
 
 /// A worker that can run a task of a step.
--- a/src/systems/scheduler/place_runs.cc
+++ b/src/systems/scheduler/place_runs.cc
@@ -269,8 +269,7 @@
 }
 
 // Places the ready tasks of a step. Returns true if all of them found a worker.
-bool PlaceStep(const StepKey& key, bool half_free,
-               const std::vector<MemberName>& schedulable,
+bool PlaceStep(const StepKey& key, const std::vector<MemberName>& schedulable,
                SchedulerTables& tables, SchedulerTick& tick) {
   const JobRow* job = tables.jobs_.Find(key.job());
   StepPlacement placement;
@@ -280,6 +279,7 @@
   placement.candidates_ =
       FindCandidates(key, placement.step(), placement.service_, schedulable,
                      tables, placement.causes_);
+  const bool half_free = IsHalfFree(placement.service_, schedulable, tables);
   const auto ready = tables.tasks_.ready().find(key);
   const std::vector<TaskKey> tasks = TasksOf(key, ready->second);
   const bool placed =
@@ -302,11 +302,9 @@
   tables.next_placement_ = tick.now() + kPlacementInterval;
   const std::vector<MemberName> schedulable =
       SchedulableWorkers(tables, tick.now());
-  const bool half_free = IsHalfFree(schedulable, tables);
   bool placed_all = true;
   for (const ReadyStep& step : RankReadySteps(tables, tick.now())) {
-    placed_all = PlaceStep(step.key_, half_free, schedulable, tables, tick) &&
-                 placed_all;
+    placed_all = PlaceStep(step.key_, schedulable, tables, tick) && placed_all;
   }
   // While ready tasks are left without a worker, passes are long and changes
   // are frequent.
