--- a/src/systems/scheduler/choose_worker.cc
+++ b/src/systems/scheduler/choose_worker.cc
@@ -23,19 +23,6 @@
          facts.labels().end();
 }
 
-bool Fits(const JobStep& step, const WorkerDescription& facts,
-          const WorkerUse& use, const PlacementPolicy& policy) {
-  if (use.memory_mb() + step.memory_mb() > facts.memory_mb()) return false;
-  if (use.gpu() + step.gpu() > facts.gpu()) return false;
-  // Best-effort tasks may use the unreserved CPU and the part of the services'
-  // reservations that is assumed unused. They do not reduce the CPU that other
-  // tasks can reserve.
-  const std::int64_t unused = use.serving_cpu() * policy.unused_percent() / 100;
-  const std::int64_t taken =
-      step.fills() ? use.cpu() + use.fill_cpu() - unused : use.cpu();
-  return taken + step.cpu() <= facts.cpu();
-}
-
 // Returns the placement cost; lower is better. Reduces interference by packing
 // services on few workers and best-effort tasks on the others. Reduces data
 // transfer by preferring workers in the rack of the step's data.
@@ -112,18 +99,6 @@
   return !forecast.unmeasured_ || !HasUnmeasuredPair(name, tables);
 }
 
-// Returns true if the worker has the label that the step requires and runs
-// fewer tasks of the step than the limit per worker.
-bool IsSuitable(const StepKey& key, const JobStep& step, const MemberName& name,
-                const WorkerDescription& facts, const SchedulerTables& tables) {
-  if (!step.required_label().empty() &&
-      !HasLabel(facts, step.required_label())) {
-    return false;
-  }
-  return step.most_per_worker() == 0 ||
-         tables.tasks_.CountOnWorker(key, name) < step.most_per_worker();
-}
-
 bool IsSchedulable(const MemberName& name, const WorkerRow& worker,
                    const SchedulerTables& tables, Instant now) {
   if (!worker.reported() || !worker.facts()) return false;
@@ -161,14 +136,40 @@
   return 2 * reserved < capacity;
 }
 
+bool IsSuitable(const JobStep& step, const ServiceName& service,
+                const WorkerDescription& facts) {
+  return facts.service() == service && (step.required_label().empty() ||
+                                        HasLabel(facts, step.required_label()));
+}
+
+bool AllowsTask(const StepKey& key, const JobStep& step, const MemberName& name,
+                std::int32_t added, const SchedulerTables& tables) {
+  return step.most_per_worker() == 0 ||
+         tables.tasks_.CountOnWorker(key, name) + added <
+             step.most_per_worker();
+}
+
+bool Fits(const JobStep& step, const WorkerDescription& facts,
+          const WorkerUse& use, const PlacementPolicy& policy) {
+  if (use.memory_mb() + step.memory_mb() > facts.memory_mb()) return false;
+  if (use.gpu() + step.gpu() > facts.gpu()) return false;
+  // Best-effort tasks may use the unreserved CPU and the part of the services'
+  // reservations that is assumed unused. They do not reduce the CPU that other
+  // tasks can reserve.
+  const std::int64_t unused = use.serving_cpu() * policy.unused_percent() / 100;
+  const std::int64_t taken =
+      step.fills() ? use.cpu() + use.fill_cpu() - unused : use.cpu();
+  return taken + step.cpu() <= facts.cpu();
+}
+
 std::optional<WorkerCandidate> EvaluateWorker(
     const StepKey& key, const JobStep& step, const ServiceName& service,
     const MemberName& name, const SchedulerTables& tables, WaitCauses& causes) {
   const PlacementPolicy& policy = tables.policy_.placement();
   const WorkerRow& worker = *tables.workers_.Find(name);
   const WorkerDescription& facts = *worker.facts();
-  if (facts.service() != service ||
-      !IsSuitable(key, step, name, facts, tables)) {
+  if (!IsSuitable(step, service, facts) ||
+      !AllowsTask(key, step, name, 0, tables)) {
     ++causes.unsuitable_;
     return std::nullopt;
   }
--- a/src/systems/scheduler/choose_worker.h
+++ b/src/systems/scheduler/choose_worker.h
@@ -21,6 +21,21 @@
                 const std::vector<MemberName>& schedulable,
                 const SchedulerTables& tables);
 
+/// Returns true if the worker belongs to the service and has the label that the
+/// step requires.
+bool IsSuitable(const JobStep& step, const ServiceName& service,
+                const WorkerDescription& facts);
+
+/// Returns true if the worker may run one more task of the step beside those
+/// that run there and `added` others, by the step's limit per worker.
+bool AllowsTask(const StepKey& key, const JobStep& step, const MemberName& name,
+                std::int32_t added, const SchedulerTables& tables);
+
+/// Returns true if a worker with this use has the capacity for one more task of
+/// the step.
+bool Fits(const JobStep& step, const WorkerDescription& facts,
+          const WorkerUse& use, const PlacementPolicy& policy);
+
 /// A worker that can run a task of a step.
 struct WorkerCandidate {
   MemberName worker_;
--- a/src/systems/scheduler/reclaim_capacity.cc
+++ b/src/systems/scheduler/reclaim_capacity.cc
@@ -3,21 +3,26 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <set>
+#include <utility>
 #include <vector>
 
 #include "systems/cell/log_fields.h"
 #include "systems/scheduler/choose_worker.h"
 #include "systems/scheduler/finish_job.h"
 #include "systems/scheduler/leader_election.h"
+#include "systems/scheduler/plan_preemption.h"
 
 namespace quetzalline {
 namespace {
 
 // Urgent work that has waited this long preempts a long-running task.
 constexpr Duration kMaxUrgentWait = std::chrono::milliseconds(250);
-// Long-running tasks are preempted one at a time, at this interval, so that the
-// capacity of one is in use before the next is stopped.
+// Long-running tasks are preempted for one task or gang at a time, at this
+// interval, so that their capacity is in use before the next are stopped.
 constexpr Duration kPreemptionInterval = std::chrono::milliseconds(700);
+// Interval of searches that found nothing to preempt.
+constexpr Duration kPreemptionSearchInterval = std::chrono::milliseconds(100);
 // Best-effort tasks must have waited this long before a worker is cleared for
 // them.
 constexpr Duration kMaxBestEffortWait = std::chrono::milliseconds(600);
@@ -31,19 +36,22 @@
 // A task is not moved again for this long after its placement.
 constexpr Duration kMinTimeBetweenMoves = std::chrono::milliseconds(5000);
 
-// Returns the longest wait of a ready task whose step matches the predicate.
-template <typename Kind>
-Duration LongestWait(const SchedulerTables& tables, Instant now, Kind&& kind) {
+// Returns the first of a step's ready tasks.
+TaskKey FirstOf(const StepKey& key, const std::set<std::int32_t>& indexes) {
+  return TaskKey::Builder()
+      .job(key.job())
+      .occurrence(key.occurrence())
+      .step(key.step())
+      .index(*indexes.begin())
+      .Build();
+}
+
+// Returns the longest wait of a ready best-effort task.
+Duration LongestBestEffortWait(const SchedulerTables& tables, Instant now) {
   Duration longest{};
   for (const auto& [key, indexes] : tables.tasks_.ready()) {
-    const TaskKey first = TaskKey::Builder()
-                              .job(key.job())
-                              .occurrence(key.occurrence())
-                              .step(key.step())
-                              .index(*indexes.begin())
-                              .Build();
-    const JobTask* task = tables.tasks_.Find(first);
-    if (!kind(*task->step())) continue;
+    const JobTask* task = tables.tasks_.Find(FirstOf(key, indexes));
+    if (!task->step()->fills()) continue;
     longest = std::max(longest, now - task->ready_since());
   }
   return longest;
@@ -56,22 +64,38 @@
          !task.stopping() && now - task.assigned_at() >= kMinTimeBetweenMoves;
 }
 
-// Returns the movable long-running task with the smallest CPU request.
-std::optional<TaskKey> FindPreemptible(
-    const std::vector<MemberName>& schedulable, const SchedulerTables& tables,
-    Instant now) {
-  std::optional<TaskKey> best;
-  std::int64_t least = 0;
-  for (const MemberName& name : schedulable) {
+// Returns the movable tasks of the workers on which urgent work can start.
+// Those in quarantine are left out.
+MovableTasks FindMovableTasks(const SchedulerTables& tables, Instant now) {
+  MovableTasks movable;
+  for (const MemberName& name : SchedulableWorkers(tables, now)) {
+    if (tables.workers_.Find(name)->rests_until() > now) continue;
+    std::vector<TaskKey>& tasks = movable[name];
     for (const TaskKey& key : tables.tasks_.TasksOnWorker(name)) {
-      const JobTask& task = *tables.tasks_.Find(key);
-      if (!IsMovable(task, now)) continue;
-      if (best && task.step()->cpu() >= least) continue;
-      best = key;
-      least = task.step()->cpu();
+      if (IsMovable(*tables.tasks_.Find(key), now)) tasks.push_back(key);
     }
+    std::stable_sort(tasks.begin(), tasks.end(),
+                     [&](const TaskKey& left, const TaskKey& right) {
+                       return tables.tasks_.Find(left)->step()->cpu() <
+                              tables.tasks_.Find(right)->step()->cpu();
+                     });
+  }
+  return movable;
+}
+
+// Returns the steps with urgent tasks that have waited too long, in the order
+// of the time since which they wait.
+std::vector<std::pair<Instant, StepKey>> LateUrgentSteps(
+    const SchedulerTables& tables, Instant now) {
+  std::vector<std::pair<Instant, StepKey>> late;
+  for (const auto& [key, indexes] : tables.tasks_.ready()) {
+    const JobTask& task = *tables.tasks_.Find(FirstOf(key, indexes));
+    if (task.step()->long_running() || task.step()->fills()) continue;
+    if (now - task.ready_since() < kMaxUrgentWait) continue;
+    late.emplace_back(task.ready_since(), key);
   }
-  return best;
+  std::sort(late.begin(), late.end());
+  return late;
 }
 
 // Capacity on other workers that is planned for the tasks of one worker.
@@ -94,11 +118,7 @@
                       use.memory_mb() + extra.memory_mb() + step.memory_mb() <=
                           facts.memory_mb();
     if (!fits) continue;
-    if (step.most_per_worker() > 0 &&
-        tables.tasks_.CountOnWorker(StepOf(key), name) >=
-            step.most_per_worker()) {
-      continue;
-    }
+    if (!AllowsTask(StepOf(key), step, name, 0, tables)) continue;
     extra = WorkerUse::Builder(extra)
                 .cpu(extra.cpu() + step.cpu())
                 .memory_mb(extra.memory_mb() + step.memory_mb())
@@ -130,24 +150,26 @@
 
 void PreemptLongRunning(SchedulerTables& tables, SchedulerTick& tick) {
   if (!IsActing(tables) || tick.now() < tables.next_preemption_) return;
-  const Duration waited =
-      LongestWait(tables, tick.now(), [](const JobStep& step) {
-        return !step.long_running() && !step.fills();
-      });
-  if (waited < kMaxUrgentWait) return;
-  const auto schedulable = SchedulableWorkers(tables, tick.now());
-  const auto victim = FindPreemptible(schedulable, tables, tick.now());
-  if (!victim) return;
-  tables.next_preemption_ = tick.now() + kPreemptionInterval;
-  LogLine(tick, "long-running-preempted", victim->job(),
-          {FieldMs("urgent_waited_ms", waited)});
-  StopTask(*victim, Reason::kQueueFull, tables, tick);
+  const auto late = LateUrgentSteps(tables, tick.now());
+  if (late.empty()) return;
+  tables.next_preemption_ = tick.now() + kPreemptionSearchInterval;
+  const MovableTasks movable = FindMovableTasks(tables, tick.now());
+  for (const auto& [since, key] : late) {
+    const std::vector<TaskKey> stopped = PlanPreemption(key, movable, tables);
+    if (stopped.empty()) continue;
+    tables.next_preemption_ = tick.now() + kPreemptionInterval;
+    for (const TaskKey& task : stopped) {
+      LogLine(tick, "long-running-preempted", task.job(),
+              {FieldMs("urgent_waited_ms", tick.now() - since)});
+      StopTask(task, Reason::kQueueFull, tables, tick);
+    }
+    return;
+  }
 }
 
 void ConsolidateServices(SchedulerTables& tables, SchedulerTick& tick) {
   if (!IsActing(tables) || tick.now() < tables.next_consolidation_) return;
-  const Duration waited = LongestWait(
-      tables, tick.now(), [](const JobStep& step) { return step.fills(); });
+  const Duration waited = LongestBestEffortWait(tables, tick.now());
   if (waited < kMaxBestEffortWait) return;
   tables.next_consolidation_ = tick.now() + kConsolidationInterval;
   const auto schedulable = SchedulableWorkers(tables, tick.now());
--- a/src/systems/scheduler/reclaim_capacity.h
+++ b/src/systems/scheduler/reclaim_capacity.h
@@ -6,9 +6,10 @@
 
 namespace quetzalline {
 
-/// Handles a burst of urgent work on full workers: when urgent tasks have
-/// waited too long for capacity, stops the smallest movable long-running task.
-/// Urgent tasks are worth more per core and release their capacity soon.
+/// Handles a burst of urgent work on full workers: when an urgent task or gang
+/// has waited too long for capacity, stops the movable long-running tasks with
+/// the least CPU that make room for it. Urgent tasks are worth more per core
+/// and release their capacity soon.
 void PreemptLongRunning(SchedulerTables& tables, SchedulerTick& tick);
 
 /// Handles fragmentation: while best-effort tasks wait, moves the few services
--- a/src/tables/job_task_table.cc
+++ b/src/tables/job_task_table.cc
@@ -50,6 +50,14 @@
       .Build();
 }
 
+WorkerUse WithTask(const WorkerUse& use, const JobStep& step) {
+  return WithTaskChange(use, step, 1);
+}
+
+WorkerUse WithoutTask(const WorkerUse& use, const JobStep& step) {
+  return WithTaskChange(use, step, -1);
+}
+
 std::size_t TaskKeyHash::operator()(const TaskKey& key) const {
   // Callers choose job numbers at random, so a few bits of the other parts are
   // enough to distinguish the tasks of a job.
@@ -120,7 +128,7 @@
   if (row.stage() != TaskStage::kAssigned) return;
   on_worker_[row.worker()].insert(key);
   WorkerUse& use = use_[row.worker()];
-  use = WithTaskChange(use, *row.step(), 1);
+  use = WithTask(use, *row.step());
   UpdateImages(images_[row.worker()], serving_images_, *row.step(), 1);
 }
 
@@ -134,7 +142,7 @@
   if (row.stage() != TaskStage::kAssigned) return;
   on_worker_[row.worker()].erase(key);
   WorkerUse& use = use_[row.worker()];
-  use = WithTaskChange(use, *row.step(), -1);
+  use = WithoutTask(use, *row.step());
   UpdateImages(images_[row.worker()], serving_images_, *row.step(), -1);
 }
 
--- a/src/tables/job_task_table.h
+++ b/src/tables/job_task_table.h
@@ -20,6 +20,12 @@
 /// Returns the step that a task belongs to.
 StepKey StepOf(const TaskKey& task);
 
+/// Returns the use with one more task of the step.
+WorkerUse WithTask(const WorkerUse& use, const JobStep& step);
+
+/// Returns the use with one task of the step less.
+WorkerUse WithoutTask(const WorkerUse& use, const JobStep& step);
+
 /// Hash function for task keys.
 struct TaskKeyHash {
   std::size_t operator()(const TaskKey& key) const;
--- a/test/cell/load_pattern_test.cc
+++ b/test/cell/load_pattern_test.cc
@@ -209,6 +209,60 @@
   BOOST_TEST(fleet.CountStopCommands(PreemptLongRunning) == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(only_as_much_is_preempted_as_makes_room) {
+  const JobStep large = JobStep::Builder(UrgentStep(1)).cpu(30'000).Build();
+  PlacementFleet even(1);
+  for (int i = 0; i < 4; ++i) even.AddRunning(ServiceStep(1, 16'000, "a"), 0);
+  even.AddJob(large, milliseconds(400));
+  BOOST_TEST(even.CountStopCommands(PreemptLongRunning) == 2U);
+  PlacementFleet uneven(1);
+  uneven.AddRunning(ServiceStep(1, 24'000, "a"), 0);
+  uneven.AddRunning(ServiceStep(1, 40'000, "a"), 0);
+  uneven.AddJob(large, milliseconds(400));
+  BOOST_TEST(uneven.CountStopCommands(PreemptLongRunning) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_gang_preempts_only_if_it_fits_as_a_whole) {
+  const auto stops_for = [](std::int64_t cpu) {
+    PlacementFleet fleet(2);
+    fleet.AddRunning(ServiceStep(1, 64'000, "a"), 0);
+    fleet.AddRunning(
+        JobStep::Builder(ServiceStep(1, 64'000, "b")).may_miss(1).Build(), 1);
+    fleet.AddJob(JobStep::Builder(UrgentStep(2)).cpu(cpu).gang(true).Build(),
+                 milliseconds(400));
+    return fleet.CountStopCommands(PreemptLongRunning);
+  };
+  BOOST_TEST(stops_for(32'000) == 1U);
+  BOOST_TEST(stops_for(33'000) == 0U);
+}
+
+// Stopping tasks on a worker that cannot run the waiting task makes no room.
+BOOST_AUTO_TEST_CASE(only_workers_that_suit_a_waiting_task_are_preempted) {
+  const auto stops_on = [](const std::string& service, const std::string& label,
+                           Duration quarantine) {
+    PlacementFleet fleet(1);
+    fleet.AddRunning(ServiceStep(1, kFleetMillicores, "a"), 0);
+    const MemberName name = PlacementFleet::Name(0);
+    const WorkerRow row = *fleet.tables().workers_.Find(name);
+    fleet.tables().workers_.Put(
+        name, WorkerRow::Builder(row)
+                  .facts(WorkerDescription::Builder(*row.facts())
+                             .service(ServiceName(service))
+                             .labels({label})
+                             .Build())
+                  .rests_until(kNow + quarantine)
+                  .Build());
+    fleet.AddJob(
+        JobStep::Builder(UrgentStep(1)).required_label("label").Build(),
+        milliseconds(400));
+    return fleet.CountStopCommands(PreemptLongRunning);
+  };
+  BOOST_TEST(stops_on("service", "label", seconds(0)) == 1U);
+  BOOST_TEST(stops_on("other", "label", seconds(0)) == 0U);
+  BOOST_TEST(stops_on("service", "other", seconds(0)) == 0U);
+  BOOST_TEST(stops_on("service", "label", seconds(2)) == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(a_tail_far_above_target_stops_best_effort_tasks_at_once) {
   RunnerTables tables = MixedLoadRunner(200);
   BOOST_TEST(SentCpuLimits(tables, kNow) == std::vector<std::int32_t>{0},
