An odd epoch or holder key no longer keeps the cell without a holder

What operators would see: after another writer had replaced cell/epoch or cell/holder by a value that cannot be decoded, or by a record that no holder writes, no agent became the holder any more and no job ran again (LOST).

Cause: HandleEpochRead gave up and read again for ever if the epoch could not be decoded. An epoch near 2^63 was counted on, overflowed the fencing token and made every worker refuse. HandleHolderRead took an undecodable holder key for a living holder; bound to no lease, it is never removed.

Change: an epoch counts only if it is above 0 and not above the revision of its key, since each epoch needs a commit of its own. For any other value, the claim goes on from the revision, which is at least as high as every earlier epoch. A holder key with such a value is claimed, expecting its revision. Both are counted and logged (stored-value-odd).

--- a/src/systems/scheduler/leader_election.cc
+++ b/src/systems/scheduler/leader_election.cc
@@ -38,15 +38,37 @@
   GetKey(kHolderKey, ReadingHolder(), tables, tick);
 }
 
-void ObserveNoHolder(SchedulerTables& tables, SchedulerTick& tick) {
+// Returns the holder's record in an item; null if no holder can have written
+// the item. Each epoch is written by a commit of its own, so an epoch is never
+// higher than the revision of the key that holds it.
+const HolderRecord* PlausibleRecord(const KvsItem& item) {
+  const auto* record =
+      item.record() ? std::get_if<HolderRecord>(&*item.record()) : nullptr;
+  if (record == nullptr) return nullptr;
+  const bool plausible =
+      record->epoch() > 0 && record->epoch() <= item.revision();
+  return plausible ? record : nullptr;
+}
+
+void ReportOddItem(const KvsItem& item, SchedulerTick& tick) {
+  tick.counters().Add(Counter::kBadInputs);
+  LogLine(tick, "stored-value-odd", 0,
+          {Field("key", item.key()), Field("revision", item.revision())});
+}
+
+// `odd_holder` is the revision of a holder key that no holder wrote, or 0.
+void ObserveNoHolder(std::int64_t odd_holder, SchedulerTables& tables,
+                     SchedulerTick& tick) {
   const auto& following = std::get<HolderFollowing>(tables.stage_);
   tables.next_holder_read_ = kNoHolderReadScheduled;
   if (following.claim_at()) return;
   const Duration delay = kMinClaimDelay +
                          Duration(UniformInt(tick.random(), kClaimJitterUs)) +
                          kRoundTripsBeforeClaim * tables.store_round_trip_;
-  tables.stage_ =
-      HolderFollowing::Builder().claim_at(tick.now() + delay).Build();
+  tables.stage_ = HolderFollowing::Builder()
+                      .claim_at(tick.now() + delay)
+                      .odd_holder(odd_holder)
+                      .Build();
 }
 
 void ObserveHolder(std::int64_t revision, SchedulerTables& tables,
@@ -68,7 +90,8 @@
     if (tick.now() < *following.claim_at()) {
       return tick.WakeAt(*following.claim_at());
     }
-    tables.stage_ = HolderClaiming();
+    tables.stage_ =
+        HolderClaiming::Builder().odd_holder(following.odd_holder()).Build();
     return OpenLease(tables.policy_.holder_lease(), OpeningHolderLease(),
                      tables, tick);
   }
@@ -167,15 +190,19 @@
   if (read == nullptr) return ScheduleHolderRead(tables, tick);
   tables.store_round_trip_ +=
       (round_trip - tables.store_round_trip_) / kRoundTripSmoothing;
-  if (read->items().empty()) return ObserveNoHolder(tables, tick);
+  if (read->items().empty()) return ObserveNoHolder(0, tables, tick);
   const KvsItem& item = read->items().front();
-  const auto* holder =
-      item.record() ? std::get_if<HolderRecord>(&*item.record()) : nullptr;
+  const HolderRecord* holder = PlausibleRecord(item);
+  // Such a key is bound to no holder's lease, so waiting for its end would be
+  // in vain.
+  if (holder == nullptr) {
+    ReportOddItem(item, tick);
+    return ObserveNoHolder(item.revision(), tables, tick);
+  }
   // The result of an earlier claim may have been lost although the store
   // applied it. The stored holder record then carries the identity of this
   // process.
-  if (holder != nullptr &&
-      holder->instance() == HolderIdentity(tables.policy_)) {
+  if (holder->instance() == HolderIdentity(tables.policy_)) {
     return BeginTerm(holder->epoch(), item.revision(), tables.term_.lease(),
                      tables, tick);
   }
@@ -191,7 +218,7 @@
     return gone ? ReadHolder(tables, tick) : ScheduleHolderRead(tables, tick);
   }
   if (changes->items().empty() && !changes->removed().empty()) {
-    return ObserveNoHolder(tables, tick);
+    return ObserveNoHolder(0, tables, tick);
   }
   // A watch may miss changes, so the key is read after every notification.
   ReadHolder(tables, tick);
@@ -200,9 +227,10 @@
 void HandleHolderLease(const KvsResult& result, SchedulerTables& tables,
                        SchedulerTick& tick) {
   const auto* opened = std::get_if<KvsLeaseOpened>(&result);
-  if (std::holds_alternative<HolderClaiming>(tables.stage_)) {
+  if (const auto* claiming = std::get_if<HolderClaiming>(&tables.stage_)) {
     if (opened == nullptr) return ResumeFollowing(tables, tick);
-    tables.stage_ = HolderClaiming::Builder().lease(opened->lease()).Build();
+    tables.stage_ =
+        HolderClaiming::Builder(*claiming).lease(opened->lease()).Build();
     return GetKey(kEpochKey, ReadingEpoch(), tables, tick);
   }
   if (!IsHolder(tables) || opened == nullptr) return;
@@ -222,10 +250,10 @@
   std::int64_t revision = 0;
   if (!read->items().empty()) {
     const KvsItem& item = read->items().front();
-    const auto* stored =
-        item.record() ? std::get_if<HolderRecord>(&*item.record()) : nullptr;
-    if (stored == nullptr) return ResumeFollowing(tables, tick);
-    epoch = stored->epoch();
+    const HolderRecord* stored = PlausibleRecord(item);
+    if (stored == nullptr) ReportOddItem(item, tick);
+    // The revision is at least the epoch that the odd value has replaced.
+    epoch = stored == nullptr ? item.revision() : stored->epoch();
     revision = item.revision();
   }
   const HolderRecord record = HolderRecord::Builder()
@@ -234,7 +262,10 @@
                                   .Build();
   tables.term_ =
       HolderTerm::Builder().epoch(epoch + 1).lease(claiming->lease()).Build();
-  CommitKeys({KvsPrecondition::Builder().key(std::string(kHolderKey)).Build(),
+  CommitKeys({KvsPrecondition::Builder()
+                  .key(std::string(kHolderKey))
+                  .revision(claiming->odd_holder())
+                  .Build(),
               KvsPrecondition::Builder()
                   .key(std::string(kEpochKey))
                   .revision(revision)
--- a/src/tables/holder_claiming.h
+++ b/src/tables/holder_claiming.h
@@ -18,14 +18,18 @@
 
   /// Store lease that the holder's key will be bound to.
   std::uint64_t lease() const { return lease_; }
+  /// Store revision of the holder key that the claim replaces; 0 if there is
+  /// none.
+  std::int64_t odd_holder() const { return odd_holder_; }
 
   friend auto operator<=>(const HolderClaiming&,
                           const HolderClaiming&) = default;
 
  private:
-  QUETZALLINE_VALUE(HolderClaiming, lease_)
+  QUETZALLINE_VALUE(HolderClaiming, lease_, odd_holder_)
 
   std::uint64_t lease_ = 0;
+  std::int64_t odd_holder_ = 0;
 };
 
 /// Builds a HolderClaiming; fields that are not set keep their defaults.
@@ -34,6 +38,9 @@
   using ValueBuilder::ValueBuilder;
 
   Builder& lease(std::uint64_t value) { return Set(value_.lease_, value); }
+  Builder& odd_holder(std::int64_t value) {
+    return Set(value_.odd_holder_, value);
+  }
 };
 
 }  // namespace quetzalline
--- a/test/support/virtual_kv.cc
+++ b/test/support/virtual_kv.cc
@@ -150,7 +150,8 @@
   }
 }
 
-void VirtualKv::Write(const std::string& key, const KvsRecord& record,
+void VirtualKv::Write(const std::string& key,
+                      const std::optional<KvsRecord>& record,
                       std::uint64_t lease) {
   items_[key] = {record, revision_, lease};
   removed_.erase(key);
@@ -166,6 +167,12 @@
   NotifyWatches();
 }
 
+void VirtualKv::PutUnreadable(const std::string& key) {
+  ++revision_;
+  Write(key, std::nullopt, 0);
+  NotifyWatches();
+}
+
 void VirtualKv::Revoke(const std::string& key) {
   ++revision_;
   Remove(key);
@@ -174,7 +181,8 @@
 
 const KvsRecord* VirtualKv::Find(const std::string& key) const {
   const auto found = items_.find(key);
-  return found == items_.end() ? nullptr : &found->second.record_;
+  if (found == items_.end() || !found->second.record_) return nullptr;
+  return &*found->second.record_;
 }
 
 KvsResult VirtualKv::Commit(const KvsCommit& call) {
--- a/test/support/virtual_kv.h
+++ b/test/support/virtual_kv.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -55,15 +56,19 @@
   /// Removes a key as if its lease had expired.
   void Revoke(const std::string& key);
   void Put(const std::string& key, const KvsRecord& record);
+  /// Writes a value that no reader can decode.
+  void PutUnreadable(const std::string& key);
 
-  /// Returns the record of a key, or null if there is none.
+  /// Returns the record of a key, or null if there is none or it cannot be
+  /// decoded.
   const KvsRecord* Find(const std::string& key) const;
   /// Returns the number of calls received.
   std::int64_t calls() const { return calls_; }
 
  private:
   struct Item {
-    KvsRecord record_;
+    /// Empty if the value cannot be decoded.
+    std::optional<KvsRecord> record_;
     std::int64_t revision_ = 0;
     std::uint64_t lease_ = 0;
   };
@@ -77,7 +82,7 @@
   void Serve(const std::string& caller, std::uint64_t ticket, Answer answer,
              std::function<KvsResult()> work);
   KvsResult Commit(const KvsCommit& call);
-  void Write(const std::string& key, const KvsRecord& record,
+  void Write(const std::string& key, const std::optional<KvsRecord>& record,
              std::uint64_t lease);
   void Remove(const std::string& key);
   void ScheduleLeaseExpiry(std::uint64_t lease);
