A stored value that no process writes no longer ends or blocks a holder

What operators would see: one odd value under jobs/, progress/ or members/ ended the holder while it loaded, then the next one, and so on until no agent was left (LOST); a configuration under a job's key replaced the operators' one, and all later versions were ignored.

Cause: whatever decoded was used. A step number outside the job read outside of a vector, a count of 2^31-1 allocated a row for each task, and the kind of a record was not compared with its key. The same held for a job that an entry passes on.

Evidence: odd_entries/an_odd_stored_job_does_not_stop_the_others ended with a memory access violation (steps after 1e9 and -1e9) and, with the order changed and 3 GB of address space, with std::bad_alloc (2^31-1 tasks, 2^31-1 occurrences); a negative count and a job without steps were harmless. a_record_under_the_key_of_another_kind_is_ignored failed in 4 checks (version 2^62 in force, a member without a name). an_odd_job_of_an_entry_is_refused ended with a memory access violation. codecs/a_store_value_that_no_process_writes_has_ no_record failed in 17 of 17 odd values. A member with port 99999 was harmless before.

Change: ValidateRecord compares a record with its key and checks its content; the codec of the store returns an item without record if it fails, and the holder counts and logs it (stored-value-odd). The simulated store applies the same check as the codec.

--- /dev/null
+++ b/src/systems/cell/validate_record.cc
@@ -0,0 +1,64 @@
+#include "systems/cell/validate_record.h"
+
+#include <algorithm>
+#include <cstdint>
+
+#include "core/overloaded.h"
+#include "systems/cell/cell_keys.h"
+#include "systems/cell/validate_definition.h"
+
+namespace quetzalline {
+namespace {
+
+// Run numbers rise from here without overflow.
+constexpr std::int64_t kMaxRun = std::int64_t{1} << 53;
+
+bool IsJobKey(std::string_view key, std::string_view prefix) {
+  return ParseJobId(StripPrefix(key, prefix)).has_value();
+}
+
+std::optional<std::string> ValidateProgress(const JobProgress& progress) {
+  const bool in_range =
+      std::all_of(progress.tasks().begin(), progress.tasks().end(),
+                  [](const TaskProgress& task) {
+                    return task.last_run() >= 0 && task.last_run() <= kMaxRun;
+                  });
+  if (!in_range) return "last_run: out of range";
+  return std::nullopt;
+}
+
+std::optional<std::string> WrongKind() { return "a record of another kind"; }
+
+}  // namespace
+
+std::optional<std::string> ValidateRecord(std::string_view key,
+                                          const KvsRecord& record) {
+  return std::visit(
+      Overloaded{
+          [&](const JobRecord& job) {
+            if (!IsJobKey(key, kJobPrefix)) return WrongKind();
+            return ValidateDefinition(*job.definition());
+          },
+          [&](const JobProgress& progress) {
+            if (!IsJobKey(key, kProgressPrefix)) return WrongKind();
+            return ValidateProgress(progress);
+          },
+          [&](const HolderRecord&) -> std::optional<std::string> {
+            if (key != kHolderKey && key != kEpochKey) return WrongKind();
+            return std::nullopt;
+          },
+          [&](const MemberRecord&) -> std::optional<std::string> {
+            const bool named = !StripPrefix(key, kMemberPrefix).empty() ||
+                               !StripPrefix(key, kConfirmedLostPrefix).empty();
+            if (!named) return WrongKind();
+            return std::nullopt;
+          },
+          [&](const SchedulerConfiguration&) -> std::optional<std::string> {
+            if (key != kConfigurationKey) return WrongKind();
+            return std::nullopt;
+          },
+      },
+      record);
+}
+
+}  // namespace quetzalline
--- a/src/systems/scheduler/admit_jobs.cc
+++ b/src/systems/scheduler/admit_jobs.cc
@@ -2,6 +2,7 @@
 
 #include "systems/cell/cell_keys.h"
 #include "systems/cell/log_fields.h"
+#include "systems/cell/validate_definition.h"
 #include "systems/scheduler/call_kvs.h"
 #include "systems/scheduler/finish_job.h"
 #include "systems/scheduler/leader_election.h"
@@ -39,6 +40,21 @@
   GetKey(kEpochKey, ProbingJob::Builder().caller(caller).Build(), tables, tick);
 }
 
+// An entry validates jobs before it passes them on, so this concerns an entry
+// of another release. The next holder would not load such a job.
+void RefuseInvalid(ConnectionId connection, const SubmitJobRequest& message,
+                   const std::string& error, SchedulerTick& tick) {
+  tick.counters().Add(Counter::kBadInputs);
+  LogLine(tick, "job-malformed", message.job(), {Field("detail", error)});
+  ReplyToEntry(connection,
+               JobRefused::Builder()
+                   .ticket(message.ticket())
+                   .reason(Reason::kInvalid)
+                   .retry_after(kRetryAfterBase)
+                   .Build(),
+               tick);
+}
+
 }  // namespace
 
 void RefuseStoreUnavailable(ConnectionId connection, std::uint64_t ticket,
@@ -78,6 +94,9 @@
       return RefuseStoreUnavailable(connection, message.ticket(), message.job(),
                                     tick);
     }
+    if (const auto error = ValidateDefinition(*message.record().definition())) {
+      return RefuseInvalid(connection, message, *error, tick);
+    }
     AddSubmittedJob(message.job(), message.record(), tick.now(), tables);
     tables.dirty_jobs_.Add(message.job(), DirtyKind::kAwaited, tick.now());
     tick.counters().Add(Counter::kTasksAccepted);
--- a/src/systems/scheduler/call_kvs.cc
+++ b/src/systems/scheduler/call_kvs.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "systems/cell/log_fields.h"
+
 namespace quetzalline {
 namespace {
 
@@ -89,4 +91,10 @@
   return std::get_if<HolderRecord>(&*read.items().front().record());
 }
 
+void ReportOddItem(const KvsItem& item, SchedulerTick& tick) {
+  tick.counters().Add(Counter::kBadInputs);
+  LogLine(tick, "stored-value-odd", 0,
+          {Field("key", item.key()), Field("revision", item.revision())});
+}
+
 }  // namespace quetzalline
--- a/src/systems/scheduler/call_kvs.h
+++ b/src/systems/scheduler/call_kvs.h
@@ -44,6 +44,9 @@
 /// none.
 const HolderRecord* HolderRecordIn(const KvsItems& read);
 
+/// Counts and logs a stored value that nothing can be done with.
+void ReportOddItem(const KvsItem& item, SchedulerTick& tick);
+
 }  // namespace quetzalline
 
 #endif  // QUETZALLINE_SYSTEMS_SCHEDULER_CALL_KVS_H_
--- a/src/systems/scheduler/leader_election.cc
+++ b/src/systems/scheduler/leader_election.cc
@@ -50,12 +50,6 @@
   return plausible ? record : nullptr;
 }
 
-void ReportOddItem(const KvsItem& item, SchedulerTick& tick) {
-  tick.counters().Add(Counter::kBadInputs);
-  LogLine(tick, "stored-value-odd", 0,
-          {Field("key", item.key()), Field("revision", item.revision())});
-}
-
 // `odd_holder` is the revision of a holder key that no holder wrote, or 0.
 void ObserveNoHolder(std::int64_t odd_holder, SchedulerTables& tables,
                      SchedulerTick& tick) {
--- a/src/systems/scheduler/load_stored_state.cc
+++ b/src/systems/scheduler/load_stored_state.cc
@@ -152,7 +152,7 @@
     return;
   }
   for (const KvsItem& item : read->items()) {
-    if (!item.record()) tick.counters().Add(Counter::kBadInputs);
+    if (!item.record()) ReportOddItem(item, tick);
     tables.loaded_items_.push_back(item);
   }
   if (prefix == kMemberPrefix) tables.members_revision_ = read->revision();
--- a/test/cell/odd_entry_test.cc
+++ b/test/cell/odd_entry_test.cc
@@ -4,6 +4,7 @@
 
 #include "support/virtual_cell.h"
 #include "systems/cell/cell_keys.h"
+#include "systems/scheduler/admit_jobs.h"
 
 // Entries of the store that another writer left under the scheduler's keys:
 // values that cannot be decoded, or that decode to something no holder writes.
@@ -26,6 +27,18 @@
       .Build();
 }
 
+JobRecord Record(const JobDefinition& definition) {
+  return JobRecord::Builder().definition(definition).Build();
+}
+
+JobDefinition JobAfter(std::int32_t step) {
+  return JobDefinition::Builder()
+      .steps({JobStep::Builder(Job(1).steps()[0]).after({step}).Build()})
+      .Build();
+}
+
+constexpr std::uint64_t kOddJob = 0xdd0dd0;
+
 // A cell of five agents and two entries that has elected its holder. Reports
 // every violated invariant at its end.
 struct ReadyCell {
@@ -101,6 +114,87 @@
   BOOST_TEST(ready.RunsJobs());
 }
 
+// Each new holder loads the stored jobs.
+BOOST_AUTO_TEST_CASE(an_odd_stored_job_does_not_stop_the_others) {
+  const std::int32_t max32 = std::numeric_limits<std::int32_t>::max();
+  const std::pair<const char*, JobDefinition> odd_jobs[] = {
+      {"step after a later one", JobAfter(1'000'000'000)},
+      {"step after a negative one", JobAfter(-1'000'000'000)},
+      {"too many tasks", Job(max32)},
+      {"negative count", Job(-5)},
+      {"too many occurrences",
+       JobDefinition::Builder(Job(1)).repeat_count(max32).Build()},
+      {"no steps", JobDefinition()},
+  };
+  for (const auto& [name, definition] : odd_jobs) {
+    ReadyCell ready;
+    ready.cell_.kv().Put(JobKey(kOddJob), Record(definition));
+    ready.KillHolder();
+    ready.cell_.RunFor(seconds(10));
+    BOOST_TEST_CONTEXT(name) { BOOST_TEST(ready.RunsJobs()); }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_record_under_the_key_of_another_kind_is_ignored) {
+  ReadyCell ready;
+  VirtualKv& kv = ready.cell_.kv();
+  const std::int64_t version =
+      ready.cell_.scheduler(*ready.cell_.Holder()).configuration_.version();
+  kv.Put(
+      JobKey(kOddJob),
+      SchedulerConfiguration::Builder().version(std::int64_t{1} << 62).Build());
+  kv.Put(ProgressKey(kOddJob), MemberRecord());
+  kv.Put(std::string(kMemberPrefix), MemberRecord());
+  kv.Put(MemberKey(MemberName("other")), Record(Job(1)));
+  kv.Put(ConfirmedLostKey(MemberName("other")), JobProgress());
+  kv.Put(std::string(kJobPrefix) + "99999999999999999999", Record(Job(1)));
+  ready.KillHolder();
+  ready.cell_.RunFor(seconds(10));
+  BOOST_REQUIRE(ready.cell_.Holder().has_value());
+  const SchedulerTables& tables = ready.cell_.scheduler(*ready.cell_.Holder());
+  BOOST_TEST(tables.configuration_.version() == version);
+  BOOST_TEST(tables.members_.size() == 7U);
+  BOOST_TEST(tables.counters_.Total(Counter::kBadInputs) >= 6);
+  BOOST_TEST(ready.RunsJobs());
+}
+
+// An entry of another release may pass on a job that this one refuses.
+BOOST_AUTO_TEST_CASE(an_odd_job_of_an_entry_is_refused) {
+  SchedulerTables tables;
+  tables.stage_ = HolderActing();
+  Random random(1);
+  SchedulerTick tick(Instant(seconds(1)), random, tables.counters_);
+  AcceptJob(ConnectionId(1),
+            SubmitJobRequest::Builder()
+                .ticket(7)
+                .job(kOddJob)
+                .record(Record(JobAfter(1'000'000'000)))
+                .Build(),
+            tables, tick);
+  BOOST_TEST(tables.jobs_.size() == 0U);
+  BOOST_TEST(tables.counters_.Total(Counter::kBadInputs) == 1);
+  std::size_t refusals = 0;
+  for (const SchedulerEffect& effect : tick.TakeEffects()) {
+    const auto* sent = std::get_if<SendToGateway>(&effect);
+    if (sent == nullptr) continue;
+    if (std::holds_alternative<JobRefused>(sent->message())) ++refusals;
+  }
+  BOOST_TEST(refusals == 1U);
+}
+
+// A member that cannot be reached stays unreachable; the others are dialled.
+BOOST_AUTO_TEST_CASE(a_member_without_a_usable_address_stops_no_other) {
+  ReadyCell ready;
+  ready.cell_.kv().Put(
+      MemberKey(MemberName("99999999999999999999")),
+      MemberRecord::Builder().address("127.0.0.1:99999").Build());
+  ready.cell_.RunFor(seconds(1));
+  BOOST_TEST(ready.RunsJobs());
+  ready.KillHolder();
+  ready.cell_.RunFor(seconds(20));
+  BOOST_TEST(ready.RunsJobs());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace quetzalline
--- a/test/platform/codec_test.cc
+++ b/test/platform/codec_test.cc
@@ -7,6 +7,7 @@
 #include "adapters/json_log.h"
 #include "configuration_codec.h"
 #include "job_codec.h"
+#include "json_fields.h"
 #include "kv_codec.h"
 #include "systems/gateway/validate_job.h"
 #include "worker_codec.h"
@@ -22,6 +23,18 @@
   return HttpResponse::Builder().status(status).body(Body(body)).Build();
 }
 
+// Returns true if an item with this value is read with its record.
+bool HasRecord(const std::string& key, const KvsRecord& record) {
+  const std::string commit = EncodeCommit(
+      KvsCommit::Builder()
+          .puts({KvsPut::Builder().key(key).record(record).Build()})
+          .Build());
+  const auto object = ParseJsonObject(commit);
+  const auto items = ParseItemResponse(
+      boost::json::serialize(object->at("writes").get_array().front()));
+  return items && items->items().front().record().has_value();
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(codecs)
@@ -148,6 +161,55 @@
   BOOST_TEST(!ParseConfiguration(R"({"version":"1","routes":[]})").has_value());
 }
 
+// Such values decode, but nobody who follows this protocol writes them.
+BOOST_AUTO_TEST_CASE(a_store_value_that_no_process_writes_has_no_record) {
+  const auto run = [](std::int64_t number) {
+    return JobProgress::Builder()
+        .tasks({TaskProgress::Builder().last_run(number).Build()})
+        .Build();
+  };
+  const auto job = [](std::int32_t count, std::int32_t after) {
+    return JobRecord::Builder()
+        .definition(
+            JobDefinition::Builder()
+                .steps({JobStep::Builder().count(1).Build(),
+                        JobStep::Builder().count(count).after({after}).Build()})
+                .Build())
+        .Build();
+  };
+  const std::string good_job = "jobs/5c0e7a21d94b36f8";
+  const std::string good_progress = "progress/5c0e7a21d94b36f8";
+  BOOST_TEST(HasRecord(good_job, job(2, 0)));
+  BOOST_TEST(HasRecord(good_progress, run(7)));
+  BOOST_TEST(HasRecord("members/a", MemberRecord()));
+  BOOST_TEST(HasRecord("vacant/a", MemberRecord()));
+  BOOST_TEST(HasRecord("cell/epoch", HolderRecord()));
+  const std::pair<std::string, KvsRecord> odd[] = {
+      {good_job, job(2, 1'000'000'000)},
+      {good_job, job(2, -1)},
+      {good_job, job(2'000'000'000, 0)},
+      {good_job, job(-1, 0)},
+      {good_job, JobRecord()},
+      {good_job, run(7)},
+      {good_job, SchedulerConfiguration::Builder().version(9).Build()},
+      {"jobs/7", job(2, 0)},
+      {"jobs/99999999999999999999", job(2, 0)},
+      {good_progress, run(INT64_MAX)},
+      {good_progress, run(-1)},
+      {good_progress, job(2, 0)},
+      {"members/", MemberRecord()},
+      {"members/a", job(2, 0)},
+      {"vacant/", MemberRecord()},
+      {"cell/epoch", MemberRecord()},
+      {"cell/other", HolderRecord()},
+  };
+  for (const auto& [key, record] : odd) {
+    BOOST_TEST_CONTEXT(key << " " << record.index()) {
+      BOOST_TEST(!HasRecord(key, record));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_full_log_pipe_does_not_block_the_process) {
   int ends[2] = {-1, -1};
   BOOST_REQUIRE(::pipe(ends) == 0);
--- a/test/support/virtual_kv.cc
+++ b/test/support/virtual_kv.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "systems/cell/validate_record.h"
+
 namespace quetzalline {
 namespace {
 
@@ -162,6 +164,7 @@
 }
 
 void VirtualKv::Put(const std::string& key, const KvsRecord& record) {
+  if (ValidateRecord(key, record)) return PutUnreadable(key);
   ++revision_;
   Write(key, record, 0);
   NotifyWatches();
--- a/test/support/virtual_kv.h
+++ b/test/support/virtual_kv.h
@@ -55,6 +55,8 @@
   void SetLostResponsePercent(int percent) { lost_response_percent_ = percent; }
   /// Removes a key as if its lease had expired.
   void Revoke(const std::string& key);
+  /// Writes a record. As with the store's adapter, readers get no record if it
+  /// is not valid under its key.
   void Put(const std::string& key, const KvsRecord& record);
   /// Writes a value that no reader can decode.
   void PutUnreadable(const std::string& key);
