Numbers of workers that cannot be right are not used

What operators would see: after one heartbeat of another writer with a 'born' or 'seq' that is too large, the agent took every later heartbeat of the true worker for an old one: the worker's runs were given up, or its draining was not noticed. Negative or huge capacities were counted with; a run or a completion numbered near 2^63 made all later ones count as old.

Cause: any number that fits 64 bits was accepted, and TruncatedAt cast doubles outside of the range of the integer, which is undefined.

Fractions, 1e400, 2^63, other types and a number with an exponent of 20 digits were rejected before.

Rows with a number out of range are skipped, percent and figure are limited, and an answer with another type in place of a list counts as unread (kLost).

--- a/test/platform/codec_test.cc
+++ b/test/platform/codec_test.cc
@@ -23,6 +23,13 @@
   return HttpResponse::Builder().status(status).body(Body(body)).Build();
 }
 
+// The time at which the test's workers announce themselves.
+constexpr std::int64_t kNowMs = 1'800'000'000'000;
+
+bool Announced(const std::string& body) {
+  return ParseAnnouncement("i-1", body, kNowMs).has_value();
+}
+
 // Returns true if an item with this value is read with its record.
 bool HasRecord(const std::string& key, const KvsRecord& record) {
   const std::string commit = EncodeCommit(
@@ -103,7 +110,7 @@
   const std::string good =
       R"({"service":"s","zone":"z","state":"ready","born":5,"seq":4,)"
       R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a"]})";
-  const auto seen = ParseAnnouncement("i-1", good);
+  const auto seen = ParseAnnouncement("i-1", good, kNowMs);
   BOOST_REQUIRE(seen.has_value());
   BOOST_TEST(seen->facts().cpu() == 16000);
   BOOST_TEST(!seen->facts().draining());
@@ -112,10 +119,83 @@
         R"({"service":"s","state":"asleep","capacity":{"cpu":1}})",
         R"({"service":7,"state":"ready","capacity":{"cpu":1}})",
         R"({"service":"s","state":"ready","capacity":{"cpu":"many"}})"}) {
-    BOOST_TEST(!ParseAnnouncement("i-1", bad).has_value());
+    BOOST_TEST(!ParseAnnouncement("i-1", bad, kNowMs).has_value());
   }
 }
 
+// Announcements are ordered by these numbers. One that is too large would make
+// every later announcement of the worker count as old.
+BOOST_AUTO_TEST_CASE(announcements_with_odd_numbers_are_rejected) {
+  const auto body = [](const std::string& changed) {
+    return R"({"service":"s","zone":"z","state":"ready",)" + changed + "}";
+  };
+  const std::string born = R"("born":)" + std::to_string(kNowMs - 60'000) + ",";
+  const std::string capacity = R"("capacity":{"cpu":1,"mem_mb":1,"gpu":0})";
+  BOOST_TEST(Announced(body(born + R"("seq":3,)" + capacity)));
+  BOOST_TEST(Announced(body(capacity)));
+  for (const std::string number :
+       {"-1", "1.5", "1e400", "-1e400", "9223372036854775807",
+        "9223372036854775808", "99999999999999999999", "4e15",
+        "1e99999999999999999999", "\"7\"", "null", "[]"}) {
+    BOOST_TEST_CONTEXT(number) {
+      BOOST_TEST(!Announced(body(R"("born":)" + number + "," + capacity)));
+      BOOST_TEST(
+          !Announced(body(born + R"("seq":)" + number + "," + capacity)));
+      for (const std::string name : {"cpu", "mem_mb", "gpu"}) {
+        BOOST_TEST(!Announced(
+            body(born + R"("capacity":{")" + name + R"(":)" + number + "}")));
+      }
+    }
+  }
+  // Plausible numbers, but not for a worker that started a minute ago.
+  const std::int64_t month_ms = std::int64_t{30} * 24 * 3600 * 1000;
+  BOOST_TEST(!Announced(
+      body(R"("born":)" + std::to_string(kNowMs + month_ms) + "," + capacity)));
+  BOOST_TEST(!Announced(
+      body(born + R"("seq":)" + std::to_string(month_ms) + "," + capacity)));
+}
+
+BOOST_AUTO_TEST_CASE(odd_values_of_a_worker_list_are_limited) {
+  const auto answer = [](const std::string& lists) {
+    return ParseWorkerResponse(1, Response(200, "{" + lists + "}"));
+  };
+  const std::string task = R"("5c0e7a21d94b36f8.0.1.17")";
+  for (const std::string number : {"0", "-1", "9223372036854775807", "1e400"}) {
+    BOOST_TEST_CONTEXT(number) {
+      BOOST_TEST(answer(R"("running":[[)" + task + "," + number + R"(,"",1]])")
+                     .running()
+                     .empty());
+      BOOST_TEST(
+          answer(R"("finished":[[)" + number + "," + task + R"(,1,"done",""]])")
+              .ends()
+              .empty());
+    }
+  }
+  const auto run = [&](const std::string& number) {
+    return answer(R"("running":[[)" + task + R"(,1,"",)" + number + "," +
+                  number + "]]")
+        .running()
+        .at(0);
+  };
+  BOOST_TEST(run("41.7").progress().percent() == 41);
+  BOOST_TEST(run("41.7").figure() == 41);
+  for (const std::string number : {"-1e400", "-1", "\"x\"", "[]"}) {
+    BOOST_TEST(run(number).progress().percent() == 0);
+    BOOST_TEST(run(number).figure() == 0);
+  }
+  for (const std::string number : {"1e400", "4294967297", "1e19"}) {
+    BOOST_TEST(run(number).progress().percent() == 100);
+    BOOST_TEST(run(number).figure() >= 4294967297);
+    BOOST_TEST(run(number).figure() <= std::int64_t{1} << 40);
+  }
+  BOOST_TEST(answer(R"("born":9223372036854775807)").born_ms() == 0);
+  BOOST_TEST(answer(R"("clock_ms":9223372036854775807)").clock_ms() == 0);
+  // Such an answer does not tell which runs the worker has.
+  BOOST_TEST((answer(R"("running":7)").verdict() == WorkerCallOutcome::kLost));
+  BOOST_TEST(
+      (answer(R"("finished":{})").verdict() == WorkerCallOutcome::kLost));
+}
+
 BOOST_AUTO_TEST_CASE(malformed_rows_of_a_worker_list_are_skipped) {
   const WorkerAnswer answer = ParseWorkerResponse(
       3, Response(200,
