One value that cannot be parsed hides no other of its list

What operators would see: while a worker listed one row that is nested more than 32 levels deep, or holds a number with a very long exponent or bytes that are no UTF-8, every poll of that worker counted as unanswered, and its runs were taken away after 2 s; a page of the store with such an element was read again for ever.

Cause: the parser refuses the whole text for one such value. It does so without recursion beyond 32 levels, so a deeply nested value never ended a process.

The next page begins after the last key that can be read. Heartbeats and jobs have one writer and are still rejected whole.

--- a/test/platform/codec_test.cc
+++ b/test/platform/codec_test.cc
@@ -30,6 +30,23 @@
   return ParseAnnouncement("i-1", body, kNowMs).has_value();
 }
 
+// Values that end the parser at its limits or as malformed text.
+std::vector<std::string> UnparsableValues() {
+  constexpr int kLevels = 200'000;
+  std::string arrays(kLevels, '[');
+  arrays.append(kLevels, ']');
+  std::string objects;
+  for (int i = 0; i < kLevels; ++i) objects += R"({"[":)";
+  objects += "1";
+  objects.append(kLevels, '}');
+  return {arrays,
+          objects,
+          "1e99999999999999999999",
+          "[-1E+99999999999999999999]",
+          "\"\xff\"",
+          R"({"running":[["]\\\"",)" + arrays + "]]}"};
+}
+
 // Returns true if an item with this value is read with its record.
 bool HasRecord(const std::string& key, const KvsRecord& record) {
   const std::string commit = EncodeCommit(
@@ -211,6 +228,46 @@
   BOOST_TEST(answer.ends().front().number() == 58);
 }
 
+// One element that cannot be parsed must not hide the other ones.
+BOOST_AUTO_TEST_CASE(an_unparsable_element_of_a_list_hides_no_other) {
+  const std::string run = R"(["5c0e7a21d94b36f8.0.1.17",2,"c",41,25])";
+  const std::string item =
+      R"({"key":"quetzalline/members/a","value":"","revision":4})";
+  const std::string route = R"({"name":"q","prefix":"/q/"})";
+  for (const std::string& odd : UnparsableValues()) {
+    BOOST_TEST_CONTEXT(odd.substr(0, 40)) {
+      const std::string behind = "," + odd + "]";
+      const std::string before = "[" + odd + ",";
+      const WorkerAnswer answer = ParseWorkerResponse(
+          1, Response(200, R"({"running":)" + before + run + "]" +
+                               R"(,"finished":[)" + odd + "]}"));
+      BOOST_TEST((answer.verdict() == WorkerCallOutcome::kDone));
+      BOOST_TEST(answer.running().size() == 1U);
+      const auto page =
+          ParseRangeResponse(R"({"has_more":true,"at_revision":9,"items":[)" +
+                             item + behind + "}");
+      BOOST_REQUIRE(page.has_value());
+      BOOST_TEST(page->items_.items().size() == 1U);
+      BOOST_TEST(page->last_key_ == "quetzalline/members/a");
+      const auto changes = ParseWatchResponse(R"({"at_revision":9,"events":)" +
+                                              before + item + "]}");
+      BOOST_REQUIRE(changes.has_value());
+      BOOST_TEST(changes->items().size() == 1U);
+      const auto configuration = ParseConfiguration(
+          R"({"version":3,"routes":[)" + route + behind + "}");
+      BOOST_REQUIRE(configuration.has_value());
+      BOOST_REQUIRE(!configuration->queues().empty());
+      BOOST_TEST(configuration->queues().front().name() == "q");
+      // These have one writer and name nobody, as a whole.
+      BOOST_TEST(!ParseAnnouncement(
+          "i-1", R"({"service":"s","odd":)" + odd + "}", kNowMs));
+      BOOST_TEST(!ParseSubmit(R"({"steps":[{"count":1}],"odd":)" + odd + "}")
+                      .definition()
+                      .has_value());
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(refusals_of_a_worker_are_distinguished) {
   const auto verdict = [](int status, const std::string& body) {
     return ParseWorkerResponse(1, Response(status, body)).verdict();
