Times and numbers of jobs and routes beyond their limits are refused

What callers would see: an estimate, target, start or interval near 2^63 was accepted and became some other time; the order in which jobs were placed then depended on it.

Cause: milliseconds were multiplied into microseconds, added up along the steps and multiplied by occurrences without a limit, which overflows; 64 bits were cut to 32; a stretch of 1e400 was multiplied and cast.

A count or a repeat_count out of range was refused before.

Change: core/limits.h holds the limits; the codecs and ValidateDefinition share them: a year for a duration, the year 9999 for a time, 2^53 for a version, 1000 for a stretch. The declared work of a task saturates. A stored job must have been accepted within these times.

--- a/src/systems/cell/validate_record.cc
+++ b/src/systems/cell/validate_record.cc
@@ -1,8 +1,8 @@
 #include "systems/cell/validate_record.h"
 
 #include <algorithm>
-#include <cstdint>
 
+#include "core/limits.h"
 #include "core/overloaded.h"
 #include "systems/cell/cell_keys.h"
 #include "systems/cell/validate_definition.h"
@@ -10,19 +10,23 @@
 namespace quetzalline {
 namespace {
 
-// Run numbers rise from here without overflow.
-constexpr std::int64_t kMaxRun = std::int64_t{1} << 53;
-
 bool IsJobKey(std::string_view key, std::string_view prefix) {
   return ParseJobId(StripPrefix(key, prefix)).has_value();
 }
 
+std::optional<std::string> ValidateJobRecord(const JobRecord& job) {
+  if (job.accepted_ms() < 0 || job.accepted_ms() > kMaxUnixMs) {
+    return "accepted_ms: out of range";
+  }
+  return ValidateDefinition(*job.definition());
+}
+
 std::optional<std::string> ValidateProgress(const JobProgress& progress) {
-  const bool in_range =
-      std::all_of(progress.tasks().begin(), progress.tasks().end(),
-                  [](const TaskProgress& task) {
-                    return task.last_run() >= 0 && task.last_run() <= kMaxRun;
-                  });
+  const bool in_range = std::all_of(
+      progress.tasks().begin(), progress.tasks().end(),
+      [](const TaskProgress& task) {
+        return task.last_run() >= 0 && task.last_run() <= kMaxSequenceNumber;
+      });
   if (!in_range) return "last_run: out of range";
   return std::nullopt;
 }
@@ -37,7 +41,7 @@
       Overloaded{
           [&](const JobRecord& job) {
             if (!IsJobKey(key, kJobPrefix)) return WrongKind();
-            return ValidateDefinition(*job.definition());
+            return ValidateJobRecord(job);
           },
           [&](const JobProgress& progress) {
             if (!IsJobKey(key, kProgressPrefix)) return WrongKind();
--- a/src/systems/scheduler/track_jobs.cc
+++ b/src/systems/scheduler/track_jobs.cc
@@ -6,6 +6,8 @@
 #include <tuple>
 #include <vector>
 
+#include "core/limits.h"
+
 namespace quetzalline {
 namespace {
 
@@ -131,7 +133,10 @@
   const auto run_ms =
       std::chrono::duration_cast<std::chrono::milliseconds>(step.estimate())
           .count();
-  return step.cpu() * run_ms / kMillicoresInCore;
+  // The product of the largest values overflows.
+  const std::int64_t max_cpu = INT64_MAX / std::max<std::int64_t>(run_ms, 1);
+  return std::min(std::min(step.cpu(), max_cpu) * run_ms / kMillicoresInCore,
+                  kMaxResourceAmount);
 }
 
 Instant DueTime(const JobDefinition& definition, std::int32_t occurrence,
--- a/test/platform/codec_test.cc
+++ b/test/platform/codec_test.cc
@@ -109,6 +109,74 @@
   BOOST_TEST(ErrorOf(R"({"steps":[{"count":1,"after":[-1]}]})") == fault);
 }
 
+// Beyond these limits, sums of times overflow.
+BOOST_AUTO_TEST_CASE(jobs_with_odd_numbers_are_rejected) {
+  const auto step = [](const std::string& fields) {
+    return ErrorOf(R"({"steps":[{"count":1,)" + fields + "}]}");
+  };
+  const auto job = [](const std::string& fields) {
+    return ErrorOf(R"({"steps":[{"count":1}],)" + fields + "}");
+  };
+  const std::string year_ms = "31536000000";
+  BOOST_TEST(step(R"("estimate_ms":)" + year_ms) == "");
+  BOOST_TEST(job(R"("start_ms":1800000000000,"interval_ms":)" + year_ms) == "");
+  for (const std::string number :
+       {"-1", "9223372036854775807", "9223372036854776", "31536000001"}) {
+    BOOST_TEST_CONTEXT(number) {
+      for (const std::string name : {"estimate_ms", "target_ms"}) {
+        BOOST_TEST(step("\"" + name + "\":" + number) ==
+                   "steps[0]." + name + ": out of range");
+      }
+      BOOST_TEST(job(R"("interval_ms":)" + number) ==
+                 "interval_ms: out of range");
+    }
+  }
+  for (const std::string number : {"-1", "9223372036854775807", "1e15"}) {
+    BOOST_TEST(job(R"("start_ms":)" + number) == "start_ms: out of range");
+    for (const std::string name : {"cpu", "mem_mb", "gpu"}) {
+      BOOST_TEST(step("\"" + name + "\":" + number) ==
+                 "steps[0]." + name + ": out of range");
+    }
+  }
+  for (const std::string number : {"1e400", "99999999999999999999", "0.5"}) {
+    BOOST_TEST(step(R"("estimate_ms":)" + number) ==
+               "steps[0].estimate_ms: expected a whole number");
+    BOOST_TEST(job(R"("repeat_count":)" + number) ==
+               "repeat_count: expected a whole number");
+  }
+  BOOST_TEST(job(R"("repeat_count":9223372036854775807)") ==
+             "steps: too many tasks");
+  BOOST_TEST(job(R"("repeat_count":-9223372036854775807)") ==
+             "repeat_count: out of range");
+}
+
+BOOST_AUTO_TEST_CASE(routes_with_odd_numbers_are_skipped) {
+  const auto routes = [](const std::string& fields) {
+    const auto configuration = ParseConfiguration(
+        R"({"version":3,"routes":[{"name":"q"},{"name":"odd",)" + fields +
+        "}]}");
+    return configuration ? configuration->queues().size() : 0;
+  };
+  BOOST_TEST(routes(R"("priority":2,"max_attempts":4,"stretch":1.5,)"
+                    R"("slo_ms":5000)") == 2U);
+  for (const std::string name : {"priority", "max_attempts", "slo_ms"}) {
+    for (const std::string number :
+         {"4294967297", "9223372036854775807", "1e400", "0.5"}) {
+      const bool time = name == "slo_ms" && number == "4294967297";
+      BOOST_TEST_CONTEXT(name << " " << number) {
+        BOOST_TEST(routes("\"" + name + "\":" + number) == (time ? 2U : 1U));
+      }
+    }
+  }
+  for (const std::string number : {"1e400", "-1", "1e300"}) {
+    BOOST_TEST(routes(R"("stretch":)" + number) == 1U);
+  }
+  for (const std::string number : {"9223372036854775807", "-1", "0", "1e400"}) {
+    BOOST_TEST(!ParseConfiguration(R"({"routes":[],"version":)" + number + "}")
+                    .has_value());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(task_ids_survive_encoding) {
   const TaskKey key = TaskKey::Builder()
                           .job(0x5c0e7a21d94b36f8)
@@ -341,9 +409,13 @@
                 .Build())
         .Build();
   };
+  const auto accepted = [&](std::int64_t at_ms) {
+    return JobRecord::Builder(job(2, 0)).accepted_ms(at_ms).Build();
+  };
   const std::string good_job = "jobs/5c0e7a21d94b36f8";
   const std::string good_progress = "progress/5c0e7a21d94b36f8";
   BOOST_TEST(HasRecord(good_job, job(2, 0)));
+  BOOST_TEST(HasRecord(good_job, accepted(kNowMs)));
   BOOST_TEST(HasRecord(good_progress, run(7)));
   BOOST_TEST(HasRecord("members/a", MemberRecord()));
   BOOST_TEST(HasRecord("vacant/a", MemberRecord()));
@@ -354,6 +426,8 @@
       {good_job, job(2'000'000'000, 0)},
       {good_job, job(-1, 0)},
       {good_job, JobRecord()},
+      {good_job, accepted(INT64_MAX)},
+      {good_job, accepted(INT64_MIN)},
       {good_job, run(7)},
       {good_job, SchedulerConfiguration::Builder().version(9).Build()},
       {"jobs/7", job(2, 0)},
