A decoded number that does not fit its member is refused

What operators would see: a record or frame with a count of 2^32+1, a role of 256 or an incarnation of -1 passed for one with 1, 0 or 2^64-1.

Cause: the decoder cut numbers to the type of the member.

Change: the decoder returns nothing for such a number.

Measured: core_test passes.

--- a/src/wire/flex_encoding.h
+++ b/src/wire/flex_encoding.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <type_traits>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -133,6 +134,14 @@
  private:
   static constexpr std::size_t kMinBufferBytes = 3;
 
+  /// Returns false if the number does not fit the type of the member.
+  template <typename From, typename To>
+  static bool Narrow(From from, To& to) {
+    if (!std::in_range<To>(from)) return false;
+    to = static_cast<To>(from);
+    return true;
+  }
+
   static bool Read(flexbuffers::Reference from, std::string& to) {
     if (!from.IsString()) return false;
     to = from.AsString().str();
@@ -145,16 +154,22 @@
     return true;
   }
   static bool Read(flexbuffers::Reference from, Duration& to) {
-    to = Duration(from.AsInt64());
-    return from.IsIntOrUint();
+    Duration::rep count = 0;
+    if (!Read(from, count)) return false;
+    to = Duration(count);
+    return true;
   }
   static bool Read(flexbuffers::Reference from, Instant& to) {
-    to = Instant(Duration(from.AsInt64()));
-    return from.IsIntOrUint();
+    Duration since{};
+    if (!Read(from, since)) return false;
+    to = Instant(since);
+    return true;
   }
   static bool Read(flexbuffers::Reference from, ConnectionId& to) {
-    to = ConnectionId(from.AsUInt64());
-    return from.IsIntOrUint();
+    std::uint64_t number = 0;
+    if (!Read(from, number)) return false;
+    to = ConnectionId(number);
+    return true;
   }
   template <typename Tag>
   static bool Read(flexbuffers::Reference from, Name<Tag>& to) {
@@ -178,18 +193,18 @@
     } else if constexpr (std::is_floating_point_v<T>) {
       to = static_cast<T>(from.AsDouble());
       return from.IsNumeric();
-    } else if constexpr (std::is_unsigned_v<T>) {
-      to = static_cast<T>(from.AsUInt64());
-      return from.IsIntOrUint();
+    } else if (from.IsUInt()) {
+      return Narrow(from.AsUInt64(), to);
     } else {
-      to = static_cast<T>(from.AsInt64());
-      return from.IsIntOrUint();
+      return from.IsInt() && Narrow(from.AsInt64(), to);
     }
   }
   template <DescribedEnum E>
   static bool Read(flexbuffers::Reference from, E& to) {
-    to = static_cast<E>(from.AsUInt64());
-    return from.IsIntOrUint() && IsEnumerator(to);
+    std::underlying_type_t<E> number{};
+    if (!Read(from, number)) return false;
+    to = static_cast<E>(number);
+    return IsEnumerator(to);
   }
   template <typename T>
   static bool Read(flexbuffers::Reference from, std::vector<T>& to) {
--- a/test/core/wire_test.cc
+++ b/test/core/wire_test.cc
@@ -1,6 +1,9 @@
 #include <boost/test/unit_test.hpp>
 #include <random>
 
+#include "core/job_step.h"
+#include "core/worker_description.h"
+#include "records/member_record.h"
 #include "wire/flex_encoding.h"
 #include "wire/frame_header.h"
 #include "wire/json_encoding.h"
@@ -32,6 +35,15 @@
       .Build();
 }
 
+// Returns the bytes of the value that `write` adds to a builder.
+template <typename Write>
+std::string Encode(Write write) {
+  flexbuffers::Builder builder;
+  write(builder);
+  builder.Finish();
+  return {builder.GetBuffer().begin(), builder.GetBuffer().end()};
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(wire)
@@ -114,6 +126,83 @@
   BOOST_TEST(std::get<RequestId>(*decoded).sequence() == 6U);
 }
 
+// Cut to its lowest bits, such a number would pass for another one.
+BOOST_AUTO_TEST_CASE(a_number_that_does_not_fit_its_member_is_refused) {
+  // The members are a role, an address and an unsigned incarnation.
+  const auto member = [](auto write_role, auto write_incarnation) {
+    return FlexDecoder::Decode<MemberRecord>(Encode([&](auto& builder) {
+      builder.Vector([&] {
+        write_role(builder);
+        builder.String("127.0.0.1:7000");
+        write_incarnation(builder);
+      });
+    }));
+  };
+  const auto integer = [](std::int64_t value) {
+    return [value](auto& builder) { builder.Int(value); };
+  };
+  const auto natural = [](std::uint64_t value) {
+    return [value](auto& builder) { builder.UInt(value); };
+  };
+  BOOST_TEST(member(natural(0), natural(UINT64_MAX)).has_value());
+  BOOST_TEST(member(integer(0), integer(5)).has_value());
+  BOOST_TEST(!member(natural(0), integer(-1)).has_value());
+  for (const std::uint64_t role :
+       {std::uint64_t{255}, std::uint64_t{256}, std::uint64_t{1} << 32}) {
+    BOOST_TEST(!member(natural(role), natural(1)).has_value());
+  }
+  BOOST_TEST(!member(integer(-1), natural(1)).has_value());
+  // The members are a 32-bit count and the milli-cores of each task.
+  const auto step = [](auto write_count, auto write_cpu) {
+    return FlexDecoder::Decode<JobStep>(Encode([&](auto& builder) {
+      builder.Vector([&] {
+        write_count(builder);
+        write_cpu(builder);
+      });
+    }));
+  };
+  BOOST_TEST(step(integer(INT32_MIN), integer(INT64_MIN)).has_value());
+  BOOST_TEST(step(natural(INT32_MAX), natural(INT64_MAX)).has_value());
+  for (const std::int64_t count :
+       {std::int64_t{INT32_MAX} + 1, std::int64_t{1} << 32 | 1, INT64_MIN}) {
+    BOOST_TEST(!step(integer(count), integer(1)).has_value());
+  }
+  BOOST_TEST(!step(natural(UINT64_MAX), integer(1)).has_value());
+  BOOST_TEST(!step(integer(1), natural(UINT64_MAX)).has_value());
+}
+
+// Elements may refer to bytes that others refer to as well, so that few bytes
+// would decode to any amount of memory.
+BOOST_AUTO_TEST_CASE(a_value_that_is_larger_than_its_bytes_is_refused) {
+  const auto labels = [](std::size_t text, std::size_t count, bool shared) {
+    const std::string bytes = Encode([&](auto& builder) {
+      builder.Vector([&] {
+        builder.String("");
+        builder.Int(0);
+        for (int i = 0; i < 2; ++i) builder.String("");
+        for (int i = 0; i < 3; ++i) builder.Int(0);
+        builder.Vector([&] {
+          builder.String(std::string(text, 'x'));
+          const auto first = builder.LastValue();
+          for (std::size_t i = 1; i < count; ++i) {
+            if (shared) {
+              builder.ReuseValue(first);
+            } else {
+              builder.String(std::string(text, 'x'));
+            }
+          }
+        });
+      });
+    });
+    return FlexDecoder::Decode<WorkerDescription>(bytes);
+  };
+  const auto plain = labels(100, 50, false);
+  BOOST_REQUIRE(plain.has_value());
+  BOOST_TEST(plain->labels().size() == 50U);
+  BOOST_TEST(labels(0, 1000, false).has_value());
+  BOOST_TEST(!labels(20'000, 2'000, true).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace quetzalline
