An odd answer of a worker neither hides tasks nor makes the agent spin

What operators would see, on the path with Consul: after an unreadable list of news the agent asked again at once, over and over (16,001 requests in 0.7 s on this machine, a full core), and never got further; an unreadable list of tasks passed for an empty one; one task nested deeply hid all the others.

Cause: HandleNews and HandleTaskList ignored what they could not read, and the next poll was sent without delay.

Evidence: odd_answers/an_unreadable_answer_of_a_worker_is_requested_later failed in 3 checks, odd_answers/an_odd_task_of_a_worker_hides_no_other in 2. odd_answers/odd_addresses_are_refused held before: ports 65536, 99999, -1, hosts that are no addresses, missing colons.

An unreadable answer is requested again after the delay of a failed one.

--- a/src/adapters/http_worker.cc
+++ b/src/adapters/http_worker.cc
@@ -2,6 +2,7 @@
 
 #include <glog/logging.h>
 
+#include "adapters/lenient_json.h"
 #include "adapters/node_loop.h"
 #include "wire/json_encoding.h"
 
@@ -28,12 +29,6 @@
   return succeeded ? &completed->response()->body().bytes() : nullptr;
 }
 
-boost::json::value ParseOrNull(const std::string& body) {
-  boost::json::error_code error;
-  boost::json::value value = boost::json::parse(body, error);
-  return error ? boost::json::value() : value;
-}
-
 // Returns an array member of an object, or null if there is none.
 const boost::json::array* ArrayMember(const boost::json::value& value,
                                       std::string_view key) {
@@ -83,8 +78,9 @@
   client_->Call(MakeRequest("GET", "/v1/tasks", ""),
                 [this](const CallResult& result) {
                   const std::string* body = ResponseBody(result);
-                  if (body == nullptr) return Retry([this] { ListTasks(); });
-                  HandleTaskList(*body);
+                  if (body == nullptr || !HandleTaskList(*body)) {
+                    return Retry([this] { ListTasks(); });
+                  }
                   PollNews();
                 });
 }
@@ -97,21 +93,23 @@
   client_->Call(MakeRequest("GET", target, ""),
                 [this](const CallResult& result) {
                   const std::string* body = ResponseBody(result);
-                  if (body == nullptr) return Retry([this] { PollNews(); });
-                  HandleNews(*body);
+                  if (body == nullptr || !HandleNews(*body)) {
+                    return Retry([this] { PollNews(); });
+                  }
                   PollNews();
                 });
 }
 
-void HttpWorker::HandleTaskList(const std::string& body) {
-  const boost::json::value value = ParseOrNull(body);
+bool HttpWorker::HandleTaskList(const std::string& body) {
+  const auto value = ParseLenientJson(body).value_or(nullptr);
   const boost::json::array* tasks = ArrayMember(value, "tasks");
-  if (tasks == nullptr) return;
+  if (tasks == nullptr) return false;
   UpdateClockOffset(value.get_object());
   for (const boost::json::value& task : *tasks) {
     const auto found = JsonDecoder().Decode<WorkerTaskFound>(task);
     if (found) on_found_(*found);
   }
+  return true;
 }
 
 void HttpWorker::UpdateClockOffset(const boost::json::object& answer) {
@@ -120,10 +118,10 @@
   clock_offset_ = Duration(clock->get_int64()) - ReadClock().time_since_epoch();
 }
 
-void HttpWorker::HandleNews(const std::string& body) {
-  const boost::json::value value = ParseOrNull(body);
+bool HttpWorker::HandleNews(const std::string& body) {
+  const auto value = ParseLenientJson(body).value_or(nullptr);
   const boost::json::array* news = ArrayMember(value, "news");
-  if (news == nullptr) return;
+  if (news == nullptr) return false;
   UpdateClockOffset(value.get_object());
   for (const boost::json::value& item : *news) {
     const auto decoded = JsonDecoder().Decode<WorkerTaskEvent>(item);
@@ -131,6 +129,7 @@
     ++received_news_;
   }
   if (!std::exchange(listed_, true)) on_listed_();
+  return true;
 }
 
 void HttpWorker::SendWithRetries(const std::string& target,
--- a/src/adapters/http_worker.h
+++ b/src/adapters/http_worker.h
@@ -43,8 +43,9 @@
   /// Lists the tasks of the worker, then starts polling for news.
   void ListTasks();
   void PollNews();
-  void HandleTaskList(const std::string& body);
-  void HandleNews(const std::string& body);
+  /// Return false if the body cannot be read.
+  bool HandleTaskList(const std::string& body);
+  bool HandleNews(const std::string& body);
   void UpdateClockOffset(const boost::json::object& answer);
   void SendWithRetries(const std::string& target, const std::string& body);
   /// Runs work after the retry delay.
