--- a/test/platform/codec_test.cc
+++ b/test/platform/codec_test.cc
@@ -150,6 +150,21 @@
              "repeat_count: out of range");
 }
 
+BOOST_AUTO_TEST_CASE(odd_deadlines_are_none_or_limited) {
+  BOOST_TEST((ParseDeadline("1500") == std::chrono::milliseconds(1500)));
+  for (const char* odd : {"", "0", "-1", "1.5", "1e3", " 1", "1 ", "x",
+                          "9223372036854775808", "99999999999999999999"}) {
+    BOOST_TEST_CONTEXT(odd) { BOOST_TEST((ParseDeadline(odd) == Duration())); }
+  }
+  for (const char* late : {"31536000001", "9223372036854776",
+                           "18446744073709552", "9223372036854775807"}) {
+    BOOST_TEST_CONTEXT(late) {
+      BOOST_TEST(
+          (ParseDeadline(late) == std::chrono::hours(std::int64_t{365} * 24)));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(routes_with_odd_numbers_are_skipped) {
   const auto routes = [](const std::string& fields) {
     const auto configuration = ParseConfiguration(
