Times, sizes and cores in files that are too large are reported

What operators would see: deadline = "2562047789h" or cores = 1e300 in a file was accepted and became some other number.

Cause: the product of number and unit overflowed; the double was rounded outside of the range of the integer.

Evidence: settings/faults/service-numbers failed: of seven faults, three were reported, and a size that wrapped to 1 GB was reported for its size.

Change: products are limited to 2^53 microseconds or bytes, cores to the largest amount of a resource.

Measured: settings_test passes.

--- a/src/programs/toml_reader.cc
+++ b/src/programs/toml_reader.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "adapters/socket_address.h"
+#include "core/limits.h"
 
 namespace quetzalline {
 namespace {
@@ -23,9 +24,13 @@
                                {"MB", std::int64_t{1} << 20},
                                {"GB", std::int64_t{1} << 30}};
 constexpr double kMilliPerCore = 1000.0;
+constexpr double kMaxCores =
+    static_cast<double>(kMaxResourceAmount) / kMilliPerCore;
+// Largest time in microseconds or size in bytes.
+constexpr std::int64_t kMaxWithUnit = std::int64_t{1} << 53;
 
 // Parses a whole number that is followed directly by one of the units. Returns
-// the product of number and unit.
+// the product of number and unit, or nothing if it exceeds kMaxWithUnit.
 template <std::size_t Count>
 std::optional<std::int64_t> ParseWithUnit(const std::string& text,
                                           const Unit (&units)[Count]) {
@@ -35,7 +40,9 @@
   if (error != std::errc() || number < 0) return std::nullopt;
   const std::string_view unit(stop, static_cast<std::size_t>(end - stop));
   for (const Unit& known : units) {
-    if (known.name_ == unit) return number * known.size_;
+    if (known.name_ != unit) continue;
+    if (number > kMaxWithUnit / known.size_) return std::nullopt;
+    return number * known.size_;
   }
   return std::nullopt;
 }
@@ -172,7 +179,7 @@
   const toml::node* node = Find(key);
   if (node == nullptr) return default_value;
   const std::optional<double> cores = node->value<double>();
-  if (cores && node->is_number() && *cores >= 0) {
+  if (cores && node->is_number() && *cores >= 0 && *cores <= kMaxCores) {
     return std::llround(*cores * kMilliPerCore);
   }
   AddError(key, "must be a number of cores such as 0.5");
