--- a/src/systems/cell/validate_record.cc
+++ b/src/systems/cell/validate_record.cc
@@ -14,10 +14,23 @@
   return ParseJobId(StripPrefix(key, prefix)).has_value();
 }
 
+std::optional<std::string> ValidateQueue(const JobQueue& queue) {
+  // Also refuses a value that is not a number.
+  const bool in_range =
+      queue.stretch() >= 0.0 && queue.stretch() <= kMaxStretch;
+  if (!in_range) return "stretch: out of range";
+  const Duration max_objective = std::chrono::milliseconds(kMaxDurationMs);
+  if (queue.objective() < Duration() || queue.objective() > max_objective) {
+    return "objective: out of range";
+  }
+  return std::nullopt;
+}
+
 std::optional<std::string> ValidateJobRecord(const JobRecord& job) {
   if (job.accepted_ms() < 0 || job.accepted_ms() > kMaxUnixMs) {
     return "accepted_ms: out of range";
   }
+  if (auto error = ValidateQueue(*job.queue())) return error;
   return ValidateDefinition(*job.definition());
 }
 
--- a/test/cell/odd_entry_test.cc
+++ b/test/cell/odd_entry_test.cc
@@ -4,6 +4,7 @@
 
 #include "support/virtual_cell.h"
 #include "systems/cell/cell_keys.h"
+#include "systems/cell/validate_record.h"
 #include "systems/scheduler/admit_jobs.h"
 
 // Entries of the store that another writer left under the scheduler's keys:
@@ -195,6 +196,25 @@
   BOOST_TEST(ready.RunsJobs());
 }
 
+// The queue in a job's record gives the job's deadline, which must not
+// overflow.
+BOOST_AUTO_TEST_CASE(a_stored_job_with_odd_queue_settings_is_refused) {
+  const auto accepts = [](const JobQueue& queue) {
+    const JobRecord record =
+        JobRecord::Builder(Record(Job(1))).queue(queue).Build();
+    return !ValidateRecord(JobKey(kOddJob), record);
+  };
+  BOOST_TEST(accepts(JobQueue()));
+  const JobQueue::Builder queue;
+  BOOST_TEST(!accepts(JobQueue::Builder(queue).stretch(1e300).Build()));
+  BOOST_TEST(!accepts(JobQueue::Builder(queue).stretch(-1.0).Build()));
+  BOOST_TEST(!accepts(JobQueue::Builder(queue)
+                          .stretch(std::numeric_limits<double>::quiet_NaN())
+                          .Build()));
+  BOOST_TEST(
+      !accepts(JobQueue::Builder(queue).objective(Duration::max()).Build()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace quetzalline
