--- a/src/systems/scheduler/finish_job.cc
+++ b/src/systems/scheduler/finish_job.cc
@@ -101,21 +101,6 @@
   }
 }
 
-// Completes all tasks of a gang when one of them reports the end of their
-// common run.
-void FinishGang(const TaskKey& key, std::int64_t run, SchedulerTables& tables,
-                SchedulerTick& tick) {
-  const std::int32_t count = tables.tasks_.Find(key)->step()->count();
-  for (std::int32_t index = 0; index < count; ++index) {
-    const TaskKey member = TaskKey::Builder(key).index(index).Build();
-    const JobTask* task = tables.tasks_.Find(member);
-    if (task == nullptr || task->stage() == TaskStage::kDone) continue;
-    if (member != key && task->run() != run) continue;
-    const JobTask finished = *task;
-    FinishTask(member, finished, tables, tick);
-  }
-}
-
 // Stops the current run of a task that another run has completed. The run
 // occupies capacity on its worker until its own end is reported, although the
 // task is done, so it is recorded in orphaned_runs_.
@@ -145,6 +130,19 @@
 
 }  // namespace
 
+void FinishGang(const TaskKey& key, std::int64_t run, SchedulerTables& tables,
+                SchedulerTick& tick) {
+  const std::int32_t count = tables.tasks_.Find(key)->step()->count();
+  for (std::int32_t index = 0; index < count; ++index) {
+    const TaskKey member = TaskKey::Builder(key).index(index).Build();
+    const JobTask* task = tables.tasks_.Find(member);
+    if (task == nullptr || task->stage() == TaskStage::kDone) continue;
+    if (task->run() != run) StopSuperseded(member, tables, tick);
+    const JobTask finished = *tables.tasks_.Find(member);
+    FinishTask(member, finished, tables, tick);
+  }
+}
+
 void ReturnTask(const TaskKey& key, Reason reason, SchedulerTables& tables,
                 SchedulerTick& tick) {
   const JobTask* task = tables.tasks_.Find(key);
--- a/src/systems/scheduler/finish_job.h
+++ b/src/systems/scheduler/finish_job.h
@@ -17,6 +17,12 @@
 void FinishJob(std::uint64_t job, JobState state, Reason reason,
                SchedulerTables& tables, SchedulerTick& tick);
 
+/// Completes all tasks of a gang after the given run of one of them, `key`, has
+/// ended successfully: the tasks of a gang end together, so that one such end
+/// stands for all of them. Tasks that have a different run by now are stopped.
+void FinishGang(const TaskKey& key, std::int64_t run, SchedulerTables& tables,
+                SchedulerTick& tick);
+
 /// Returns a task to the ready queue after its worker has stopped running it. A
 /// task of a finished job is closed instead.
 void ReturnTask(const TaskKey& key, Reason reason, SchedulerTables& tables,
--- a/src/systems/scheduler/place_runs.cc
+++ b/src/systems/scheduler/place_runs.cc
@@ -184,13 +184,30 @@
          now - task.ready_since() > tables.policy_.placement().longest_wait();
 }
 
-// Places all tasks of a gang as one run, or none of them. Returns false if not
-// all of them found a worker.
+// Completes the ready tasks of a gang if another of its tasks is done. A state
+// that an earlier version stored may contain such a gang.
+bool FinishEndedGang(const TaskKey& ready, std::int32_t count,
+                     SchedulerTables& tables, SchedulerTick& tick) {
+  for (std::int32_t index = 0; index < count; ++index) {
+    const TaskKey member = TaskKey::Builder(ready).index(index).Build();
+    const JobTask* task = tables.tasks_.Find(member);
+    if (task == nullptr || task->stage() != TaskStage::kDone) continue;
+    tables.dirty_jobs_.Add(ready.job(), DirtyKind::kProgress, tick.now());
+    FinishGang(member, task->run(), tables, tick);
+    return true;
+  }
+  return false;
+}
+
+// Places all tasks of a gang as one run, or none of them. Returns false if they
+// wait, either for workers or for the end of earlier runs of other tasks.
 bool PlaceGang(const std::vector<TaskKey>& tasks, bool half_free,
                StepPlacement& placement, SchedulerTables& tables,
                SchedulerTick& tick) {
   const JobStep& step = placement.step();
-  if (tasks.size() != static_cast<std::size_t>(step.count())) return true;
+  if (tasks.size() != static_cast<std::size_t>(step.count())) {
+    return FinishEndedGang(tasks.front(), step.count(), tables, tick);
+  }
   std::int64_t run = 0;
   std::string checkpoint;
   bool overdue = true;
--- a/test/cell/worker_report_test.cc
+++ b/test/cell/worker_report_test.cc
@@ -180,6 +180,57 @@
   BOOST_TEST(fleet.TasksOnWorker(0) > 0U);
 }
 
+// The tasks of a gang end together, so that one successful end stands for all
+// of them, whatever the holder knows of their runs.
+BOOST_AUTO_TEST_CASE(the_end_of_one_task_of_a_gang_ends_the_gang) {
+  PlacementFleet fleet(2);
+  SchedulerTables& tables = fleet.tables();
+  const JobStep gang = JobStep::Builder(BatchStep(3)).gang(true).Build();
+  const std::uint64_t job = fleet.AddRunning(gang, 0);
+  tables.jobs_.Put(
+      job, JobRow::Builder(*tables.jobs_.Find(job)).tasks_left(3).Build());
+  const TaskKey lost = MakeRunKey(job, 1, 0).task();
+  const TaskKey restarted = MakeRunKey(job, 2, 2).task();
+  tables.tasks_.Put(
+      lost, JobTask::Builder().stage(TaskStage::kInDoubt).step(gang).Build());
+  tables.tasks_.Put(restarted, JobTask::Builder(*tables.tasks_.Find(restarted))
+                                   .worker(PlacementFleet::Name(1))
+                                   .run(2)
+                                   .Build());
+  std::vector<RunKey> stopped;
+  for (const SchedulerEffect& effect :
+       fleet.Report(0, WorkerReport::Builder()
+                           .number(1)
+                           .ends({SuccessfulRunEnd(1, MakeRunKey(job, 0, 1))})
+                           .Build())) {
+    const auto* sent = std::get_if<SendToRunner>(&effect);
+    if (sent == nullptr) continue;
+    const auto* stop = std::get_if<StopRun>(&sent->message());
+    if (stop != nullptr) stopped.push_back(stop->run());
+  }
+  BOOST_TEST((stopped == std::vector<RunKey>{MakeRunKey(job, 2, 2)}));
+  BOOST_TEST((tables.jobs_.Find(job)->state() == JobState::kCompleted));
+}
+
+// An earlier version may have stored that only some tasks of a gang are done.
+// The others are done as well and must not wait for those.
+BOOST_AUTO_TEST_CASE(a_gang_that_is_stored_as_partly_done_completes) {
+  PlacementFleet fleet(2);
+  SchedulerTables& tables = fleet.tables();
+  const std::uint64_t job =
+      fleet.AddJob(JobStep::Builder(BatchStep(3)).gang(true).Build());
+  tables.jobs_.Put(
+      job, JobRow::Builder(*tables.jobs_.Find(job)).tasks_left(2).Build());
+  const TaskKey done = MakeRunKey(job, 1, 0).task();
+  tables.tasks_.Put(done, JobTask::Builder(*tables.tasks_.Find(done))
+                              .stage(TaskStage::kDone)
+                              .run(1)
+                              .Build());
+  fleet.Place();
+  BOOST_TEST((tables.jobs_.Find(job)->state() == JobState::kCompleted));
+  BOOST_TEST(fleet.TasksOnWorker(0) + fleet.TasksOnWorker(1) == 0U);
+}
+
 // A holder may act on a stale view of a worker's free capacity. The runner is
 // the only caller of its worker and refuses starts that would overcommit it.
 BOOST_AUTO_TEST_CASE(a_runner_refuses_a_start_beyond_its_capacity) {
