--- a/src/systems/scheduler/measure_cell.cc
+++ b/src/systems/scheduler/measure_cell.cc
@@ -28,7 +28,7 @@
   for (const auto& [name, worker] : tables.workers_) {
     const std::size_t tasks = tables.tasks_.TasksOnWorker(name).size();
     assigned += tasks;
-    if (worker.listed()) {
+    if (worker.alive()) {
       ++listed_workers;
     } else {
       unlisted += tasks;
--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -279,7 +279,7 @@
   if (!tables.tasks_.TasksOnWorker(name).empty()) return true;
   const bool known = tables.confirmed_lost_.count(name) > 0 ||
                      tables.confirmed_lost_changes_.count(name) > 0;
-  return !worker.listed() && !known && worker.granted_at() != Instant();
+  return !worker.alive() && !known && worker.granted_at() != Instant();
 }
 
 // Returns the workers whose lease has certainly expired: its time is over, and
@@ -371,7 +371,7 @@
     if (worker == nullptr) continue;
     if (tick.now() - worker->grant_sent_at() < kGrantInterval) continue;
     // That a runner reports does not mean that its worker lives.
-    const bool alive = worker->listed() && !worker->silent();
+    const bool alive = worker->alive() && !worker->silent();
     tables.workers_.Put(
         found->second,
         WorkerRow::Builder(*worker)
--- a/src/tables/worker_row.h
+++ b/src/tables/worker_row.h
@@ -25,7 +25,7 @@
   const std::optional<WorkerDescription>& facts() const { return facts_; }
   RunListing listing() const { return listing_; }
   /// Returns true if the worker has shown in this session that it is alive.
-  bool listed() const {
+  bool alive() const {
     return listing_ == RunListing::kTruncated ||
            listing_ == RunListing::kComplete;
   }
