--- a/src/systems/scheduler/reconcile_tasks.cc
+++ b/src/systems/scheduler/reconcile_tasks.cc
@@ -25,10 +25,11 @@
       });
 }
 
-// Returns true if it is known what runs on the worker.
+// Returns true if none of the tasks of unknown state can be running on the
+// worker.
 bool IsKnown(const MemberName& name, const WorkerRow& worker,
              const SchedulerTables& tables) {
-  return worker.reported() || tables.confirmed_lost_.count(name) > 0;
+  return worker.listed() || tables.confirmed_lost_.count(name) > 0;
 }
 
 // Returns the time at which all leases granted by earlier holders have
@@ -40,6 +41,13 @@
          MaxLeaseDuration(tables.policy_.task_lease());
 }
 
+// Returns the time at which the lease that this holder granted to the worker
+// has certainly expired; the earliest time if it granted none.
+Instant LeaseEnd(const WorkerRow& worker, const SchedulerTables& tables) {
+  if (worker.granted_at() == Instant()) return Instant();
+  return worker.granted_at() + MaxLeaseDuration(tables.policy_.task_lease());
+}
+
 // Records that nothing runs on the workers of which this holder has heard
 // nothing, so that the next one need not wait for them again.
 void MarkUnansweredLost(SchedulerTables& tables, SchedulerTick& tick) {
@@ -75,15 +83,18 @@
   std::size_t runners = 0;
   std::size_t answered = 0;
   bool answer_due = false;
+  Instant lease_end;
   for (const auto& [name, worker] : tables.workers_) {
     const MemberRow* member = tables.members_.Find(name);
     ++runners;
     const bool known = IsKnown(name, worker, tables);
-    if (known) ++answered;
-    const bool silent = worker.listing() == RunListing::kNone;
-    if (!known && silent && member != nullptr && member->connection()) {
-      answer_due = true;
+    if (known) {
+      ++answered;
+      continue;
     }
+    const bool silent = worker.listing() == RunListing::kNone;
+    if (silent && member != nullptr && member->connection()) answer_due = true;
+    lease_end = std::max(lease_end, LeaseEnd(worker, tables));
   }
   if (!tables.term_.majority_since() && HasReportMajority(tables)) {
     tables.term_ =
@@ -96,6 +107,7 @@
   if (const auto expire_at = EarlierLeasesExpireAt(tables)) {
     resolved_at = std::min(resolved_at, *expire_at);
   }
+  resolved_at = std::max(resolved_at, lease_end);
   if (answered < runners) {
     if (tick.now() < resolved_at) return tick.WakeAt(resolved_at);
     // A later holder may have renewed the leases of the unresponsive runners.
--- a/test/cell/takeover_test.cc
+++ b/test/cell/takeover_test.cc
@@ -2,6 +2,7 @@
 
 #include "support/placement_fleet.h"
 #include "systems/scheduler/reconcile_tasks.h"
+#include "systems/scheduler/track_members.h"
 
 namespace quetzalline {
 namespace {
@@ -46,6 +47,15 @@
                  tables, tick);
   }
 
+  // Closes the connection to the last runner.
+  void Disconnect(Duration since_takeover) {
+    SchedulerTables& tables = fleet_.tables();
+    SchedulerTick tick(kFleetNow + since_takeover, random_, tables.counters_);
+    DisconnectMember(
+        ConnectionClosed::Builder().connection(ConnectionId(5)).Build(), tables,
+        tick);
+  }
+
   // Reconciles the tasks; the store has just confirmed the epoch.
   void Reconcile(Duration since_takeover) {
     const Instant now = kFleetNow + since_takeover;
@@ -106,6 +116,41 @@
                  takeover.kLast) == 0U);
 }
 
+// A worker that lists many ends renews its lease with each report, while the
+// holder does not know its runs yet. They must not be started elsewhere.
+BOOST_AUTO_TEST_CASE(a_takeover_waits_for_a_worker_that_lists_its_ends) {
+  TakeoverFleet takeover(1);
+  for (int second = 0; second < 20; ++second) {
+    takeover.ReportRun(seconds(second), true);
+    takeover.Reconcile(seconds(second));
+    BOOST_TEST((takeover.Stage() == TaskStage::kInDoubt));
+  }
+  takeover.ReportRun(seconds(20), false);
+  BOOST_TEST((takeover.Stage() == TaskStage::kAssigned));
+}
+
+// The worker is lost before it has listed its runs. Its lease expires.
+BOOST_AUTO_TEST_CASE(a_takeover_waits_for_the_lease_of_a_worker) {
+  TakeoverFleet takeover(1);
+  takeover.Reconcile(Duration());
+  takeover.ReportRun(seconds(5), true);
+  takeover.Reconcile(seconds(10));
+  BOOST_TEST((takeover.Stage() == TaskStage::kInDoubt));
+  takeover.Reconcile(seconds(11));
+  BOOST_TEST(takeover.IsSettled());
+  BOOST_TEST((takeover.Stage() != TaskStage::kInDoubt));
+}
+
+// A worker that has listed its runs cannot be running other tasks of unknown
+// state, even if its connection closes before the others have answered.
+BOOST_AUTO_TEST_CASE(a_takeover_does_not_wait_for_a_worker_that_answered) {
+  TakeoverFleet takeover(1);
+  takeover.ReportRun(Duration(), false);
+  takeover.Disconnect(Duration());
+  takeover.Reconcile(seconds(1));
+  BOOST_TEST(takeover.IsSettled());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace quetzalline
--- a/test/support/placement_fleet.h
+++ b/test/support/placement_fleet.h
@@ -164,6 +164,7 @@
                                               .memory_mb(250'000)
                                               .Build())
                                    .listing(RunListing::kComplete)
+                                   .listed(true)
                                    .granted_at(kFleetNow)
                                    .Build());
   }
