--- a/src/systems/scheduler/reconcile_tasks.cc
+++ b/src/systems/scheduler/reconcile_tasks.cc
@@ -16,13 +16,11 @@
 // before it treats unresponsive runners as lost.
 constexpr Duration kMaxReconcileTime = std::chrono::milliseconds(9000);
 
-// Returns true if a majority of runners has sent a full report in this term.
-bool HasReportMajority(const SchedulerTables& tables) {
-  return HasRunnerMajority(
-      tables, [&](const MemberName& name, const MemberRow&) {
-        const WorkerRow* worker = tables.workers_.Find(name);
-        return worker != nullptr && worker->listing() != RunListing::kNone;
-      });
+// Returns true if a majority of runners follows this holder.
+bool IsFollowedByMajority(const SchedulerTables& tables) {
+  return HasRunnerMajority(tables, [](const MemberName&, const MemberRow& row) {
+    return row.connection() && row.answered();
+  });
 }
 
 // Returns true if none of the tasks of unknown state can be running on the
@@ -96,7 +94,7 @@
     if (silent && member != nullptr && member->connection()) answer_due = true;
     lease_end = std::max(lease_end, LeaseEnd(worker, tables));
   }
-  if (!tables.term_.majority_since() && HasReportMajority(tables)) {
+  if (!tables.term_.majority_since() && IsFollowedByMajority(tables)) {
     tables.term_ =
         HolderTerm::Builder(tables.term_).majority_since(tick.now()).Build();
   }
--- a/src/systems/scheduler/track_members.cc
+++ b/src/systems/scheduler/track_members.cc
@@ -149,6 +149,7 @@
                             .connection(connected.connection())
                             .session(++tables.last_session_)
                             .heard_at(tick.now())
+                            .answered(false)
                             .Build();
   tables.members_.Put(connected.member(), row);
   tables.connections_[connected.connection()] = connected.member();
--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -313,8 +313,9 @@
   if (found == tables.connections_.end()) return;
   const MemberRow* member = tables.members_.Find(found->second);
   if (member == nullptr) return;
-  tables.members_.Put(found->second,
-                      MemberRow::Builder(*member).heard_at(now).Build());
+  tables.members_.Put(
+      found->second,
+      MemberRow::Builder(*member).heard_at(now).answered(true).Build());
 }
 
 void HandleReport(ConnectionId connection, const WorkerReport& report,
--- a/src/tables/member_row.h
+++ b/src/tables/member_row.h
@@ -26,18 +26,23 @@
   const std::optional<ConnectionId>& connection() const { return connection_; }
   /// Number of the session on that connection.
   std::int64_t session() const { return session_; }
+  /// Returns true once the process has answered in this session, which shows
+  /// that it follows this holder.
+  bool answered() const { return answered_; }
   /// Time of the last message from the process.
   Instant heard_at() const { return heard_at_; }
 
   friend auto operator<=>(const MemberRow&, const MemberRow&) = default;
 
  private:
-  QUETZALLINE_VALUE(MemberRow, record_, connection_, session_, heard_at_)
+  QUETZALLINE_VALUE(MemberRow, record_, connection_, session_, heard_at_,
+                    answered_)
 
   MemberRecord record_;
   std::optional<ConnectionId> connection_;
   std::int64_t session_ = 0;
   Instant heard_at_ = Instant{};
+  bool answered_ = false;
 };
 
 /// Builds a MemberRow; fields that are not set keep their defaults.
@@ -53,6 +58,7 @@
   }
   Builder& session(std::int64_t value) { return Set(value_.session_, value); }
   Builder& heard_at(Instant value) { return Set(value_.heard_at_, value); }
+  Builder& answered(bool value) { return Set(value_.answered_, value); }
 };
 
 }  // namespace quetzalline
--- a/test/cell/takeover_test.cc
+++ b/test/cell/takeover_test.cc
@@ -1,12 +1,14 @@
 #include <boost/test/unit_test.hpp>
 
 #include "support/placement_fleet.h"
+#include "support/virtual_cell.h"
 #include "systems/scheduler/reconcile_tasks.h"
 #include "systems/scheduler/track_members.h"
 
 namespace quetzalline {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 // A holder that has taken over from another one. The task of its only job may
@@ -29,7 +31,11 @@
     tables.term_ = HolderTerm::Builder(tables.term_).settled(false).Build();
     facts_ = *tables.workers_.Find(kLast)->facts();
     for (int worker = 5 - silent; worker < 5; ++worker) {
-      tables.workers_.Put(PlacementFleet::Name(worker), WorkerRow());
+      const MemberName name = PlacementFleet::Name(worker);
+      tables.workers_.Put(name, WorkerRow());
+      tables.members_.Put(name, MemberRow::Builder(*tables.members_.Find(name))
+                                    .answered(false)
+                                    .Build());
     }
   }
 
@@ -151,6 +157,45 @@
   BOOST_TEST(takeover.IsSettled());
 }
 
+// Most workers are lost together with the holder, and their agents restart. As
+// their runners follow the next holder, it knows when the leases have expired.
+BOOST_AUTO_TEST_CASE(a_takeover_counts_runners_that_have_no_worker) {
+  VirtualCell cell(5, 2, 1);
+  cell.RunFor(seconds(3));
+  const JobStep step = JobStep::Builder()
+                           .count(1)
+                           .cpu(1000)
+                           .memory_mb(100)
+                           .estimate(milliseconds(500))
+                           .Build();
+  const std::uint64_t job =
+      cell.Submit(JobDefinition::Builder()
+                      .spec("spec")
+                      .steps({step, JobStep::Builder(step).after({0}).Build()})
+                      .Build());
+  cell.RunFor(milliseconds(200));
+  BOOST_REQUIRE(cell.IsAccepted(job));
+  const std::size_t holder = *cell.Holder();
+  for (std::size_t i = 1; i < 4; ++i) {
+    const std::size_t lost = (holder + i) % cell.agents();
+    cell.worker(lost).Crash();
+    cell.KillAgent(lost);
+    cell.StartAgent(lost);
+  }
+  cell.KillAgent(holder);
+  cell.RunFor(milliseconds(300));
+  cell.StartAgent(holder);
+  for (int i = 0; i < 200 && !cell.Holder(); ++i) cell.RunFor(milliseconds(50));
+  const TaskKey second = TaskKey::Builder().job(job).step(1).Build();
+  milliseconds waited{0};
+  while (waited < seconds(30) && !cell.log().IsDone(second)) {
+    cell.RunFor(milliseconds(50));
+    waited += milliseconds(50);
+  }
+  BOOST_TEST_MESSAGE("waited " << waited.count() << " ms");
+  BOOST_TEST(waited.count() < 9000);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace quetzalline
--- a/test/support/placement_fleet.h
+++ b/test/support/placement_fleet.h
@@ -153,6 +153,7 @@
             .record(MemberRecord::Builder().role(MemberRole::kRunner).Build())
             .connection(connection)
             .heard_at(kFleetNow)
+            .answered(true)
             .Build());
     tables_.connections_[connection] = name;
     tables_.workers_.Put(name, WorkerRow::Builder()
