--- a/test/cell/takeover_test.cc
+++ b/test/cell/takeover_test.cc
@@ -196,6 +196,96 @@
   BOOST_TEST(waited.count() < 9000);
 }
 
+// A worker executes calls but its answers are lost, while the cell changes
+// hands. Its lease must not outlive the time at which its tasks are released.
+BOOST_AUTO_TEST_CASE(tasks_of_a_mute_worker_are_not_started_twice) {
+  VirtualCell cell(5, 2, 1);
+  cell.RunFor(seconds(3));
+  const JobStep step = JobStep::Builder()
+                           .count(4)
+                           .cpu(1000)
+                           .memory_mb(100)
+                           .long_running(true)
+                           .most_per_worker(1)
+                           .Build();
+  const std::uint64_t job =
+      cell.Submit(JobDefinition::Builder().spec("spec").steps({step}).Build());
+  cell.RunFor(seconds(3));
+  const std::size_t holder = *cell.Holder();
+  BOOST_REQUIRE(cell.worker(holder).running() == 1U);
+  cell.SetAgentPartitioned(holder, true, true);
+  cell.RunFor(milliseconds(2500));
+  cell.worker(holder).SetMute(true);
+  cell.RunFor(milliseconds(700));
+  cell.SetAgentPartitioned(holder, false, false);
+  cell.RunFor(seconds(6));
+  cell.worker(holder).SetMute(false);
+  cell.RunFor(seconds(8));
+  for (const std::string& violation : cell.log().violations()) {
+    BOOST_ERROR(violation);
+  }
+  BOOST_TEST(cell.log().StartsOf(job) <= 5);
+}
+
+// Ends of earlier runs may lie with runners that have not answered. An adopted
+// run that fails must not be followed by another before all have.
+BOOST_AUTO_TEST_CASE(
+    an_adopted_task_is_not_restarted_before_all_have_answered) {
+  constexpr std::int64_t kAdoptedRun = 1003;
+  PlacementFleet fleet(2);
+  SchedulerTables& tables = fleet.tables();
+  const std::uint64_t job =
+      fleet.AddRunning(JobStep::Builder().count(1).cpu(1000).Build(), 0);
+  const TaskKey task = TaskKey::Builder().job(job).Build();
+  tables.tasks_.Put(
+      task,
+      JobTask::Builder(*tables.tasks_.Find(task)).run(kAdoptedRun).Build());
+  tables.jobs_.Put(job, JobRow::Builder(*tables.jobs_.Find(job))
+                            .queue(JobQueue::Builder()
+                                       .service(ServiceName("service"))
+                                       .max_attempts(3)
+                                       .Build())
+                            .Build());
+  tables.term_ =
+      HolderTerm::Builder(tables.term_).epoch(3).settled(false).Build();
+  const RunKey run = RunKey::Builder().task(task).run(kAdoptedRun).Build();
+  fleet.Report(0, WorkerReport::Builder()
+                      .number(1)
+                      .ends({RunEnd::Builder()
+                                 .number(1)
+                                 .run(run)
+                                 .outcome(RunOutcome::kFailed)
+                                 .Build()})
+                      .Build());
+  fleet.Place();
+  BOOST_TEST((tables.tasks_.Find(task)->stage() == TaskStage::kInDoubt));
+  Random random(1);
+  SchedulerTick tick(kFleetNow, random, tables.counters_);
+  ReconcileTasks(tables, tick);
+  fleet.Place();
+  BOOST_TEST((tables.tasks_.Find(task)->stage() == TaskStage::kAssigned));
+}
+
+// A task that was first started in this term has no earlier ends.
+BOOST_AUTO_TEST_CASE(a_task_of_this_term_is_restarted_during_a_takeover) {
+  PlacementFleet fleet(2);
+  SchedulerTables& tables = fleet.tables();
+  const std::uint64_t job =
+      fleet.AddRunning(JobStep::Builder().count(1).cpu(1000).Build(), 0);
+  const TaskKey task = TaskKey::Builder().job(job).Build();
+  tables.term_ = HolderTerm::Builder(tables.term_).settled(false).Build();
+  fleet.Report(0,
+               WorkerReport::Builder()
+                   .number(1)
+                   .ends({RunEnd::Builder()
+                              .number(1)
+                              .run(RunKey::Builder().task(task).run(1).Build())
+                              .outcome(RunOutcome::kLapsed)
+                              .Build()})
+                   .Build());
+  BOOST_TEST((tables.tasks_.Find(task)->stage() == TaskStage::kReady));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace quetzalline
