Test support: one dialling loop for each member of a cell

Cause: VirtualCell keeps the members to connect to in a set. A member that is dropped and added again (its agent has registered anew) is in the set when the pending redial of its old loop fires, so it is dialled by two loops for ever. Each connection of one makes the runner close that of the other: sessions change every 100 ms and the worker is hardly ever used. The product has one loop: PlatformAgent::Drop stops the old dialler.

Change: each target has the number of its loop, and a redial of another loop ends. No check changed.

--- a/test/support/virtual_cell.cc
+++ b/test/support/virtual_cell.cc
@@ -210,12 +210,8 @@
   if (const auto entry = EntryOf(connection.peer_)) {
     entries_[*entry]->Post(closed);
   }
-  if (agents_[connection.scheduler_].dial_targets_.count(connection.peer_) ==
-      0) {
-    return;
-  }
   events_.After(kRedialDelay, [this, connection] {
-    Dial(connection.scheduler_, connection.peer_);
+    Dial(connection.scheduler_, connection.peer_, connection.dial_);
   });
 }
 
@@ -230,16 +226,22 @@
   for (const ConnectionId id : open) CloseConnection(id);
 }
 
-void VirtualCell::Dial(std::size_t agent, const MemberName& member) {
+// Dials until it succeeds, unless the member was dropped. A member that was
+// dropped and added again has a new loop.
+void VirtualCell::Dial(std::size_t agent, const MemberName& member,
+                       std::uint64_t dial) {
   Agent& row = agents_[agent];
-  if (row.dial_targets_.count(member) == 0 || !row.scheduler_->alive()) return;
-  const Connection connection{agent, member, false};
+  const auto target = row.dial_targets_.find(member);
+  if (target == row.dial_targets_.end() || target->second != dial) return;
+  if (!row.scheduler_->alive()) return;
+  const Connection connection{agent, member, false, dial};
   const auto peer = AgentOf(member);
   const auto entry = EntryOf(member);
   const bool alive = (peer && agents_[*peer].runner_->alive()) ||
                      (entry && entries_[*entry]->alive());
   if (!alive || IsPartitioned(connection)) {
-    events_.After(kRedialDelay, [this, agent, member] { Dial(agent, member); });
+    events_.After(kRedialDelay,
+                  [this, agent, member, dial] { Dial(agent, member, dial); });
     return;
   }
   const ConnectionId id(++last_connection_);
@@ -284,8 +286,8 @@
   std::visit(
       Overloaded{
           [&](const quetzalline::DialPeer& e) {
-            agents_[agent].dial_targets_.insert(e.member());
-            Dial(agent, e.member());
+            agents_[agent].dial_targets_[e.member()] = ++last_dial_;
+            Dial(agent, e.member(), last_dial_);
           },
           [&](const quetzalline::DropPeer& e) { DropPeer(agent, e.member()); },
           [&](const SendToRunner& e) {
--- a/test/support/virtual_cell.h
+++ b/test/support/virtual_cell.h
@@ -81,13 +81,15 @@
     std::unique_ptr<VirtualWorker> worker_;
     std::unique_ptr<VirtualNode<RunnerNode>> runner_;
     std::unique_ptr<VirtualNode<SchedulerNode>> scheduler_;
-    std::set<MemberName> dial_targets_;
+    /// The members to connect to, each with the number of its dialling loop.
+    std::map<MemberName, std::uint64_t> dial_targets_;
     bool partitioned_ = false;
   };
   struct Connection {
     std::size_t scheduler_ = 0;
     MemberName peer_;
     bool stalled_ = false;
+    std::uint64_t dial_ = 0;
   };
   struct Call {
     std::uint64_t job_ = 0;
@@ -101,7 +103,7 @@
   void Perform(std::size_t agent, const RunnerEffect& effect);
   void Perform(std::size_t agent, const SchedulerEffect& effect);
   void PerformEntry(std::size_t entry, const GatewayEffect& effect);
-  void Dial(std::size_t agent, const MemberName& member);
+  void Dial(std::size_t agent, const MemberName& member, std::uint64_t dial);
   void CloseConnection(ConnectionId id);
   void DropPeer(std::size_t agent, const MemberName& member);
   bool IsPartitioned(const Connection& connection) const;
@@ -124,6 +126,7 @@
   std::map<ConnectionId, Connection> connections_;
   std::uint64_t last_connection_ = 0;
   std::uint64_t last_incarnation_ = 0;
+  std::uint64_t last_dial_ = 0;
   std::map<std::uint64_t, Shared<JobDefinition>> jobs_;
   std::map<std::uint64_t, Call> calls_;
   std::uint64_t last_call_ = 0;
