Test: a refusal of the next worker must not hide it

Cause: CheckWorkerIncarnation takes any later start in an answer for a restart of the worker that it knows, also in the refusal (421) of a call that was meant for another worker. It gives the old name the new start. The announcements of the next worker have the same start and another name, so HandleWorkerAnnounced ignores them for ever. All calls go to the old name and are refused, which counts as an answer, so the tasks stay assigned.

Whether a refusal says when its worker started is not decided here: the protocol says so of what a worker says of itself and of its lists, and the simulated worker gives it in refused commands, not in refused polls.

Proposed: as for a clock that stepped back: a refusal as another worker never changes the description; it proves that the described worker is gone. Without that, HandleWorkerAnnounced accepts another name with an equal start.

No logic in src/ is changed, and the test is red until it is.

--- a/test/cell/liveness_test.cc
+++ b/test/cell/liveness_test.cc
@@ -357,6 +357,28 @@
   BOOST_TEST(cell.log().StartsOf(other) > 3);
 }
 
+// The next worker at an address refuses a call that was meant for the last one
+// and says when it started itself. The runner must not take that start for one
+// of the last worker, since it would then ignore the next one.
+BOOST_AUTO_TEST_CASE(a_refusal_of_the_next_worker_does_not_hide_it) {
+  ReadyCell ready(3);
+  VirtualCell& cell = ready.cell_;
+  const std::uint64_t stopped = cell.Submit(LongRunningJob(1));
+  cell.Submit(LongRunningJob(3));
+  cell.RunFor(seconds(2));
+  BOOST_REQUIRE(RunningTasks(cell) == 4U);
+  std::size_t busy = 0;
+  while (cell.worker(busy).running() < 2) ++busy;
+  cell.Cancel(stopped);
+  cell.RunFor(milliseconds(50));
+  const std::int64_t born_ms = cell.worker(busy).born_ms();
+  cell.worker(busy).Replace("next-worker", born_ms + 5000);
+  cell.RunFor(seconds(60));
+  BOOST_TEST(RunningTasks(cell) == 3U);
+  BOOST_REQUIRE(cell.runner(busy).facts_.has_value());
+  BOOST_TEST(cell.runner(busy).facts_->worker() == "next-worker");
+}
+
 // A machine is lost for good together with the holder. The next holder waits
 // until the leases there have expired; the one after it need not wait again.
 BOOST_AUTO_TEST_CASE(a_second_takeover_does_not_wait_for_the_same_loss) {
