Test support: mute workers, unequal distances, and the limit of attempts

Change: a simulated worker may execute calls and lose the answers; an agent's messages to other instances may take longer; the log of invariants checks that no task is started after as many acknowledged failures as it has attempts.

--- a/test/support/job_invariant_log.cc
+++ b/test/support/job_invariant_log.cc
@@ -1,5 +1,7 @@
 #include "support/job_invariant_log.h"
 
+#include <algorithm>
+
 #include "systems/cell/cell_keys.h"
 
 namespace quetzalline {
@@ -52,6 +54,13 @@
     Fail("started after the job was cancelled: " + text);
   }
   CheckStepOrder(run.task(), known->second, text);
+  const auto step = static_cast<std::size_t>(run.task().step());
+  const auto& failed = failed_runs_[run.task()];
+  if (!known->second.steps()[step].long_running() &&
+      failed.size() >= static_cast<std::size_t>(kMaxAttempts)) {
+    failed_before_start_[run.task()] = failed;
+    CheckAttempts(run);
+  }
   std::set<std::string>& workers = running_[run.task()];
   workers.insert(worker);
   if (workers.size() > 1) Fail("runs on two workers at once: " + text);
@@ -61,11 +70,32 @@
                             RunOutcome outcome, Instant /*now*/) {
   running_[run.task()].erase(worker);
   if (outcome == RunOutcome::kDone) done_.insert(run.task());
+  if (outcome == RunOutcome::kFailed) {
+    failed_runs_[run.task()].insert(run.run());
+  }
+}
+
+// Failures whose ends were lost with their workers never count.
+void JobInvariantLog::CheckAttempts(const RunKey& run) {
+  const auto exceeded = failed_before_start_.find(run.task());
+  if (exceeded == failed_before_start_.end()) return;
+  const auto& acked = acked_failures_[run.task()];
+  const auto counted = std::count_if(
+      exceeded->second.begin(), exceeded->second.end(),
+      [&](std::int64_t failed) { return acked.count(failed) > 0; });
+  if (counted < kMaxAttempts) return;
+  failed_before_start_.erase(exceeded);
+  Fail("started after its last attempt: " + RunText(run));
 }
 
 void JobInvariantLog::CompletionAcknowledged(const RunEnd& end,
                                              bool lapsed_since) {
-  if (end.outcome() != RunOutcome::kDone || lapsed_since) return;
+  if (lapsed_since) return;
+  if (end.outcome() == RunOutcome::kFailed) {
+    acked_failures_[end.run().task()].insert(end.run().run());
+    CheckAttempts(end.run());
+  }
+  if (end.outcome() != RunOutcome::kDone) return;
   const TaskKey& task = end.run().task();
   acked_.insert(task);
   const auto restarted = started_after_done_.find(task);
--- a/test/support/job_invariant_log.h
+++ b/test/support/job_invariant_log.h
@@ -13,10 +13,14 @@
 
 namespace quetzalline {
 
+/// Failed runs of a task after which it must not be started again, in simulated
+/// cells.
+inline constexpr std::int32_t kMaxAttempts = 3;
+
 /// Records what callers and workers observe of jobs, and every guarantee that
 /// the observations violate: a task starts only for a submitted job, in the
 /// order of the steps, on one worker at a time, and not again after its
-/// completion is acknowledged; a completed job has all its tasks done; a
+/// completion, or as many failures as it has attempts, are acknowledged; a completed job has all its tasks done; a
 /// refused or cancelled job does not run.
 class JobInvariantLog {
  public:
@@ -56,6 +60,7 @@
   void Fail(const std::string& description) {
     violations_.push_back(description);
   }
+  void CheckAttempts(const RunKey& run);
   void CheckStepOrder(const TaskKey& task, const JobDefinition& definition,
                       const std::string& text);
 
@@ -70,6 +75,11 @@
   /// The last run of each task that was started after an unacknowledged
   /// completion.
   std::map<TaskKey, std::int64_t> started_after_done_;
+  /// Failed runs of each task, and those whose ends were acknowledged.
+  std::map<TaskKey, std::set<std::int64_t>> failed_runs_;
+  std::map<TaskKey, std::set<std::int64_t>> acked_failures_;
+  /// The runs that had failed when the task was started beyond its attempts.
+  std::map<TaskKey, std::set<std::int64_t>> failed_before_start_;
   std::map<std::uint64_t, std::int64_t> job_starts_;
   std::int64_t starts_ = 0;
   std::vector<std::string> violations_;
--- a/test/support/virtual_cell.cc
+++ b/test/support/virtual_cell.cc
@@ -48,7 +48,7 @@
                            .host("jobs.example")
                            .prefix("/queue/")
                            .service(ServiceName("service"))
-                           .max_attempts(3)
+                           .max_attempts(kMaxAttempts)
                            .stretch(2.0)
                            .objective(std::chrono::seconds(1))
                            .Build()})
@@ -179,11 +179,21 @@
          (peer && agents_[*peer].partitioned_);
 }
 
+Duration VirtualCell::Latency(const Connection& connection) const {
+  const Duration latency = agents_[connection.scheduler_].latency_;
+  const auto peer = AgentOf(connection.peer_);
+  if (!peer) return latency;
+  if (*peer == connection.scheduler_) return kOneWayLatency;
+  return std::max(latency, agents_[*peer].latency_);
+}
+
 // Delivers after the one-way latency. A message sent into a partition is lost,
 // and the connection delivers nothing from then on.
 void VirtualCell::DeliverToPeer(ConnectionId id,
                                 const std::function<void()>& deliver) {
-  events_.After(kOneWayLatency, [this, id, deliver] {
+  const auto open = connections_.find(id);
+  if (open == connections_.end()) return;
+  events_.After(Latency(open->second), [this, id, deliver] {
     const auto found = connections_.find(id);
     if (found == connections_.end()) return;
     if (IsPartitioned(found->second)) found->second.stalled_ = true;
--- a/test/support/virtual_cell.h
+++ b/test/support/virtual_cell.h
@@ -66,6 +66,11 @@
   void StallAgent(std::size_t agent, Duration time);
   void KillEntry(std::size_t entry);
   void StartEntry(std::size_t entry);
+  /// Sets the one-way latency of messages to and from an agent on another
+  /// instance.
+  void SetLatency(std::size_t agent, Duration latency) {
+    agents_[agent].latency_ = latency;
+  }
   /// Partitions an agent from all processes on other instances and, with
   /// store_too, from the store; partitioned = false ends the partition.
   void SetAgentPartitioned(std::size_t agent, bool partitioned, bool store_too);
@@ -85,6 +90,7 @@
     std::unique_ptr<VirtualNode<SchedulerNode>> scheduler_;
     std::set<MemberName> dial_targets_;
     bool partitioned_ = false;
+    Duration latency_ = std::chrono::milliseconds(1);
   };
   struct Connection {
     std::size_t scheduler_ = 0;
@@ -107,6 +113,7 @@
   void CloseConnection(ConnectionId id);
   void DropPeer(std::size_t agent, const MemberName& member);
   bool IsPartitioned(const Connection& connection) const;
+  Duration Latency(const Connection& connection) const;
   void DeliverToPeer(ConnectionId id, const std::function<void()>& deliver);
   void DeliverToHolder(const SendToHolder& sent);
   void Announce(std::size_t agent);
--- a/test/support/virtual_worker.cc
+++ b/test/support/virtual_worker.cc
@@ -66,6 +66,20 @@
       .Build();
 }
 
+// Delivers the answer after the one-way latency. The answer of a mute worker is
+// lost, and the call times out.
+void VirtualWorker::Reply(const Answer& answer, const WorkerAnswer& result) {
+  if (mute_) {
+    const WorkerAnswer lost = WorkerAnswer::Builder()
+                                  .call(result.call())
+                                  .verdict(WorkerCallOutcome::kLost)
+                                  .Build();
+    events_.After(kCommandTimeout, [answer, lost] { answer(lost); });
+    return;
+  }
+  events_.After(kOneWayLatency, [answer, result] { answer(result); });
+}
+
 // A late command times out and is executed seconds later, unless the worker has
 // restarted: a new incarnation does not know the commands of an earlier one.
 void VirtualWorker::ExecuteCommand(
@@ -94,13 +108,12 @@
   }
   events_.After(kOneWayLatency, [this, call, answer, execute] {
     const WorkerCallOutcome verdict = execute();
-    const WorkerAnswer result = WorkerAnswer::Builder()
-                                    .call(call)
-                                    .verdict(verdict)
-                                    .born_ms(born_ms_)
-                                    .clock_ms(ClockMs())
-                                    .Build();
-    events_.After(kOneWayLatency, [answer, result] { answer(result); });
+    Reply(answer, WorkerAnswer::Builder()
+                      .call(call)
+                      .verdict(verdict)
+                      .born_ms(born_ms_)
+                      .clock_ms(ClockMs())
+                      .Build());
   });
 }
 
@@ -122,7 +135,7 @@
 void VirtualWorker::Perform(const WorkerPoll& call, Answer answer) {
   events_.After(kOneWayLatency, [this, call, answer] {
     const auto send = [this, answer](const WorkerAnswer& result) {
-      events_.After(kOneWayLatency, [answer, result] { answer(result); });
+      Reply(answer, result);
     };
     if (!alive_) {
       return send(MakeListing(call.call(), WorkerCallOutcome::kLost));
@@ -150,7 +163,10 @@
       if (found == pending_polls_.end()) return;
       const PendingPoll waiting = found->second;
       pending_polls_.erase(found);
-      waiting.answer_(MakeListing(waiting.call_, WorkerCallOutcome::kDone));
+      const WorkerAnswer result =
+          MakeListing(waiting.call_, WorkerCallOutcome::kDone);
+      if (mute_) return Reply(waiting.answer_, result);
+      waiting.answer_(result);
     });
   });
 }
@@ -167,10 +183,7 @@
 void VirtualWorker::AnswerPolls() {
   const auto waiting = std::exchange(pending_polls_, {});
   for (const auto& [number, poll] : waiting) {
-    const WorkerAnswer result =
-        MakeListing(poll.call_, WorkerCallOutcome::kDone);
-    events_.After(kOneWayLatency,
-                  [answer = poll.answer_, result] { answer(result); });
+    Reply(poll.answer_, MakeListing(poll.call_, WorkerCallOutcome::kDone));
   }
 }
 
--- a/test/support/virtual_worker.h
+++ b/test/support/virtual_worker.h
@@ -51,6 +51,8 @@
   void SetDraining(bool draining) { draining_ = draining; }
   /// Sets the percentage of commands that time out and are executed late.
   void SetLatePercent(int percent) { late_percent_ = percent; }
+  /// Loses the answers to all calls, which are executed, or sends them again.
+  void SetMute(bool mute) { mute_ = mute; }
   /// Sets the percentage of runs that fail.
   void SetFailPercent(int percent) { fail_percent_ = percent; }
   bool alive() const { return alive_; }
@@ -67,6 +69,7 @@
     Answer answer_;
   };
 
+  void Reply(const Answer& answer, const WorkerAnswer& result);
   void ExecuteCommand(std::uint64_t call, const std::string& worker,
                       std::int64_t call_fence, Answer answer,
                       std::function<WorkerCallOutcome(bool late)> work);
@@ -101,6 +104,7 @@
   std::map<std::uint64_t, PendingPoll> pending_polls_;
   bool alive_ = true;
   bool draining_ = false;
+  bool mute_ = false;
   int late_percent_ = 0;
   int fail_percent_ = 0;
 };
