--- a/src/systems/scheduler/place_runs.cc
+++ b/src/systems/scheduler/place_runs.cc
@@ -53,12 +53,9 @@
 
 ReadyStep Rank(const StepKey& key, const JobRow& job, Instant now) {
   const JobStep& step = StepAt(job, key.step());
-  const Duration allowed = job.due() - job.accepted_at();
-  const bool unmeetable =
-      now - job.accepted_at() > kUnmeetableDeadlineFactor * allowed;
   PlacementClass placement_class =
       step.fills() ? PlacementClass::kBestEffort : PlacementClass::kUrgent;
-  if (unmeetable) placement_class = PlacementClass::kUnmeetable;
+  if (IsUnmeetable(job, now)) placement_class = PlacementClass::kUnmeetable;
   if (step.long_running()) placement_class = PlacementClass::kService;
   return ReadyStep{placement_class, job.queue()->priority(), job.due(), key};
 }
@@ -309,6 +306,11 @@
 
 }  // namespace
 
+bool IsUnmeetable(const JobRow& job, Instant now) {
+  const Duration allowed = job.due() - job.accepted_at();
+  return now - job.accepted_at() > kUnmeetableDeadlineFactor * allowed;
+}
+
 void PlaceRuns(SchedulerTables& tables, SchedulerTick& tick) {
   if (!IsActing(tables) || tables.tasks_.ready().empty()) return;
   if (!MayAct(tables, tick.now())) return;
--- a/src/systems/scheduler/place_runs.h
+++ b/src/systems/scheduler/place_runs.h
@@ -6,6 +6,9 @@
 
 namespace quetzalline {
 
+/// Returns true if the job is so late that it is placed after all others.
+bool IsUnmeetable(const JobRow& job, Instant now);
+
 /// Places ready tasks on workers with free capacity. Order: urgent tasks,
 /// long-running services, best-effort tasks, then tasks that cannot meet their
 /// deadline; within a class by priority, then by due time.
--- a/src/systems/scheduler/reclaim_capacity.cc
+++ b/src/systems/scheduler/reclaim_capacity.cc
@@ -11,6 +11,7 @@
 #include "systems/scheduler/choose_worker.h"
 #include "systems/scheduler/finish_job.h"
 #include "systems/scheduler/leader_election.h"
+#include "systems/scheduler/place_runs.h"
 #include "systems/scheduler/plan_preemption.h"
 
 namespace quetzalline {
@@ -84,7 +85,8 @@
 }
 
 // Returns the steps with urgent tasks that have waited too long, in the order
-// of the time since which they wait.
+// of the time since which they wait. Tasks of unmeetable jobs are placed after
+// long-running ones, which would take any room that is made for them.
 std::vector<std::pair<Instant, StepKey>> LateUrgentSteps(
     const SchedulerTables& tables, Instant now) {
   std::vector<std::pair<Instant, StepKey>> late;
@@ -92,6 +94,8 @@
     const JobTask& task = *tables.tasks_.Find(FirstOf(key, indexes));
     if (task.step()->long_running() || task.step()->fills()) continue;
     if (now - task.ready_since() < kMaxUrgentWait) continue;
+    const JobRow* job = tables.jobs_.Find(key.job());
+    if (job == nullptr || IsUnmeetable(*job, now)) continue;
     late.emplace_back(task.ready_since(), key);
   }
   std::sort(late.begin(), late.end());
--- a/test/cell/liveness_test.cc
+++ b/test/cell/liveness_test.cc
@@ -611,6 +611,21 @@
   BOOST_TEST(cell.log().StartsOf(service_job) == 3);
 }
 
+// A job that is far too late is placed after long-running tasks. They take the
+// room again that is made for it, so it must not preempt them.
+BOOST_AUTO_TEST_CASE(a_job_that_is_placed_last_preempts_nothing) {
+  ReadyCell ready;
+  VirtualCell& cell = ready.cell_;
+  const std::uint64_t service_job =
+      cell.Submit(Job({JobStep::Builder(Step(5, 12'000, milliseconds(400)))
+                           .long_running(true)
+                           .Build()}));
+  cell.RunFor(seconds(1));
+  cell.Submit(Job({Step(1, 8000, milliseconds(100))}));
+  cell.RunFor(seconds(60));
+  BOOST_TEST(cell.log().StartsOf(service_job) == 5);
+}
+
 // The workers of another service are full. That says nothing about the room
 // that a best-effort task has on its own service's workers.
 BOOST_AUTO_TEST_CASE(a_full_service_does_not_delay_work_of_another) {
