--- a/src/systems/scheduler/finish_job.cc
+++ b/src/systems/scheduler/finish_job.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "systems/cell/log_fields.h"
+#include "systems/scheduler/run_numbers.h"
 #include "systems/scheduler/track_jobs.h"
 
 namespace quetzalline {
@@ -121,6 +122,17 @@
   return std::find(failed.begin(), failed.end(), run) != failed.end();
 }
 
+// Returns the stage of a task whose run is over without success. Runners that
+// have not answered since a failover may still list ends of its earlier runs: a
+// success, or failures that use up its attempts. Until all have, the state of a
+// task of an earlier term is unknown again. Long-running tasks are restarted
+// however their runs end.
+TaskStage StageAfterRun(const JobTask& task, const HolderTerm& term) {
+  const bool may_have_ended = !term.settled() && !task.step()->long_running() &&
+                              task.run() <= LastEarlierRun(term);
+  return may_have_ended ? TaskStage::kInDoubt : TaskStage::kReady;
+}
+
 // Returns the checkpoint of the latest run. A delayed completion of an earlier
 // run must not replace it.
 std::string LatestCheckpoint(const JobTask& task, const RunEnd& end) {
@@ -155,7 +167,8 @@
   const bool job_finished = job == nullptr || IsFinalState(job->state());
   tables.tasks_.Put(
       key, JobTask::Builder(*task)
-               .stage(job_finished ? TaskStage::kDone : TaskStage::kReady)
+               .stage(job_finished ? TaskStage::kDone
+                                   : StageAfterRun(*task, tables.term_))
                .ready_since(tick.now())
                .stopping(false)
                .Build());
@@ -260,7 +273,9 @@
     builder.failed_runs(std::move(failed_runs));
   }
   if (current) {
-    builder.stage(TaskStage::kReady).ready_since(tick.now()).stopping(false);
+    builder.stage(StageAfterRun(*task, tables.term_))
+        .ready_since(tick.now())
+        .stopping(false);
   }
   const JobTask changed = builder.Build();
   tables.tasks_.Put(key, changed);
--- a/src/systems/scheduler/place_runs.cc
+++ b/src/systems/scheduler/place_runs.cc
@@ -8,6 +8,7 @@
 #include "systems/scheduler/confirm_epoch.h"
 #include "systems/scheduler/finish_job.h"
 #include "systems/scheduler/leader_election.h"
+#include "systems/scheduler/run_numbers.h"
 #include "systems/scheduler/send_start.h"
 #include "systems/scheduler/track_jobs.h"
 #include "systems/scheduler/track_workers.h"
@@ -15,9 +16,6 @@
 namespace quetzalline {
 namespace {
 
-// Number of run numbers per task and epoch. Disjoint ranges keep a later holder
-// from reusing a run number of an earlier one.
-constexpr std::int64_t kRunsPerEpoch = 1000;
 // A job whose age exceeds its allowed time by this factor cannot earn anything
 // any more and is placed last.
 constexpr int kUnmeetableDeadlineFactor = 3;
@@ -102,8 +100,7 @@
 // Returns the number of the task's next run, which is higher than any number
 // used by this or an earlier holder.
 std::int64_t NextRun(const JobTask& task, const SchedulerTables& tables) {
-  const std::int64_t floor = (tables.term_.epoch() - 1) * kRunsPerEpoch;
-  return std::max(task.run(), floor) + 1;
+  return std::max(task.run(), LastEarlierRun(tables.term_)) + 1;
 }
 
 // Sends the command to start an assigned task.
