--- a/src/systems/scheduler/confirm_epoch.cc
+++ b/src/systems/scheduler/confirm_epoch.cc
@@ -17,10 +17,11 @@
 // Returns true if a majority of runners contacted this holder within
 // kContactWindow.
 bool HasMajority(const SchedulerTables& tables, Instant now) {
-  return HasRunnerMajority(
-      tables, [&](const MemberName&, const MemberRow& row) {
-        return row.connection() && now - row.heard_at() <= kContactWindow;
-      });
+  return HasRunnerMajority(tables,
+                           [&](const MemberName&, const MemberRow& row) {
+                             return row.connection() && row.answered() &&
+                                    now - row.heard_at() <= kContactWindow;
+                           });
 }
 
 }  // namespace
--- a/test/cell/takeover_test.cc
+++ b/test/cell/takeover_test.cc
@@ -2,6 +2,7 @@
 
 #include "support/placement_fleet.h"
 #include "support/virtual_cell.h"
+#include "systems/scheduler/confirm_epoch.h"
 #include "systems/scheduler/reconcile_tasks.h"
 #include "systems/scheduler/track_members.h"
 
@@ -286,6 +287,24 @@
   BOOST_TEST((tables.tasks_.Find(task)->stage() == TaskStage::kReady));
 }
 
+// A holder that was cut off reconnects to runners that follow another one by
+// now. A connection is no sign that they follow it.
+BOOST_AUTO_TEST_CASE(a_connection_without_an_answer_counts_for_no_majority) {
+  constexpr int kMembers = 3;
+  PlacementFleet fleet(kMembers);
+  SchedulerTables& tables = fleet.tables();
+  tables.term_ =
+      HolderTerm::Builder(tables.term_).confirmed_at(Instant()).Build();
+  BOOST_TEST(MayAct(tables, kFleetNow));
+  for (int i = 0; i < kMembers; ++i) {
+    const MemberName name = PlacementFleet::Name(i);
+    tables.members_.Put(name, MemberRow::Builder(*tables.members_.Find(name))
+                                  .answered(false)
+                                  .Build());
+  }
+  BOOST_TEST(!MayAct(tables, kFleetNow));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace quetzalline
