Rename WorkerRow::listed() to reconciled()

Cause: four accessors named the listing of runs; this one tells whether the worker has listed all its runs to this holder at any time, which is what ends its part in a reconciliation.

--- a/src/systems/scheduler/reconcile_tasks.cc
+++ b/src/systems/scheduler/reconcile_tasks.cc
@@ -27,7 +27,7 @@
 // worker.
 bool IsKnown(const MemberName& name, const WorkerRow& worker,
              const SchedulerTables& tables) {
-  return worker.listed() || tables.confirmed_lost_.count(name) > 0;
+  return worker.reconciled() || tables.confirmed_lost_.count(name) > 0;
 }
 
 // Returns the time at which all leases granted by earlier holders have
--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -101,8 +101,11 @@
   if (!worker.facts() || new_incarnation) {
     // Completions of a new incarnation are numbered from the start.
     DropUnacknowledgedCompletions(name, tables);
-    builder.listed(false).ends_seen(0).ends_noted(0).failures(0).rests_until(
-        Instant());
+    builder.reconciled(false)
+        .ends_seen(0)
+        .ends_noted(0)
+        .failures(0)
+        .rests_until(Instant());
     LogLine(tick, "worker-joined", 0,
             {Field("member", name.value()), Field("worker", facts.worker()),
              Field("born_ms", facts.born_ms()), Field("cpu", facts.cpu())});
@@ -337,14 +340,14 @@
   if (report.whole()) {
     if (!report.facts()) return HandleAbsentWorker(name, tables, tick);
     const WorkerRow worker = *tables.workers_.Find(name);
-    tables.workers_.Put(name,
-                        WorkerRow::Builder(worker)
-                            .listing(report.more_ends() ? RunListing::kTruncated
-                                                        : RunListing::kComplete)
-                            .listed(worker.listed() || !report.more_ends())
-                            .granted_at(tick.now())
-                            .grant_sent_at(Instant())
-                            .Build());
+    tables.workers_.Put(
+        name, WorkerRow::Builder(worker)
+                  .listing(report.more_ends() ? RunListing::kTruncated
+                                              : RunListing::kComplete)
+                  .reconciled(worker.reconciled() || !report.more_ends())
+                  .granted_at(tick.now())
+                  .grant_sent_at(Instant())
+                  .Build());
   }
   tables.workers_.Put(name, WorkerRow::Builder(*tables.workers_.Find(name))
                                 .silent(report.silent())
--- a/src/tables/worker_row.h
+++ b/src/tables/worker_row.h
@@ -32,7 +32,7 @@
   /// Returns true once all runs have been listed in this session.
   bool reported() const { return listing_ == RunListing::kComplete; }
   /// Returns true once this incarnation has listed all its runs to this holder.
-  bool listed() const { return listed_; }
+  bool reconciled() const { return reconciled_; }
   /// Time at which the worker's lease was last granted, or at which the worker
   /// last began to list its runs in a session; unset before.
   Instant granted_at() const { return granted_at_; }
@@ -60,7 +60,7 @@
  private:
   QUETZALLINE_VALUE(WorkerRow, facts_, listing_, granted_at_, grant_sent_at_,
                     ends_seen_, ends_noted_, failures_, rests_until_, silent_,
-                    clear_until_, fill_pace_, listed_)
+                    clear_until_, fill_pace_, reconciled_)
 
   std::optional<WorkerDescription> facts_;
   RunListing listing_ = RunListing::kNone;
@@ -73,7 +73,7 @@
   bool silent_ = false;
   Instant clear_until_ = Instant{};
   std::int32_t fill_pace_ = 100;
-  bool listed_ = false;
+  bool reconciled_ = false;
 };
 
 /// Builds a WorkerRow; fields that are not set keep their defaults.
@@ -85,7 +85,7 @@
     return Set(value_.facts_, std::move(value));
   }
   Builder& listing(RunListing value) { return Set(value_.listing_, value); }
-  Builder& listed(bool value) { return Set(value_.listed_, value); }
+  Builder& reconciled(bool value) { return Set(value_.reconciled_, value); }
   Builder& granted_at(Instant value) { return Set(value_.granted_at_, value); }
   Builder& grant_sent_at(Instant value) {
     return Set(value_.grant_sent_at_, value);
--- a/test/support/placement_fleet.h
+++ b/test/support/placement_fleet.h
@@ -165,7 +165,7 @@
                                               .memory_mb(250'000)
                                               .Build())
                                    .listing(RunListing::kComplete)
-                                   .listed(true)
+                                   .reconciled(true)
                                    .granted_at(kFleetNow)
                                    .Build());
   }
