--- a/src/systems/scheduler/finish_job.cc
+++ b/src/systems/scheduler/finish_job.cc
@@ -140,6 +140,42 @@
   return newer ? end.checkpoint() : task.checkpoint();
 }
 
+// Records the end of a run that did not complete its task. The task becomes
+// ready if that was its current run, unless it has no attempts left.
+void HandleUnsuccessfulRun(const RunEnd& end, bool current,
+                           SchedulerTables& tables, SchedulerTick& tick) {
+  const TaskKey& key = end.run().task();
+  const JobTask* task = tables.tasks_.Find(key);
+  const bool failed = end.outcome() == RunOutcome::kFailed &&
+                      !task->step()->long_running() &&
+                      !IsFailureCounted(*task, end.run().run());
+  JobTask::Builder builder(*task);
+  builder.checkpoint(LatestCheckpoint(*task, end))
+      .run(std::max(task->run(), end.run().run()));
+  if (failed) {
+    std::vector<std::int64_t> failed_runs = task->failed_runs();
+    failed_runs.push_back(end.run().run());
+    builder.failed_runs(std::move(failed_runs));
+  }
+  if (current) {
+    builder.stage(StageAfterRun(*task, tables.term_))
+        .ready_since(tick.now())
+        .stopping(false);
+  }
+  const JobTask changed = builder.Build();
+  tables.tasks_.Put(key, changed);
+  if (failed || !changed.checkpoint().empty()) {
+    tables.dirty_jobs_.Add(key.job(), DirtyKind::kProgress, tick.now());
+  }
+  const auto failures = static_cast<std::int32_t>(changed.failed_runs().size());
+  if (failed &&
+      failures >= tables.jobs_.Find(key.job())->queue()->max_attempts()) {
+    tick.counters().Add(Counter::kTasksFailed);
+    FinishJob(key.job(), JobState::kFailed, Reason::kTooManyAttempts, tables,
+              tick);
+  }
+}
+
 }  // namespace
 
 void FinishGang(const TaskKey& key, std::int64_t run, SchedulerTables& tables,
@@ -252,8 +288,7 @@
                       JobTask::Builder(*task).stage(TaskStage::kDone).Build());
     return EraseFinishedTasks(key.job(), tables);
   }
-  const bool long_running = task->step()->long_running();
-  if (end.outcome() == RunOutcome::kDone && !long_running) {
+  if (end.outcome() == RunOutcome::kDone && !task->step()->long_running()) {
     if (!current) StopSuperseded(key, tables, tick);
     tables.dirty_jobs_.Add(key.job(), DirtyKind::kProgress, tick.now());
     const JobTask finished = *tables.tasks_.Find(key);
@@ -262,32 +297,7 @@
     }
     return FinishTask(key, finished, tables, tick);
   }
-  const bool failed = end.outcome() == RunOutcome::kFailed && !long_running &&
-                      !IsFailureCounted(*task, end.run().run());
-  JobTask::Builder builder(*task);
-  builder.checkpoint(LatestCheckpoint(*task, end))
-      .run(std::max(task->run(), end.run().run()));
-  if (failed) {
-    std::vector<std::int64_t> failed_runs = task->failed_runs();
-    failed_runs.push_back(end.run().run());
-    builder.failed_runs(std::move(failed_runs));
-  }
-  if (current) {
-    builder.stage(StageAfterRun(*task, tables.term_))
-        .ready_since(tick.now())
-        .stopping(false);
-  }
-  const JobTask changed = builder.Build();
-  tables.tasks_.Put(key, changed);
-  if (failed || !changed.checkpoint().empty()) {
-    tables.dirty_jobs_.Add(key.job(), DirtyKind::kProgress, tick.now());
-  }
-  const auto failures = static_cast<std::int32_t>(changed.failed_runs().size());
-  if (failed && failures >= job->queue()->max_attempts()) {
-    tick.counters().Add(Counter::kTasksFailed);
-    FinishJob(key.job(), JobState::kFailed, Reason::kTooManyAttempts, tables,
-              tick);
-  }
+  HandleUnsuccessfulRun(end, current, tables, tick);
 }
 
 }  // namespace quetzalline
