--- a/test/cell/absent_worker_test.cc
+++ b/test/cell/absent_worker_test.cc
@@ -20,19 +20,24 @@
 // placement has had a second.
 constexpr Duration kLeaseAndPlacement = seconds(7);
 
-// A long-running job with its tasks on different workers of the cell.
+// Returns a long-running job whose tasks run on different workers.
+JobDefinition SpreadJob() {
+  const JobStep step = JobStep::Builder()
+                           .count(kTasks)
+                           .cpu(1000)
+                           .memory_mb(100)
+                           .estimate(milliseconds(500))
+                           .long_running(true)
+                           .most_per_worker(1)
+                           .Build();
+  return JobDefinition::Builder().spec("spec").steps({step}).Build();
+}
+
+// A cell of five workers that runs such a job on four of them.
 struct SpreadCell {
   SpreadCell() : cell_(kAgents, 2, 1) {
     cell_.RunFor(seconds(3));
-    const JobStep step = JobStep::Builder()
-                             .count(kTasks)
-                             .cpu(1000)
-                             .memory_mb(100)
-                             .estimate(milliseconds(500))
-                             .long_running(true)
-                             .most_per_worker(1)
-                             .Build();
-    cell_.Submit(JobDefinition::Builder().spec("spec").steps({step}).Build());
+    cell_.Submit(SpreadJob());
     cell_.RunFor(seconds(2));
   }
   ~SpreadCell() {
@@ -301,15 +306,7 @@
     cell.KillAgent(i);
     ++replaced;
   }
-  const JobStep step = JobStep::Builder()
-                           .count(kTasks)
-                           .cpu(1000)
-                           .memory_mb(100)
-                           .estimate(milliseconds(500))
-                           .long_running(true)
-                           .most_per_worker(1)
-                           .Build();
-  cell.Submit(JobDefinition::Builder().spec("spec").steps({step}).Build());
+  cell.Submit(SpreadJob());
   cell.RunFor(seconds(2));
   const std::size_t holder = *cell.Holder();
   cell.worker(holder).Crash();
