Show jobs that have nothing running although a task's turn has come

What operators saw: tasks-wait describes the first waiting step in placement order. A job further back that had nothing running was named in no log line and no metric.

Change: the holder keeps the jobs that have nothing running although a task is ready (a table, renewed with each placement pass). job-idle names such a job after 1 s and whenever that time has doubled, at most every 0.1 s for all jobs, with the number of workers by cause, those that get no new work included. Gauges: jobs_idle, longest_idle_ms. Placement is unchanged.

PlacementFleet (test support) can let time pass.

--- a/src/systems/scheduler/choose_worker.cc
+++ b/src/systems/scheduler/choose_worker.cc
@@ -99,25 +99,29 @@
   return !forecast.unmeasured_ || !HasUnmeasuredPair(name, tables);
 }
 
-bool IsSchedulable(const MemberName& name, const WorkerRow& worker,
-                   const SchedulerTables& tables, Instant now) {
-  if (!worker.reported() || !worker.facts()) return false;
-  if (worker.facts()->draining() || worker.silent()) return false;
-  if (tables.orphaned_runs_.count(name) > 0) return false;
-  if (tables.confirmed_lost_.count(name) > 0) return false;
+}  // namespace
+
+ClosedCause FindClosedCause(const MemberName& name, const WorkerRow& worker,
+                            const SchedulerTables& tables, Instant now) {
+  if (!worker.reported() || !worker.facts()) return ClosedCause::kUnlisted;
+  if (worker.facts()->draining()) return ClosedCause::kDraining;
+  if (worker.silent()) return ClosedCause::kUnresponsive;
+  if (tables.orphaned_runs_.count(name) > 0) return ClosedCause::kOrphanedRuns;
+  if (tables.confirmed_lost_.count(name) > 0) return ClosedCause::kRecordedLost;
   const MemberRow* member = tables.members_.Find(name);
-  return member != nullptr && member->connection() &&
-         now - member->heard_at() <= kMaxHeartbeatAge &&
-         now - worker.granted_at() <= kMaxHeartbeatAge;
+  const bool in_touch = member != nullptr && member->connection() &&
+                        now - member->heard_at() <= kMaxHeartbeatAge &&
+                        now - worker.granted_at() <= kMaxHeartbeatAge;
+  return in_touch ? ClosedCause::kOpen : ClosedCause::kOutOfTouch;
 }
 
-}  // namespace
-
 std::vector<MemberName> SchedulableWorkers(const SchedulerTables& tables,
                                            Instant now) {
   std::vector<MemberName> schedulable;
   for (const auto& [name, worker] : tables.workers_) {
-    if (IsSchedulable(name, worker, tables, now)) schedulable.push_back(name);
+    if (FindClosedCause(name, worker, tables, now) == ClosedCause::kOpen) {
+      schedulable.push_back(name);
+    }
   }
   return schedulable;
 }
--- a/src/systems/scheduler/choose_worker.h
+++ b/src/systems/scheduler/choose_worker.h
@@ -1,7 +1,9 @@
 #ifndef QUETZALLINE_SYSTEMS_SCHEDULER_CHOOSE_WORKER_H_
 #define QUETZALLINE_SYSTEMS_SCHEDULER_CHOOSE_WORKER_H_
 
+#include <boost/describe/enum.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <vector>
 
@@ -11,6 +13,28 @@
 
 namespace quetzalline {
 
+/// Why a worker gets no new tasks of any service.
+enum class ClosedCause : std::uint8_t {
+  kOpen,
+  /// It has not listed all its runs in the session.
+  kUnlisted,
+  kDraining,
+  /// Its runner reports that it does not answer.
+  kUnresponsive,
+  /// It runs, or may run, something that is not assigned to it.
+  kOrphanedRuns,
+  /// The store may record it as confirmed lost.
+  kRecordedLost,
+  /// No recent message of its runner, or no recent lease grant.
+  kOutOfTouch
+};
+BOOST_DESCRIBE_ENUM(ClosedCause, kOpen, kUnlisted, kDraining, kUnresponsive,
+                    kOrphanedRuns, kRecordedLost, kOutOfTouch)
+
+/// Returns why the worker gets no new tasks at `now`, or kOpen if it may.
+ClosedCause FindClosedCause(const MemberName& name, const WorkerRow& worker,
+                            const SchedulerTables& tables, Instant now);
+
 /// Returns the workers that may receive new tasks of any service at `now`.
 std::vector<MemberName> SchedulableWorkers(const SchedulerTables& tables,
                                            Instant now);
--- a/src/systems/scheduler/measure_cell.cc
+++ b/src/systems/scheduler/measure_cell.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "systems/scheduler/choose_worker.h"
+#include "systems/scheduler/track_idle_jobs.h"
 
 namespace quetzalline {
 namespace {
@@ -15,6 +16,11 @@
       .Build();
 }
 
+std::size_t ToMilliseconds(Duration time) {
+  return static_cast<std::size_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
 }  // namespace
 
 std::vector<Gauge> MeasureCell(const SchedulerTables& tables) {
@@ -40,6 +46,9 @@
           MakeGauge("cell_tasks_ready", ready),
           MakeGauge("cell_tasks_assigned", assigned),
           MakeGauge("cell_tasks_on_unlisted_workers", unlisted),
+          MakeGauge("cell_jobs_idle", tables.idle_jobs_.size()),
+          MakeGauge("cell_longest_idle_ms",
+                    ToMilliseconds(LongestIdleTime(tables, tables.last_tick_))),
           MakeGauge("cell_workers", tables.workers_.size()),
           MakeGauge("cell_workers_listed", listed_workers),
           MakeGauge("cell_workers_schedulable", schedulable)};
--- a/src/systems/scheduler/place_runs.cc
+++ b/src/systems/scheduler/place_runs.cc
@@ -10,6 +10,7 @@
 #include "systems/scheduler/leader_election.h"
 #include "systems/scheduler/run_numbers.h"
 #include "systems/scheduler/send_start.h"
+#include "systems/scheduler/track_idle_jobs.h"
 #include "systems/scheduler/track_jobs.h"
 #include "systems/scheduler/track_workers.h"
 
@@ -110,6 +111,7 @@
   const MemberName& worker = started.worker();
   tick.counters().Add(Counter::kTasksAssigned);
   MarkStarted(key.job(), tables, tick);
+  tables.idle_jobs_.Erase(key.job());
   const WorkerUse& use = tables.tasks_.UseOf(worker);
   LogLine(tick, "task-placed", key.job(),
           {Field("step", key.step()), Field("index", key.index()),
@@ -297,7 +299,10 @@
       placement.step().gang()
           ? PlaceGang(tasks, half_free, placement, tables, tick)
           : PlaceTasks(tasks, half_free, placement, tables, tick);
-  if (!placed) LogWait(placement, schedulable.size(), tables, tick);
+  if (!placed) {
+    LogWait(placement, schedulable.size(), tables, tick);
+    LogIdleJob(key, placement.causes_, tables, tick);
+  }
   return placed;
 }
 
@@ -309,7 +314,11 @@
 }
 
 void PlaceRuns(SchedulerTables& tables, SchedulerTick& tick) {
-  if (!IsActing(tables) || tables.tasks_.ready().empty()) return;
+  if (!IsActing(tables)) return;
+  if (tables.tasks_.ready().empty()) {
+    tables.idle_jobs_ = {};
+    return;
+  }
   if (!MayAct(tables, tick.now())) return;
   const Instant next = tables.placement_due_ ? tables.earliest_placement_
                                              : tables.next_placement_;
@@ -318,6 +327,7 @@
   tables.next_placement_ = tick.now() + kPlacementInterval;
   const std::vector<MemberName> schedulable =
       SchedulableWorkers(tables, tick.now());
+  UpdateIdleJobs(tables, tick.now());
   bool placed_all = true;
   for (const ReadyStep& step : RankReadySteps(tables, tick.now())) {
     placed_all = PlaceStep(step.key_, schedulable, tables, tick) && placed_all;
--- /dev/null
+++ b/src/systems/scheduler/track_idle_jobs.h
@@ -0,0 +1,29 @@
+#ifndef QUETZALLINE_SYSTEMS_SCHEDULER_TRACK_IDLE_JOBS_H_
+#define QUETZALLINE_SYSTEMS_SCHEDULER_TRACK_IDLE_JOBS_H_
+
+#include <vector>
+
+#include "core/step_key.h"
+#include "systems/scheduler/choose_worker.h"
+#include "systems/scheduler/scheduler_tick.h"
+#include "tables/scheduler_tables.h"
+
+namespace quetzalline {
+
+/// Updates the jobs that have nothing running although a task's turn has come.
+/// Tasks of unknown state may run and count as running; tasks that are assigned
+/// to a worker that gives no sign of life do not. A job with a ready
+/// long-running task is idle whatever else it runs.
+void UpdateIdleJobs(SchedulerTables& tables, Instant now);
+
+/// Logs why a step of an idle job has no worker. Each job is logged at
+/// intervals that grow with its wait, and all together at a bounded rate.
+void LogIdleJob(const StepKey& key, const WaitCauses& causes,
+                SchedulerTables& tables, SchedulerTick& tick);
+
+/// Returns for how long the longest idle job has been idle; zero without one.
+Duration LongestIdleTime(const SchedulerTables& tables, Instant now);
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_SYSTEMS_SCHEDULER_TRACK_IDLE_JOBS_H_
--- /dev/null
+++ b/src/tables/idle_job.h
@@ -0,0 +1,44 @@
+#ifndef QUETZALLINE_TABLES_IDLE_JOB_H_
+#define QUETZALLINE_TABLES_IDLE_JOB_H_
+
+#include <compare>
+#include <string_view>
+
+#include "core/time.h"
+#include "core/value.h"
+
+namespace quetzalline {
+
+/// A job that has nothing running although a task of it is ready.
+class IdleJob {
+ public:
+  class Builder;
+
+  static constexpr std::string_view kName = "idle-job";
+
+  /// Time since which the job has nothing running and a ready task.
+  Instant since() const { return since_; }
+  /// Earliest time of the next log line about the job.
+  Instant next_line() const { return next_line_; }
+
+  friend auto operator<=>(const IdleJob&, const IdleJob&) = default;
+
+ private:
+  QUETZALLINE_VALUE(IdleJob, since_, next_line_)
+
+  Instant since_ = Instant{};
+  Instant next_line_ = Instant{};
+};
+
+/// Builds an IdleJob; fields that are not set keep their defaults.
+class IdleJob::Builder : public ValueBuilder<IdleJob, Builder> {
+ public:
+  using ValueBuilder::ValueBuilder;
+
+  Builder& since(Instant value) { return Set(value_.since_, value); }
+  Builder& next_line(Instant value) { return Set(value_.next_line_, value); }
+};
+
+}  // namespace quetzalline
+
+#endif  // QUETZALLINE_TABLES_IDLE_JOB_H_
--- a/src/tables/job_task_table.cc
+++ b/src/tables/job_task_table.cc
@@ -22,6 +22,12 @@
   return builder.Build();
 }
 
+// Returns true if the task may be running.
+bool IsActive(const JobTask& row) {
+  return row.stage() == TaskStage::kAssigned ||
+         row.stage() == TaskStage::kInDoubt;
+}
+
 // Adds to the entry of an image and removes the entry once it is zero.
 template <typename Number>
 void AddTo(std::map<std::string, Number>& images, const std::string& image,
@@ -122,9 +128,15 @@
   return count;
 }
 
+std::int32_t JobTaskTable::ActiveIn(std::uint64_t job) const {
+  const auto found = active_.find(job);
+  return found == active_.end() ? 0 : found->second;
+}
+
 void JobTaskTable::AddToIndexes(const TaskKey& key, const JobTask& row) {
   if (row.stage() == TaskStage::kReady) ready_[StepOf(key)].insert(key.index());
   if (row.stage() == TaskStage::kInDoubt) unreconciled_.insert(key);
+  if (IsActive(row)) ++active_[key.job()];
   if (row.stage() != TaskStage::kAssigned) return;
   on_worker_[row.worker()].insert(key);
   WorkerUse& use = use_[row.worker()];
@@ -139,6 +151,7 @@
     if (step->second.empty()) ready_.erase(step);
   }
   if (row.stage() == TaskStage::kInDoubt) unreconciled_.erase(key);
+  if (IsActive(row) && --active_[key.job()] == 0) active_.erase(key.job());
   if (row.stage() != TaskStage::kAssigned) return;
   on_worker_[row.worker()].erase(key);
   WorkerUse& use = use_[row.worker()];
--- a/src/tables/job_task_table.h
+++ b/src/tables/job_task_table.h
@@ -59,6 +59,9 @@
   /// Returns the number of tasks of this step that are assigned to a worker.
   std::int32_t CountOnWorker(const StepKey& step,
                              const MemberName& worker) const;
+  /// Returns the number of tasks of the job that are assigned to a worker or
+  /// whose state is unknown.
+  std::int32_t ActiveIn(std::uint64_t job) const;
   std::size_t size() const { return rows_.size(); }
 
  private:
@@ -68,6 +71,7 @@
   std::unordered_map<TaskKey, JobTask, TaskKeyHash> rows_;
   ReadySteps ready_;
   std::set<TaskKey> unreconciled_;
+  std::unordered_map<std::uint64_t, std::int32_t> active_;
   std::map<MemberName, std::set<TaskKey>> on_worker_;
   std::map<MemberName, WorkerUse> use_;
   std::map<MemberName, ImageUse> images_;
--- a/src/tables/scheduler_tables.h
+++ b/src/tables/scheduler_tables.h
@@ -19,6 +19,7 @@
 #include "tables/dirty_jobs.h"
 #include "tables/holder_stage.h"
 #include "tables/holder_term.h"
+#include "tables/idle_job.h"
 #include "tables/image_interference.h"
 #include "tables/image_pair.h"
 #include "tables/job_row.h"
@@ -119,6 +120,11 @@
   /// Earliest time of the next log line about waiting work; true is best-effort
   /// work, false all other work.
   std::map<bool, Instant> next_wait_log_;
+  /// Jobs that have nothing running although a task of theirs is ready, as of
+  /// the last placement pass.
+  Table<std::uint64_t, IdleJob> idle_jobs_;
+  /// Earliest time of the next log line about idle jobs.
+  Instant next_idle_log_;
   /// Time of the next check for occurrences of recurring jobs.
   Instant next_occurrence_check_;
   Instant next_preemption_;
--- a/test/support/placement_fleet.h
+++ b/test/support/placement_fleet.h
@@ -45,15 +45,15 @@
         JobRow::Builder()
             .record(JobRecord::Builder().definition(definition).Build())
             .queue(JobQueue::Builder().service(ServiceName("service")).Build())
-            .accepted_at(kFleetNow - waiting_time)
-            .due(kFleetNow + std::chrono::seconds(10))
+            .accepted_at(now_ - waiting_time)
+            .due(now_ + std::chrono::seconds(10))
             .stored(true)
             .Build());
     for (std::int32_t i = 0; i < step.count(); ++i) {
       tables_.tasks_.Put(Key(job, i), JobTask::Builder()
                                           .stage(TaskStage::kReady)
                                           .step(step)
-                                          .ready_since(kFleetNow - waiting_time)
+                                          .ready_since(now_ - waiting_time)
                                           .Build());
     }
     tables_.placement_due_ = true;
@@ -71,7 +71,7 @@
                              .step(step)
                              .worker(Name(worker))
                              .run(1)
-                             .assigned_at(kFleetNow - std::chrono::seconds(60))
+                             .assigned_at(now_ - std::chrono::seconds(60))
                              .Build());
     }
     return job;
@@ -80,24 +80,45 @@
   /// Handles a report of the runner on the worker's instance and returns the
   /// effects.
   std::vector<SchedulerEffect> Report(int worker, const WorkerReport& report) {
-    SchedulerTick tick(kFleetNow, random_, tables_.counters_);
+    SchedulerTick tick(now_, random_, tables_.counters_);
     HandleReport(ConnectionId(static_cast<std::uint64_t>(worker) + 1), report,
                  tables_, tick);
     return tick.TakeEffects();
   }
 
+  /// Lets time pass. All workers stay in touch.
+  void Advance(Duration time) {
+    now_ += time;
+    tables_.last_tick_ = now_;
+    tables_.term_ =
+        HolderTerm::Builder(tables_.term_).confirmed_at(now_).Build();
+    for (const auto& [name, worker] : tables_.workers_.Sorted()) {
+      tables_.workers_.Put(name,
+                           WorkerRow::Builder(worker).granted_at(now_).Build());
+      tables_.members_.Put(name,
+                           MemberRow::Builder(*tables_.members_.Find(name))
+                               .heard_at(now_)
+                               .Build());
+    }
+  }
+
   /// Runs one placement pass.
-  void Place() {
-    SchedulerTick tick(kFleetNow, random_, tables_.counters_);
+  void Place() { PlaceAndTakeEffects(); }
+
+  /// Runs one placement pass and returns its effects.
+  std::vector<SchedulerEffect> PlaceAndTakeEffects() {
+    SchedulerTick tick(now_, random_, tables_.counters_);
     tables_.placement_due_ = true;
+    tables_.earliest_placement_ = now_;
     PlaceRuns(tables_, tick);
+    return tick.TakeEffects();
   }
 
   /// Runs a system for one tick and returns the number of StopRun messages that
   /// it sent.
   template <typename System>
   std::size_t CountStopCommands(System&& system) {
-    SchedulerTick tick(kFleetNow, random_, tables_.counters_);
+    SchedulerTick tick(now_, random_, tables_.counters_);
     system(tables_, tick);
     std::size_t stops = 0;
     for (const SchedulerEffect& effect : tick.TakeEffects()) {
@@ -114,7 +135,7 @@
   void Observe(int worker, const std::string& best_effort_image,
                std::int64_t millicores, const std::string& service_image,
                std::int32_t tail_percent) {
-    SchedulerTick tick(kFleetNow, random_, tables_.counters_);
+    SchedulerTick tick(now_, random_, tables_.counters_);
     UpdateInterference(Name(worker),
                        InterferenceSample::Builder()
                            .tails({ImageTailLatency::Builder()
@@ -171,6 +192,7 @@
   }
 
   Random random_;
+  Instant now_ = kFleetNow;
   SchedulerTables tables_;
   std::uint64_t last_job_ = 0;
 };
