--- a/src/systems/scheduler/choose_worker.cc
+++ b/src/systems/scheduler/choose_worker.cc
@@ -18,6 +18,12 @@
 // images are placed on separate workers.
 constexpr std::size_t kMinWorkersPerImage = 3;
 
+// Best-effort tasks may reach these percentages of a worker's CPU: in general,
+// and for the next task of a starved job. The platform does not count their CPU
+// against a worker's capacity; the limit bounds how much they slow each other.
+constexpr std::int64_t kAllCpuPercent = 100;
+constexpr std::int64_t kOvercommittedCpuPercent = 200;
+
 bool HasLabel(const WorkerDescription& facts, const std::string& label) {
   return std::find(facts.labels().begin(), facts.labels().end(), label) !=
          facts.labels().end();
@@ -99,25 +105,47 @@
   return !forecast.unmeasured_ || !HasUnmeasuredPair(name, tables);
 }
 
-bool IsSchedulable(const MemberName& name, const WorkerRow& worker,
-                   const SchedulerTables& tables, Instant now) {
-  if (!worker.reported() || !worker.facts()) return false;
-  if (worker.facts()->draining() || worker.silent()) return false;
-  if (tables.orphaned_runs_.count(name) > 0) return false;
-  if (tables.confirmed_lost_.count(name) > 0) return false;
-  const MemberRow* member = tables.members_.Find(name);
-  return member != nullptr && member->connection() &&
-         now - member->heard_at() <= kMaxHeartbeatAge &&
-         now - worker.granted_at() <= kMaxHeartbeatAge;
+// Returns true if a worker with this use has the capacity for one more task of
+// the step, where best-effort tasks may reach this percentage of its CPU.
+bool FitsWithin(std::int64_t best_effort_percent, const JobStep& step,
+                const WorkerDescription& facts, const WorkerUse& use,
+                const PlacementPolicy& policy) {
+  if (use.memory_mb() + step.memory_mb() > facts.memory_mb()) return false;
+  if (use.gpu() + step.gpu() > facts.gpu()) return false;
+  // Best-effort tasks may use the unreserved CPU and the part of the services'
+  // reservations that is assumed unused. They do not reduce the CPU that other
+  // tasks can reserve.
+  const std::int64_t unused = use.serving_cpu() * policy.unused_percent() / 100;
+  const std::int64_t taken =
+      step.fills() ? use.cpu() + use.fill_cpu() - unused : use.cpu();
+  const std::int64_t limit =
+      step.fills() ? facts.cpu() * best_effort_percent / 100 : facts.cpu();
+  return taken + step.cpu() <= limit;
 }
 
 }  // namespace
 
+ClosedCause FindClosedCause(const MemberName& name, const WorkerRow& worker,
+                            const SchedulerTables& tables, Instant now) {
+  if (!worker.reported() || !worker.facts()) return ClosedCause::kUnlisted;
+  if (worker.facts()->draining()) return ClosedCause::kDraining;
+  if (worker.silent()) return ClosedCause::kUnresponsive;
+  if (tables.orphaned_runs_.count(name) > 0) return ClosedCause::kOrphanedRuns;
+  if (tables.confirmed_lost_.count(name) > 0) return ClosedCause::kRecordedLost;
+  const MemberRow* member = tables.members_.Find(name);
+  const bool in_touch = member != nullptr && member->connection() &&
+                        now - member->heard_at() <= kMaxHeartbeatAge &&
+                        now - worker.granted_at() <= kMaxHeartbeatAge;
+  return in_touch ? ClosedCause::kOpen : ClosedCause::kOutOfTouch;
+}
+
 std::vector<MemberName> SchedulableWorkers(const SchedulerTables& tables,
                                            Instant now) {
   std::vector<MemberName> schedulable;
   for (const auto& [name, worker] : tables.workers_) {
-    if (IsSchedulable(name, worker, tables, now)) schedulable.push_back(name);
+    if (FindClosedCause(name, worker, tables, now) == ClosedCause::kOpen) {
+      schedulable.push_back(name);
+    }
   }
   return schedulable;
 }
@@ -136,6 +164,11 @@
   return 2 * reserved < capacity;
 }
 
+bool IsStarved(std::uint64_t job, const SchedulerTables& tables) {
+  const IdleJob* idle = tables.idle_jobs_.Find(job);
+  return idle != nullptr && idle->starved();
+}
+
 bool IsSuitable(const JobStep& step, const ServiceName& service,
                 const WorkerDescription& facts) {
   return facts.service() == service && (step.required_label().empty() ||
@@ -151,15 +184,7 @@
 
 bool Fits(const JobStep& step, const WorkerDescription& facts,
           const WorkerUse& use, const PlacementPolicy& policy) {
-  if (use.memory_mb() + step.memory_mb() > facts.memory_mb()) return false;
-  if (use.gpu() + step.gpu() > facts.gpu()) return false;
-  // Best-effort tasks may use the unreserved CPU and the part of the services'
-  // reservations that is assumed unused. They do not reduce the CPU that other
-  // tasks can reserve.
-  const std::int64_t unused = use.serving_cpu() * policy.unused_percent() / 100;
-  const std::int64_t taken =
-      step.fills() ? use.cpu() + use.fill_cpu() - unused : use.cpu();
-  return taken + step.cpu() <= facts.cpu();
+  return FitsWithin(kAllCpuPercent, step, facts, use, policy);
 }
 
 std::optional<WorkerCandidate> EvaluateWorker(
@@ -174,7 +199,9 @@
     return std::nullopt;
   }
   const WorkerUse& use = tables.tasks_.UseOf(name);
-  if (!Fits(step, facts, use, policy)) {
+  const std::int64_t best_effort_percent =
+      IsStarved(key.job(), tables) ? kOvercommittedCpuPercent : kAllCpuPercent;
+  if (!FitsWithin(best_effort_percent, step, facts, use, policy)) {
     ++causes.no_capacity_;
     return std::nullopt;
   }
