Leave to the next holder what may still run on absent workers

Cause: the time for which a lease may remain on a silent worker was counted by each holder from its own start and ended with it, and the store said nothing about where tasks run, so every task of unknown state waited.

Change: a holder that a majority follows records for each worker that does not answer until when its leases may run and which tasks may be on it (handover/NAME), grants it nothing while the record may be stored, and leaves such records of all workers at a planned stop. The next holder counts that time from when it first saw the record; candidates watch them, and one that has started recently claims later. Tasks that can be on no unresolved worker are released at once. A process that stops gives up a claim in flight.

--- a/src/systems/cell/cell_keys.cc
+++ b/src/systems/cell/cell_keys.cc
@@ -46,6 +46,10 @@
   return std::string(kConfirmedLostPrefix) + member.value();
 }
 
+std::string HandoverKey(const MemberName& member) {
+  return std::string(kHandoverPrefix) + member.value();
+}
+
 std::string_view StripPrefix(std::string_view key, std::string_view prefix) {
   if (key.substr(0, prefix.size()) != prefix) return {};
   return key.substr(prefix.size());
--- a/src/systems/cell/cell_keys.h
+++ b/src/systems/cell/cell_keys.h
@@ -22,6 +22,9 @@
 /// Prefix of the keys of workers that are confirmed lost: nothing runs on them.
 /// A key exists as long as nothing may start on its worker.
 inline constexpr std::string_view kConfirmedLostPrefix = "vacant/";
+/// Prefix of the keys under which a holder leaves to the next one what may
+/// still run on a worker.
+inline constexpr std::string_view kHandoverPrefix = "handover/";
 /// Holds the operators' configuration; only operators write it.
 inline constexpr std::string_view kConfigurationKey = "configuration";
 
@@ -34,6 +37,7 @@
 std::string ProgressKey(std::uint64_t job);
 std::string MemberKey(const MemberName& member);
 std::string ConfirmedLostKey(const MemberName& member);
+std::string HandoverKey(const MemberName& member);
 
 /// Returns the rest of a key after its prefix; empty if the key does not begin
 /// with the prefix.
--- a/src/systems/cell/validate_record.cc
+++ b/src/systems/cell/validate_record.cc
@@ -44,6 +44,15 @@
   return std::nullopt;
 }
 
+std::optional<std::string> ValidateHandover(const WorkerHandover& handover) {
+  const Duration longest = std::chrono::milliseconds(kMaxDurationMs);
+  if (handover.epoch() <= 0) return "epoch: out of range";
+  if (handover.remaining() < Duration() || handover.remaining() > longest) {
+    return "remaining: out of range";
+  }
+  return std::nullopt;
+}
+
 std::optional<std::string> WrongKind() { return "a record of another kind"; }
 
 }  // namespace
@@ -70,6 +79,10 @@
             if (!named) return WrongKind();
             return std::nullopt;
           },
+          [&](const WorkerHandover& handover) -> std::optional<std::string> {
+            if (StripPrefix(key, kHandoverPrefix).empty()) return WrongKind();
+            return ValidateHandover(handover);
+          },
           [&](const SchedulerConfiguration&) -> std::optional<std::string> {
             if (key != kConfigurationKey) return WrongKind();
             return std::nullopt;
--- a/src/systems/scheduler/choose_worker.cc
+++ b/src/systems/scheduler/choose_worker.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "systems/scheduler/estimate_interference.h"
+#include "systems/scheduler/hand_over_workers.h"
 
 namespace quetzalline {
 namespace {
@@ -105,6 +106,7 @@
   if (worker.facts()->draining() || worker.silent()) return false;
   if (tables.orphaned_runs_.count(name) > 0) return false;
   if (tables.confirmed_lost_.count(name) > 0) return false;
+  if (IsHandedOver(name, tables)) return false;
   const MemberRow* member = tables.members_.Find(name);
   return member != nullptr && member->connection() &&
          now - member->heard_at() <= kMaxHeartbeatAge &&
--- a/src/systems/scheduler/commit_progress.cc
+++ b/src/systems/scheduler/commit_progress.cc
@@ -6,6 +6,7 @@
 #include "systems/cell/log_fields.h"
 #include "systems/scheduler/admit_jobs.h"
 #include "systems/scheduler/call_kvs.h"
+#include "systems/scheduler/hand_over_workers.h"
 #include "systems/scheduler/leader_election.h"
 #include "systems/scheduler/track_jobs.h"
 #include "systems/scheduler/track_lost_workers.h"
@@ -20,6 +21,8 @@
 constexpr std::size_t kMaxEntriesPerJob = 2;
 // Maximum number of expired jobs that one commit removes, with one entry each.
 constexpr std::size_t kMaxExpiredPerCommit = 4;
+// Entries that jobs leave to the records of absent workers.
+constexpr std::size_t kMaxHandoversBeforeJobs = 14;
 // Completions are batched for this long, so that several of one job share a
 // commit: a twenty-fifth of the five seconds within which completions must be
 // acknowledged.
@@ -48,14 +51,16 @@
   }
 }
 
-bool IsFull(const CommitBatch& batch) {
+bool IsFull(const CommitBatch& batch,
+            std::size_t max_entries = kMaxCommitEntries) {
   return batch.puts_.size() + batch.removals_.size() + kMaxEntriesPerJob >
-         kMaxCommitEntries;
+         max_entries;
 }
 
-// Adds the jobs with unstored changes to the batch, jobs with waiting callers
-// first.
-void AddJobs(SchedulerTables& tables, CommitBatch& batch) {
+// Adds the jobs with unstored changes to the batch, up to its entry limit, jobs
+// with waiting callers first.
+void AddJobs(std::size_t max_entries, SchedulerTables& tables,
+             CommitBatch& batch) {
   std::vector<std::uint64_t> by_priority;
   for (const CallerWaiting& caller : tables.callers_) {
     if (tables.dirty_jobs_.Contains(caller.job())) {
@@ -67,7 +72,7 @@
     by_priority.push_back(job);
   }
   for (const std::uint64_t job : by_priority) {
-    if (IsFull(batch)) return;
+    if (IsFull(batch, max_entries)) return;
     if (!tables.dirty_jobs_.Contains(job)) continue;
     tables.dirty_jobs_.Erase(job);
     AddJobToBatch(job, tables, batch);
@@ -78,7 +83,10 @@
   CommitBatch batch;
   batch.since_ = now;
   AddLostWorkerChanges(kMaxCommitEntries, tables, batch);
-  AddJobs(tables, batch);
+  const std::size_t reserved =
+      std::min(tables.handover_changes_.size(), kMaxHandoversBeforeJobs);
+  AddJobs(kMaxCommitEntries - reserved, tables, batch);
+  AddHandovers(kMaxCommitEntries, now, tables, batch);
   for (const std::uint64_t job : tables.expired_jobs_) {
     if (batch.expired_.size() >= kMaxExpiredPerCommit || IsFull(batch)) break;
     batch.expired_.push_back(job);
@@ -210,6 +218,7 @@
                      }),
       unacknowledged.end());
   ApplyLostWorkerChanges(batch, tables);
+  ApplyHandovers(batch, tables);
   AnswerCallers(batch.callers_, tick);
   AnswerLateCallers(tables, tick);
   AcknowledgeCompletions(tables, tick);
@@ -331,15 +340,20 @@
     HandleSlowCommit(tables, tick);
     return ContinueCommit(tables, tick);
   }
+  // A stopping holder releases the cell now.
+  if (tables.release_at_ && tables.handover_changes_.empty()) return;
   CollectExpiredJobs(tables, tick);
   const bool due_now = !tables.expired_jobs_.empty() ||
                        !tables.confirmed_lost_changes_.empty() ||
+                       !tables.handover_changes_.empty() ||
                        tables.term_.restore_holder();
   const std::optional<Instant> due =
       due_now ? tick.now() : tables.dirty_jobs_.DueAt(kCompletionBatchDelay);
   if (!due) return;
   const Instant commit_at = std::max(*due, tables.next_commit_);
-  if (tick.now() < commit_at) return tick.WakeAt(commit_at);
+  if (tick.now() < commit_at && !tables.release_at_) {
+    return tick.WakeAt(commit_at);
+  }
   tables.commit_ = BuildBatch(tables, tick.now());
   SendBatch(tables, tick);
 }
--- a/src/systems/scheduler/dispatch_inputs.cc
+++ b/src/systems/scheduler/dispatch_inputs.cc
@@ -6,6 +6,7 @@
 #include "systems/scheduler/confirm_epoch.h"
 #include "systems/scheduler/leader_election.h"
 #include "systems/scheduler/load_stored_state.h"
+#include "systems/scheduler/observe_handovers.h"
 #include "systems/scheduler/track_members.h"
 #include "systems/scheduler/track_workers.h"
 
@@ -68,6 +69,9 @@
           [&](const ProbingJob& p) {
             HandleJobProbe(p.caller(), result, tables, tick);
           },
+          [&](const ObservingHandovers&) {
+            HandleObservedHandovers(result, tables, tick);
+          },
       },
       pending.purpose());
 }
--- a/src/systems/scheduler/leader_election.cc
+++ b/src/systems/scheduler/leader_election.cc
@@ -6,7 +6,9 @@
 #include "systems/cell/cell_keys.h"
 #include "systems/cell/log_fields.h"
 #include "systems/scheduler/call_kvs.h"
+#include "systems/scheduler/hand_over_workers.h"
 #include "systems/scheduler/load_stored_state.h"
+#include "systems/scheduler/observe_handovers.h"
 
 namespace quetzalline {
 namespace {
@@ -17,9 +19,15 @@
 constexpr Duration kMinClaimDelay = std::chrono::milliseconds(20);
 constexpr std::int64_t kClaimJitterUs = 80'000;
 constexpr int kRoundTripsBeforeClaim = 8;
+// Added for a process that has started so recently that it would count the
+// leases of absent workers from a later time than others. More than the jitter.
+constexpr Duration kUnobservedClaimDelay = std::chrono::milliseconds(100);
 // Delay before a failed read of the holder is repeated, and its random part.
 constexpr Duration kHolderReadDelay = std::chrono::milliseconds(150);
 constexpr std::int64_t kHolderReadJitterUs = 150'000;
+// Time for which a stopping holder hands over its workers. Twenty round trips
+// to the store; new work starts again only with the next holder.
+constexpr Duration kMaxHandoverTime = std::chrono::milliseconds(400);
 // Value of next_holder_read_ while a read or watch is pending; its result
 // schedules the next read.
 constexpr Instant kNoHolderReadScheduled = Instant::max();
@@ -56,9 +64,11 @@
   const auto& following = std::get<HolderFollowing>(tables.stage_);
   tables.next_holder_read_ = kNoHolderReadScheduled;
   if (following.claim_at()) return;
-  const Duration delay = kMinClaimDelay +
-                         Duration(UniformInt(tick.random(), kClaimJitterUs)) +
-                         kRoundTripsBeforeClaim * tables.store_round_trip_;
+  const Duration delay =
+      kMinClaimDelay + Duration(UniformInt(tick.random(), kClaimJitterUs)) +
+      kRoundTripsBeforeClaim * tables.store_round_trip_ +
+      (HasObservedHandovers(tables, tick.now()) ? Duration()
+                                                : kUnobservedClaimDelay);
   tables.stage_ = HolderFollowing::Builder()
                       .claim_at(tick.now() + delay)
                       .odd_holder(odd_holder)
@@ -106,6 +116,16 @@
   RenewLease(tables.term_.lease(), RenewingHolderLease(), tables, tick);
 }
 
+void EndHolderLease(std::uint64_t lease, SchedulerTables& tables,
+                    SchedulerTick& tick) {
+  const std::uint64_t ticket = ++tables.last_ticket_;
+  tables.store_calls_.Put(ticket, KvsPending::Builder()
+                                      .purpose(EndingHolderLease())
+                                      .term(tables.term_number_)
+                                      .Build());
+  tick.Emit(KvsEndLease::Builder().ticket(ticket).lease(lease).Build());
+}
+
 void BeginTerm(std::int64_t epoch, std::int64_t revision, std::uint64_t lease,
                SchedulerTables& tables, SchedulerTick& tick) {
   tables.term_ = HolderTerm::Builder()
@@ -151,16 +171,36 @@
 }
 
 void ResignCell(SchedulerTables& tables, SchedulerTick& tick) {
+  if (tables.stopping_) return;
   tables.stopping_ = true;
+  if (const auto* claiming = std::get_if<HolderClaiming>(&tables.stage_)) {
+    const std::uint64_t lease = claiming->lease();
+    // A claim that is in flight must not succeed.
+    ClearTermState(tables);
+    tables.stage_ = HolderFollowing();
+    if (lease != 0) EndHolderLease(lease, tables, tick);
+    return;
+  }
   if (!IsHolder(tables)) return;
+  if (IsActing(tables)) HandOverAllWorkers(tables);
+  const bool hands_over = IsActing(tables) && !tables.store_failing_since_;
+  tables.release_at_ = hands_over ? tick.now() + kMaxHandoverTime : tick.now();
+}
+
+void ReleaseCell(SchedulerTables& tables, SchedulerTick& tick) {
+  if (!tables.release_at_ || !IsHolder(tables)) return;
+  const std::size_t left = tables.handover_changes_.size();
+  const bool handed_over =
+      IsActing(tables) && !tables.commit_.has_value() && left == 0;
+  if (!handed_over && tick.now() < *tables.release_at_) {
+    return tick.WakeAt(*tables.release_at_);
+  }
+  LogLine(tick, "cell-handed-over", 0,
+          {Field("epoch", tables.term_.epoch()),
+           Field("complete", handed_over ? 1 : 0), Field("left", left)});
   const std::uint64_t lease = tables.term_.lease();
   StepDown("stop requested", tables, tick);
-  const std::uint64_t ticket = ++tables.last_ticket_;
-  tables.store_calls_.Put(ticket, KvsPending::Builder()
-                                      .purpose(EndingHolderLease())
-                                      .term(tables.term_number_)
-                                      .Build());
-  tick.Emit(KvsEndLease::Builder().ticket(ticket).lease(lease).Build());
+  EndHolderLease(lease, tables, tick);
 }
 
 void StepDown(std::string_view cause, SchedulerTables& tables,
--- a/src/systems/scheduler/leader_election.h
+++ b/src/systems/scheduler/leader_election.h
@@ -14,10 +14,15 @@
 /// acts as a fencing token: every commit expects it and runners compare it.
 void RunLeaderElection(SchedulerTables& tables, SchedulerTick& tick);
 
-/// Ends the holder's lease at a planned stop, so that another process can claim
-/// the cell without waiting for the lease to expire.
+/// Handles the request to stop. From then on this process claims the cell no
+/// more. A holder first hands over its workers to the next one.
 void ResignCell(SchedulerTables& tables, SchedulerTick& tick);
 
+/// Ends the lease of a stopping holder once it has handed over its workers, so
+/// that another process can claim the cell without waiting for the lease to
+/// expire. If the store is slow, it ends without the handover.
+void ReleaseCell(SchedulerTables& tables, SchedulerTick& tick);
+
 /// Gives up the cell: drops all connections, clears the state of the term and
 /// returns to following. The cause is logged.
 void StepDown(std::string_view cause, SchedulerTables& tables,
--- a/src/systems/scheduler/load_stored_state.cc
+++ b/src/systems/scheduler/load_stored_state.cc
@@ -6,6 +6,8 @@
 #include "systems/cell/cell_keys.h"
 #include "systems/cell/log_fields.h"
 #include "systems/scheduler/call_kvs.h"
+#include "systems/scheduler/hand_over_workers.h"
+#include "systems/scheduler/observe_handovers.h"
 #include "systems/scheduler/track_jobs.h"
 #include "systems/scheduler/track_members.h"
 
@@ -95,6 +97,12 @@
                   std::string(StripPrefix(item.key(), kMemberPrefix)));
               AddMember(name, member, tables, tick);
             },
+            [&](const WorkerHandover& handover) {
+              const auto name = StripPrefix(item.key(), kHandoverPrefix);
+              RestoreHandover(MemberName(std::string(name)), handover,
+                              FirstSeenAt(item, tick.now(), tables), tables,
+                              tick);
+            },
             [](const JobRecord&) {},
             [](const JobProgress&) {},
             [](const HolderRecord&) {},
@@ -122,9 +130,9 @@
   tables.stage_ = HolderLoading();
   tick.Emit(ReadWallClock());
   tables.pending_loads_ = {
-      std::string(kJobPrefix), std::string(kProgressPrefix),
-      std::string(kMemberPrefix), std::string(kConfirmedLostPrefix),
-      std::string(kConfigurationKey)};
+      std::string(kJobPrefix),      std::string(kProgressPrefix),
+      std::string(kMemberPrefix),   std::string(kConfirmedLostPrefix),
+      std::string(kHandoverPrefix), std::string(kConfigurationKey)};
   for (const std::string& prefix : tables.pending_loads_) {
     ReadPrefix(prefix, tables, tick);
   }
@@ -169,6 +177,9 @@
   cleared.store_calls_ = tables.store_calls_;
   cleared.store_round_trip_ = tables.store_round_trip_;
   cleared.stopping_ = tables.stopping_;
+  cleared.observed_handovers_ = tables.observed_handovers_;
+  cleared.handovers_revision_ = tables.handovers_revision_;
+  cleared.observing_since_ = tables.observing_since_;
   cleared.wall_offset_ms_ = tables.wall_offset_ms_;
   cleared.last_tick_ = tables.last_tick_;
   cleared.term_number_ = tables.term_number_ + 1;
--- a/src/systems/scheduler/scheduler_node.cc
+++ b/src/systems/scheduler/scheduler_node.cc
@@ -3,8 +3,10 @@
 #include "systems/scheduler/commit_progress.h"
 #include "systems/scheduler/confirm_epoch.h"
 #include "systems/scheduler/dispatch_inputs.h"
+#include "systems/scheduler/hand_over_workers.h"
 #include "systems/scheduler/leader_election.h"
 #include "systems/scheduler/load_stored_state.h"
+#include "systems/scheduler/observe_handovers.h"
 #include "systems/scheduler/place_runs.h"
 #include "systems/scheduler/reclaim_capacity.h"
 #include "systems/scheduler/reconcile_tasks.h"
@@ -25,10 +27,12 @@
   DetectStall(tables_, tick);
   DispatchInputs(inputs, tables_, tick);
   RunLeaderElection(tables_, tick);
+  ObserveHandovers(tables_, tick);
   RetryLoading(tables_, tick);
   RetryReads(tables_, tick);
   ExpireWorkers(tables_, tick);
   ReconcileTasks(tables_, tick);
+  TrackAbsentWorkers(tables_, tick);
   EvictFromDrainingWorkers(tables_, tick);
   GrantLeases(tables_, tick);
   ReleaseDueOccurrences(tables_, tick);
@@ -36,6 +40,7 @@
   PreemptLongRunning(tables_, tick);
   ConsolidateServices(tables_, tick);
   CommitProgress(tables_, tick);
+  ReleaseCell(tables_, tick);
   SendEntryHeartbeats(tables_, tick);
   wake_at_ = tick.wake_at();
   return tick.TakeEffects();
--- a/src/systems/scheduler/track_lost_workers.cc
+++ b/src/systems/scheduler/track_lost_workers.cc
@@ -3,6 +3,7 @@
 #include "systems/cell/cell_keys.h"
 #include "systems/cell/log_fields.h"
 #include "systems/scheduler/call_kvs.h"
+#include "systems/scheduler/hand_over_workers.h"
 
 namespace quetzalline {
 
@@ -12,6 +13,7 @@
     tables.confirmed_lost_changes_.erase(name);
     return;
   }
+  tables.handover_changes_.erase(name);
   LogLine(tick, "worker-confirmed-lost", 0, {Field("member", name.value())});
   tables.confirmed_lost_changes_[name] = true;
 }
@@ -27,8 +29,9 @@
 void AddLostWorkerChanges(std::size_t max_entries, SchedulerTables& tables,
                           CommitBatch& batch) {
   auto& changes = tables.confirmed_lost_changes_;
+  // A worker that is recorded as lost may need two entries.
   while (!changes.empty() &&
-         batch.puts_.size() + batch.removals_.size() < max_entries) {
+         batch.puts_.size() + batch.removals_.size() + 1 < max_entries) {
     const auto [name, lost] = *changes.begin();
     changes.erase(changes.begin());
     if (lost) {
@@ -39,6 +42,10 @@
       const MemberRecord record =
           MemberRecord::Builder().role(MemberRole::kRunner).Build();
       batch.puts_.push_back(MakePut(ConfirmedLostKey(name), record));
+      if (IsHandedOver(name, tables)) {
+        batch.removals_.push_back(HandoverKey(name));
+        batch.returned_workers_.push_back(name);
+      }
     } else {
       tables.stored_lost_.erase(name);
       batch.recovered_workers_.push_back(name);
--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -10,6 +10,7 @@
 #include "systems/scheduler/confirm_epoch.h"
 #include "systems/scheduler/estimate_interference.h"
 #include "systems/scheduler/finish_job.h"
+#include "systems/scheduler/hand_over_workers.h"
 #include "systems/scheduler/leader_election.h"
 #include "systems/scheduler/send_start.h"
 #include "systems/scheduler/track_jobs.h"
@@ -73,15 +74,20 @@
 }
 
 // Handles a full report of a runner that knows no worker. It lists no runs and
-// extends no lease, but an earlier holder or runner may have granted one.
+// extends no lease, but an earlier holder or runner may have granted one, until
+// now unless the previous holder has left an earlier end.
 void HandleAbsentWorker(const MemberName& name, SchedulerTables& tables,
                         SchedulerTick& tick) {
   const WorkerRow worker = *tables.workers_.Find(name);
   const bool never_granted = worker.granted_at() == Instant();
+  const Instant earlier_end =
+      EarlierLeasesEnd(name, tables).value_or(Instant::max());
+  const Instant earlier_grant = std::min(
+      tick.now(), earlier_end - MaxLeaseDuration(tables.policy_.task_lease()));
   tables.workers_.Put(
       name, WorkerRow::Builder(worker)
                 .listing(RunListing::kNoWorker)
-                .granted_at(never_granted ? tick.now() : worker.granted_at())
+                .granted_at(never_granted ? earlier_grant : worker.granted_at())
                 .Build());
   const std::size_t tasks = tables.tasks_.TasksOnWorker(name).size();
   if (tasks == 0) return;
@@ -378,7 +384,8 @@
     if (worker == nullptr) continue;
     if (tick.now() - worker->grant_sent_at() < kGrantInterval) continue;
     // That a runner reports does not mean that its worker lives.
-    const bool alive = worker->alive() && !worker->silent();
+    const bool alive = worker->alive() && !worker->silent() &&
+                       !IsHandedOver(found->second, tables);
     tables.workers_.Put(
         found->second,
         WorkerRow::Builder(*worker)
--- a/src/tables/commit_batch.h
+++ b/src/tables/commit_batch.h
@@ -30,6 +30,8 @@
   std::vector<MemberName> lost_workers_;
   /// Workers that no longer count as confirmed lost once the commit is stored.
   std::vector<MemberName> recovered_workers_;
+  /// Workers whose handover records the commit removes.
+  std::vector<MemberName> returned_workers_;
   /// Callers that are answered once the commit is stored.
   std::vector<CallerWaiting> callers_;
   Instant since_;
--- a/src/tables/kvs_purpose.h
+++ b/src/tables/kvs_purpose.h
@@ -10,6 +10,7 @@
 #include "tables/ending_holder_lease.h"
 #include "tables/listing_members.h"
 #include "tables/loading_stored_state.h"
+#include "tables/observing_handovers.h"
 #include "tables/opening_holder_lease.h"
 #include "tables/probing_job.h"
 #include "tables/reading_configuration.h"
@@ -28,8 +29,8 @@
                  OpeningHolderLease, ClaimingCell, RenewingHolderLease,
                  EndingHolderLease, LoadingStoredState, ListingMembers,
                  WatchingMembers, ReadingConfiguration, WatchingConfiguration,
-                 CommittingBatch, ConfirmingCommit, ConfirmingEpoch,
-                 ProbingJob>;
+                 CommittingBatch, ConfirmingCommit, ConfirmingEpoch, ProbingJob,
+                 ObservingHandovers>;
 
 }  // namespace quetzalline
 
--- a/src/tables/scheduler_tables.h
+++ b/src/tables/scheduler_tables.h
@@ -17,6 +17,7 @@
 #include "tables/caller_waiting.h"
 #include "tables/commit_batch.h"
 #include "tables/dirty_jobs.h"
+#include "tables/handover_row.h"
 #include "tables/holder_stage.h"
 #include "tables/holder_term.h"
 #include "tables/image_interference.h"
@@ -25,6 +26,7 @@
 #include "tables/job_task_table.h"
 #include "tables/kvs_pending.h"
 #include "tables/member_row.h"
+#include "tables/observed_handover.h"
 #include "tables/scheduler_policy.h"
 #include "tables/serving_tail.h"
 #include "tables/step_row.h"
@@ -51,6 +53,16 @@
   /// Smoothed round-trip time of a store read.
   Duration store_round_trip_{};
   bool stopping_ = false;
+  /// Handover records that were seen while another process held the cell.
+  std::map<MemberName, ObservedHandover> observed_handovers_;
+  /// Revision up to which they were seen; 0 if they have to be listed.
+  std::int64_t handovers_revision_ = 0;
+  /// True while a list or watch of these records is in flight.
+  bool observing_handovers_ = false;
+  Instant next_observation_;
+  /// Time since which these records have been seen; empty before the first
+  /// list.
+  std::optional<Instant> observing_since_;
 
   SchedulerConfiguration configuration_;
   std::vector<KvsItem> loaded_items_;
@@ -76,6 +88,13 @@
   std::set<MemberName> stored_lost_;
   /// Changes to these records for the next commit: true adds, false removes.
   std::map<MemberName, bool> confirmed_lost_changes_;
+  /// What the previous holder left about workers, and what is left to the next.
+  Table<MemberName, HandoverRow> handovers_;
+  /// Changes to these records for the next commit: true writes, false removes.
+  std::map<MemberName, bool> handover_changes_;
+  /// Time at which a stopping holder releases the cell, whether or not it has
+  /// handed over all workers; empty unless it stops.
+  std::optional<Instant> release_at_;
   /// Estimated interference between images.
   Table<ImagePair, ImageInterference> interference_;
   Table<TailKey, ServingTail> tails_;
--- a/test/support/virtual_cell.cc
+++ b/test/support/virtual_cell.cc
@@ -105,6 +105,17 @@
   CloseConnections(agent);
 }
 
+void VirtualCell::StopAgent(std::size_t agent, Duration grace) {
+  const Agent& row = agents_[agent];
+  if (!row.scheduler_->alive()) return;
+  agents_[agent].scheduler_->Post(StopRequested());
+  events_.After(grace,
+                [this, agent, generation = row.scheduler_->generation()] {
+                  if (agents_[agent].scheduler_->generation() == generation)
+                    KillAgent(agent);
+                });
+}
+
 void VirtualCell::StallAgent(std::size_t agent, Duration time) {
   agents_[agent].runner_->StallUntil(events_.now() + time);
   agents_[agent].scheduler_->StallUntil(events_.now() + time);
--- a/test/support/virtual_cell.h
+++ b/test/support/virtual_cell.h
@@ -62,6 +62,10 @@
 
   void KillAgent(std::size_t agent);
   void StartAgent(std::size_t agent);
+  /// Requests the agent to stop, as at planned work, and kills it if it still
+  /// runs after the grace.
+  void StopAgent(std::size_t agent,
+                 Duration grace = std::chrono::milliseconds(700));
   /// Stalls the agent's process: it handles no input for the given time.
   void StallAgent(std::size_t agent, Duration time);
   void KillEntry(std::size_t entry);
