--- a/src/systems/scheduler/choose_worker.cc
+++ b/src/systems/scheduler/choose_worker.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "systems/scheduler/estimate_interference.h"
+#include "systems/scheduler/hand_over_workers.h"
 
 namespace quetzalline {
 namespace {
@@ -132,6 +133,7 @@
   if (worker.silent()) return ClosedCause::kUnresponsive;
   if (tables.orphaned_runs_.count(name) > 0) return ClosedCause::kOrphanedRuns;
   if (tables.confirmed_lost_.count(name) > 0) return ClosedCause::kRecordedLost;
+  if (IsHandedOver(name, tables)) return ClosedCause::kHandedOver;
   const MemberRow* member = tables.members_.Find(name);
   const bool in_touch = member != nullptr && member->connection() &&
                         now - member->heard_at() <= kMaxHeartbeatAge &&
--- a/src/systems/scheduler/choose_worker.h
+++ b/src/systems/scheduler/choose_worker.h
@@ -25,11 +25,13 @@
   kOrphanedRuns,
   /// The store may record it as confirmed lost.
   kRecordedLost,
+  /// The next holder may find a record by which nothing starts there.
+  kHandedOver,
   /// No recent message of its runner, or no recent lease grant.
   kOutOfTouch
 };
 BOOST_DESCRIBE_ENUM(ClosedCause, kOpen, kUnlisted, kDraining, kUnresponsive,
-                    kOrphanedRuns, kRecordedLost, kOutOfTouch)
+                    kOrphanedRuns, kRecordedLost, kHandedOver, kOutOfTouch)
 
 /// Returns why the worker gets no new tasks at `now`, or kOpen if it may.
 ClosedCause FindClosedCause(const MemberName& name, const WorkerRow& worker,
