--- a/test/support/cell_schedule.cc
+++ b/test/support/cell_schedule.cc
@@ -1,5 +1,6 @@
 #include "support/cell_schedule.h"
 
+#include <iterator>
 #include <map>
 #include <set>
 
@@ -132,18 +133,25 @@
 
   void InjectFault() {
     constexpr std::int64_t kTransientFaults = 16;
-    constexpr std::int64_t kFurtherFaults = 3;
+    const std::int64_t further_faults =
+        faults_ == ScheduleFaults::kChangingRooms ||
+                faults_ == ScheduleFaults::kCrashingTasks
+            ? 9
+            : 3;
     const std::size_t agent = RandomAgent();
     const bool further = faults_ != ScheduleFaults::kTransient &&
-                         UniformInt(random_, kTransientFaults + kFurtherFaults -
+                         UniformInt(random_, kTransientFaults + further_faults -
                                                  1) >= kTransientFaults;
     if (further && faults_ == ScheduleFaults::kDepartures) {
       return InjectDeparture(agent);
     }
-    if (further && faults_ == ScheduleFaults::kCrashingTasks) {
-      return InjectCrash(agent);
+    if (further && faults_ == ScheduleFaults::kLostAnswers) {
+      return InjectLostAnswers(agent);
+    }
+    if (further) {
+      return UniformInt(random_, 2) == 0 ? InjectCrash(agent)
+                                         : ChangeRooms(agent);
     }
-    if (further) return InjectLostAnswers(agent);
     switch (UniformInt(random_, kTransientFaults - 1)) {
       case 0:
         return cell_.KillAgent(agent);
@@ -218,6 +226,22 @@
     }
   }
 
+  // Gives one worker or all of them another capacity, which may be none.
+  void ChangeRooms(std::size_t agent) {
+    constexpr std::int64_t kCpu[] = {0, 1500, 3000, 8000, 16'000};
+    constexpr std::int64_t kMemoryMb[] = {1000, 5000, 20'000, 64'000};
+    const bool all = UniformInt(random_, 3) == 0;
+    for (std::size_t i = 0; i < agents_; ++i) {
+      if (!all && i != agent) continue;
+      cell_.worker(i).SetRoom(
+          WorkerRoom::Builder()
+              .cpu(kCpu[UniformInt(random_, std::size(kCpu) - 1)])
+              .memory_mb(
+                  kMemoryMb[UniformInt(random_, std::size(kMemoryMb) - 1)])
+              .Build());
+    }
+  }
+
   // Makes a worker mute, alone or together with a partition of the holder,
   // makes all of them answer again, or sets the share of runs that fail.
   void InjectLostAnswers(std::size_t agent) {
@@ -252,6 +276,7 @@
       cell_.worker(i).SetLatePercent(0);
       cell_.worker(i).SetFailPercent(0);
       cell_.worker(i).SetMute(false);
+      cell_.worker(i).SetRoom(WorkerRoom());
     }
   }
 
--- a/test/support/cell_schedule.h
+++ b/test/support/cell_schedule.h
@@ -10,12 +10,14 @@
 /// The faults that a schedule draws from. kTransient: each is repaired at the
 /// end. kDepartures: also workers that are lost or shut down for good.
 /// kLostAnswers: also workers that execute calls without answering and runs
-/// that fail, in a cell of unequal distances. kCrashingTasks: also tasks that
-/// crash their workers, and crashes of several workers at once.
+/// that fail, in a cell of unequal distances. kChangingRooms: also workers
+/// whose capacity shrinks and grows, and crashes of several workers at once.
+/// kCrashingTasks: the same, and tasks that crash their workers.
 enum class ScheduleFaults : std::uint8_t {
   kTransient,
   kDepartures,
   kLostAnswers,
+  kChangingRooms,
   kCrashingTasks
 };
 
--- a/test/support/virtual_worker.cc
+++ b/test/support/virtual_worker.cc
@@ -11,8 +11,10 @@
 constexpr Duration kStopDuration = std::chrono::milliseconds(100);
 constexpr std::int64_t kMaxLeaseMs = 6000;
 constexpr std::int64_t kRoundingMs = 10;
-constexpr std::int64_t kWorkerMillicores = 16'000;
-constexpr std::int64_t kWorkerMemoryMb = 64'000;
+// An earlier capacity counts for the time after which a runner counts as in
+// touch, and one heartbeat.
+constexpr Duration kRoomChangeAllowance =
+    std::chrono::milliseconds(4000 + 1500);
 constexpr std::int64_t kMaxPercentDraw = 99;
 constexpr std::int64_t kMinLateDelayUs = 1'000'000;
 constexpr std::int64_t kLateDelayRangeUs = 4'000'000;
@@ -203,20 +205,41 @@
   last_runs_[task] = call.run().run();
   runs_[task] = {call.run().run(), incarnation_, *call.spec()};
   log_.Started(call.run(), name_, late, events_.now());
-  std::int64_t cpu = 0;
-  std::int64_t memory = 0;
-  for (const auto& [key, run] : runs_) {
-    cpu += step_lookup_(key).fills() ? 0 : step_lookup_(key).cpu();
-    memory += step_lookup_(key).memory_mb();
-  }
-  if (cpu > kWorkerMillicores || memory > kWorkerMemoryMb) {
-    log_.CapacityExceeded(name_, events_.now());
-  }
+  if (IsOverCapacity()) log_.CapacityExceeded(name_, events_.now());
   if (const auto crash = crash_lookup_(task)) ScheduleCrash(call.run(), *crash);
   ScheduleEnd(call.run());
   return WorkerCallOutcome::kDone;
 }
 
+// Counts the runs that are being stopped, and those that the worker had before
+// its capacity shrank.
+bool VirtualWorker::IsOverCapacity() const {
+  std::int64_t cpu = 0;
+  std::int64_t memory_mb = 0;
+  for (const auto& [key, run] : runs_) {
+    const JobStep step = step_lookup_(key);
+    cpu += step.fills() ? 0 : step.cpu();
+    memory_mb += step.memory_mb();
+  }
+  const auto fits = [&](const WorkerRoom& room) {
+    return cpu <= room.cpu() && memory_mb <= room.memory_mb();
+  };
+  if (fits(room_)) return false;
+  return std::none_of(earlier_rooms_.begin(), earlier_rooms_.end(),
+                      [&](const EarlierRoom& earlier) {
+                        return events_.now() <= earlier.counts_until_ &&
+                               fits(earlier.room_);
+                      });
+}
+
+void VirtualWorker::SetRoom(const WorkerRoom& room) {
+  std::erase_if(earlier_rooms_, [&](const EarlierRoom& earlier) {
+    return earlier.counts_until_ < events_.now();
+  });
+  earlier_rooms_.push_back({room_, events_.now() + kRoomChangeAllowance});
+  room_ = room;
+}
+
 bool VirtualWorker::IsRunning(const RunKey& run,
                               std::uint64_t incarnation) const {
   const auto found = runs_.find(run.task());
@@ -305,8 +328,8 @@
                  .worker(name_)
                  .born_ms(born_ms_)
                  .service(ServiceName("service"))
-                 .cpu(kWorkerMillicores)
-                 .memory_mb(kWorkerMemoryMb)
+                 .cpu(room_.cpu())
+                 .memory_mb(room_.memory_mb())
                  .draining(draining_)
                  .Build())
       .sequence(++sequence_)
--- a/test/support/virtual_worker.h
+++ b/test/support/virtual_worker.h
@@ -19,6 +19,7 @@
 #include "support/event_queue.h"
 #include "support/job_invariant_log.h"
 #include "support/task_crash.h"
+#include "support/worker_room.h"
 
 namespace quetzalline {
 
@@ -55,6 +56,9 @@
   /// its start as the given time, which may be before that of the last one.
   void Replace(const std::string& name, std::int64_t born_ms);
   std::int64_t born_ms() const { return born_ms_; }
+  /// Changes the capacity. The runs keep what they have; the next announcement
+  /// shows the new capacity.
+  void SetRoom(const WorkerRoom& room);
   void SetDraining(bool draining) { draining_ = draining; }
   /// Sets the percentage of commands that time out and are executed late.
   void SetLatePercent(int percent) { late_percent_ = percent; }
@@ -71,6 +75,10 @@
     std::uint64_t incarnation_ = 0;
     std::string spec_;
   };
+  struct EarlierRoom {
+    WorkerRoom room_;
+    Instant counts_until_;
+  };
   struct PendingPoll {
     std::uint64_t call_;
     Answer answer_;
@@ -82,6 +90,7 @@
                       std::function<WorkerCallOutcome(bool late)> work);
   WorkerCallOutcome ApplyStart(const WorkerStart& call, bool late);
   WorkerCallOutcome ApplyStop(const WorkerStop& call);
+  bool IsOverCapacity() const;
   void FinishRun(const TaskKey& task, RunOutcome outcome);
   void ScheduleEnd(const RunKey& run);
   void ScheduleCrash(const RunKey& run, const TaskCrash& crash);
@@ -99,6 +108,9 @@
   StepLookup step_lookup_;
   CrashLookup crash_lookup_;
   Random random_;
+  WorkerRoom room_;
+  /// Capacities that still count, since they were announced.
+  std::vector<EarlierRoom> earlier_rooms_;
   std::int64_t born_ms_ = 0;
   Instant started_at_;
   std::uint64_t incarnation_ = 0;
