Start nothing on a new incarnation before it has announced its capacity

What callers saw: nothing reported. In virtual time, starts exceeded the capacity of a worker that had crashed while its capacity shrank (LIMIT).

Cause: when an answer shows another start time than the known one, the runner took the description of the earlier incarnation for the new one, with its capacity, until the next announcement up to a heartbeat later. The new one may have another capacity.

Change: the description of an incarnation that has not announced itself has no capacity. It is reported as before, so that the tasks of the earlier incarnation are returned without delay.

--- a/src/systems/runner/watch_worker.cc
+++ b/src/systems/runner/watch_worker.cc
@@ -218,8 +218,13 @@
   LogLine(tick, "worker-restarted", 0,
           {Field("worker", tables.facts_->worker()),
            Field("born_ms", answer.born_ms())});
+  // The next incarnation may have another capacity, which its announcement
+  // shows; until then nothing fits.
   const WorkerDescription facts = WorkerDescription::Builder(*tables.facts_)
                                       .born_ms(answer.born_ms())
+                                      .cpu(0)
+                                      .memory_mb(0)
+                                      .gpu(0)
                                       .Build();
   tables.replaced_ = tables.facts_;
   ResetWorkerState(tables);
--- a/test/cell/changing_room_test.cc
+++ b/test/cell/changing_room_test.cc
@@ -71,11 +71,11 @@
   }
 
   // Returns true if the runner passes the start on to its worker.
-  bool Start(std::uint64_t job, std::int64_t cpu) {
+  bool Start(std::uint64_t job, std::int64_t cpu, std::int64_t born_ms = 1) {
     RunnerTick tick(kFleetNow, random_, tables_.counters_);
     HandleStartRun(StartRun::Builder()
                        .run(FirstRunOf(job))
-                       .born_ms(1)
+                       .born_ms(born_ms)
                        .cpu(cpu)
                        .memory_mb(100)
                        .Build(),
@@ -92,6 +92,18 @@
                   tick);
   }
 
+  // Handles an answer of an incarnation that has not announced itself.
+  void AnswerOf(std::int64_t born_ms) {
+    RunnerTick tick(kFleetNow, random_, tables_.counters_);
+    CheckWorkerIncarnation(WorkerAnswer::Builder()
+                               .verdict(WorkerCallOutcome::kDone)
+                               .born_ms(born_ms)
+                               .Build(),
+                           tables_, tick);
+    tables_.session_ =
+        HolderSession::Builder(tables_.session_).synced(true).Build();
+  }
+
   Random random_;
   RunnerTables tables_;
   std::int64_t last_sequence_ = 0;
@@ -155,6 +167,17 @@
   BOOST_TEST(runner.Start(5, 1000));
 }
 
+// Guards against starts that exceed the capacity of a new incarnation, which an
+// answer has shown before its first announcement.
+BOOST_AUTO_TEST_CASE(a_new_incarnation_starts_nothing_before_its_announcement) {
+  RunnerWithWorker runner;
+  runner.AnswerOf(2);
+  BOOST_TEST(!runner.Start(1, 1000, 2));
+  runner.Announce(2, 1500);
+  BOOST_TEST(!runner.Start(2, 2000, 2));
+  BOOST_TEST(runner.Start(3, 1500, 2));
+}
+
 // Guards against placement by a capacity that a later report has changed.
 BOOST_AUTO_TEST_CASE(placement_follows_the_reported_capacity) {
   PlacementFleet fleet(1);
--- a/test/faults/cell_schedule_test.cc
+++ b/test/faults/cell_schedule_test.cc
@@ -86,6 +86,12 @@
   RunSeeds(ScheduleFaults::kLostAnswers, 150);
 }
 
+// Guards against starts that exceed a capacity which has shrunk, and against
+// work that does not start once it has grown again.
+BOOST_AUTO_TEST_CASE(random_changes_of_capacity_violate_no_invariant) {
+  RunSeeds(ScheduleFaults::kChangingRooms, 150);
+}
+
 BOOST_AUTO_TEST_CASE(regression_seeds_violate_no_invariant) {
   for (const std::uint64_t seed : kRegressionSeeds) RunSeed(seed);
 }
