Place no best-effort task where reservations exceed the capacity

What callers saw: nothing reported. By reading and in a test: a best-effort task waits although other workers have room, while the worker that is chosen for it refuses it every quarter of a second and is avoided by other work for as long.

Cause: the CPU of best-effort tasks is not counted, and part of the services' reservations is taken as unused for them, so that Fits() allowed one on a worker whose capacity has shrunk below what is reserved. HasFreeCapacity() of the runner counts all reservations and refuses each start there.

Change: Fits() allows nothing while the reservations exceed the capacity, as the runner does.

Evidence: changing_rooms/a_best_effort_task_avoids_services_beyond_the_capacity failed on the code before.

Measured: cell_test and cell_schedules pass.

--- a/src/systems/scheduler/choose_worker.cc
+++ b/src/systems/scheduler/choose_worker.cc
@@ -153,6 +153,9 @@
           const WorkerUse& use, const PlacementPolicy& policy) {
   if (use.memory_mb() + step.memory_mb() > facts.memory_mb()) return false;
   if (use.gpu() + step.gpu() > facts.gpu()) return false;
+  // The capacity may have shrunk below what is reserved. The runner refuses
+  // every start then, also of best-effort tasks.
+  if (use.cpu() > facts.cpu()) return false;
   // Best-effort tasks may use the unreserved CPU and the part of the services'
   // reservations that is assumed unused. They do not reduce the CPU that other
   // tasks can reserve.
--- a/test/cell/changing_room_test.cc
+++ b/test/cell/changing_room_test.cc
@@ -201,6 +201,22 @@
   BOOST_TEST(fleet.Waiting(job) == 1U);
 }
 
+// Guards against best-effort tasks that are placed again and again on a worker
+// whose runner refuses them, since its services exceed its capacity.
+BOOST_AUTO_TEST_CASE(a_best_effort_task_avoids_services_beyond_the_capacity) {
+  PlacementFleet fleet(1);
+  fleet.AddRunning(ServiceStep(4, 14'000), 0);
+  ReportCpu(fleet, 0, 50'000);
+  const JobStep step =
+      JobStep::Builder(Step(1, 3000)).fills(true).image("fills").Build();
+  const std::uint64_t job = fleet.AddJob(step);
+  fleet.Place();
+  BOOST_TEST(fleet.Waiting(job) == 1U);
+  ReportCpu(fleet, 0, 60'000);
+  PlaceAgain(fleet);
+  BOOST_TEST(fleet.Waiting(job) == 0U);
+}
+
 // Guards against a gang of which one task is placed on a worker whose capacity
 // has shrunk.
 BOOST_AUTO_TEST_CASE(a_gang_waits_as_a_whole_for_a_shrunk_capacity) {
