Stop the other tasks of a gang when one of them is refused

What callers saw: nothing reported.

Cause: a refusal returned the refused task only. The others stayed assigned, and a gang is placed only when all its tasks are ready.

Change: with a refused task of a gang, the other tasks of the same run are stopped. As soon as their ends are reported the gang is placed as a whole.

Evidence: changing_rooms/a_gang_of_which_one_task_is_refused_is_stopped failed on the code before.

Measured: cell_test and cell_schedules pass.

--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -237,6 +237,21 @@
   AcknowledgeCompletions(tables, tick);
 }
 
+// Stops the other tasks of a gang's run that lacks a task. They cannot work
+// without it, and the gang starts again only as a whole.
+void StopIncompleteGang(const TaskKey& missing, std::int64_t run, Reason reason,
+                        SchedulerTables& tables, SchedulerTick& tick) {
+  const JobTask* refused = tables.tasks_.Find(missing);
+  if (refused == nullptr || !refused->step()->gang()) return;
+  const std::int32_t count = refused->step()->count();
+  for (std::int32_t index = 0; index < count; ++index) {
+    const TaskKey key = TaskKey::Builder(missing).index(index).Build();
+    const JobTask* task = tables.tasks_.Find(key);
+    if (task == nullptr || task->run() != run) continue;
+    StopTask(key, reason, tables, tick);
+  }
+}
+
 void HandleRefusals(const MemberName& name, const WorkerReport& report,
                     SchedulerTables& tables, SchedulerTick& tick) {
   for (const RunRefused& refused : report.refused()) {
@@ -247,6 +262,8 @@
     if (task->worker() != name || task->run() != refused.run().run()) continue;
     tick.counters().Add(Counter::kTasksRefused, refused.reason());
     ReturnTask(key, refused.reason(), tables, tick);
+    StopIncompleteGang(key, refused.run().run(), refused.reason(), tables,
+                       tick);
     tables.workers_.Put(name, WorkerRow::Builder(*tables.workers_.Find(name))
                                   .rests_until(tick.now() + kRefusalBackoff)
                                   .Build());
--- a/test/cell/changing_room_test.cc
+++ b/test/cell/changing_room_test.cc
@@ -127,6 +127,17 @@
   fleet.Place();
 }
 
+std::vector<TaskKey> StoppedTasks(const std::vector<SchedulerEffect>& effects) {
+  std::vector<TaskKey> stopped;
+  for (const SchedulerEffect& effect : effects) {
+    const auto* sent = std::get_if<SendToRunner>(&effect);
+    if (sent == nullptr) continue;
+    const auto* stop = std::get_if<StopRun>(&sent->message());
+    if (stop != nullptr) stopped.push_back(stop->run().task());
+  }
+  return stopped;
+}
+
 // A cell that has elected its holder. Reports every violated invariant at its
 // end.
 struct ReadyCell {
@@ -231,6 +242,37 @@
   BOOST_TEST(fleet.Waiting(job) == 0U);
 }
 
+// Guards against tasks of a gang that occupy capacity without working, until
+// they end alone, because a worker's capacity shrank before one of them started
+// there.
+BOOST_AUTO_TEST_CASE(a_gang_of_which_one_task_is_refused_is_stopped) {
+  PlacementFleet fleet(2);
+  const std::uint64_t job =
+      fleet.AddJob(JobStep::Builder(Step(2, 40'000)).gang(true).Build());
+  fleet.Place();
+  BOOST_REQUIRE(fleet.Waiting(job) == 0U);
+  const MemberName refusing = PlacementFleet::Name(1);
+  const TaskKey refused =
+      *fleet.tables().tasks_.TasksOnWorker(refusing).begin();
+  const JobTask row = *fleet.tables().tasks_.Find(refused);
+  const WorkerDescription facts =
+      *fleet.tables().workers_.Find(refusing)->facts();
+  const auto effects = fleet.Report(
+      1,
+      WorkerReport::Builder()
+          .facts(WorkerDescription::Builder(facts).cpu(30'000).Build())
+          .fill_pace(100)
+          .refused(
+              {RunRefused::Builder()
+                   .run(RunKey::Builder().task(refused).run(row.run()).Build())
+                   .reason(Reason::kDoesNotFit)
+                   .Build()})
+          .Build());
+  const std::vector<TaskKey> stopped = StoppedTasks(effects);
+  BOOST_REQUIRE(stopped.size() == 1U);
+  BOOST_TEST((stopped.front() == TaskOf(job, 1 - refused.index())));
+}
+
 // Guards against preemption that makes room by the capacity of before, or that
 // stops services although the waiting task does not fit in any case.
 BOOST_AUTO_TEST_CASE(preemption_follows_the_reported_capacity) {
