Count no use of a service's capacity beyond each worker's own

What callers saw: nothing reported. By reading and in a test: an overdue task waits for the end of a quarantine although most of the workers' capacity is free.

Cause: IsHalfFree(), which lets an overdue task use avoided workers, adds up what is reserved. On a worker whose capacity has shrunk that may be a multiple of the capacity, and then counts as use of the other workers.

Change: each worker counts as in use up to its capacity.

Evidence: changing_rooms/an_overdue_task_waits_for_no_shrunk_capacity failed on the code before.

Measured: cell_test and cell_schedules pass.

--- a/src/systems/scheduler/choose_worker.cc
+++ b/src/systems/scheduler/choose_worker.cc
@@ -130,7 +130,8 @@
   for (const MemberName& name : schedulable) {
     const WorkerDescription& facts = *tables.workers_.Find(name)->facts();
     if (facts.service() != service) continue;
-    reserved += tables.tasks_.UseOf(name).cpu();
+    // A capacity that has shrunk may be exceeded.
+    reserved += std::min(tables.tasks_.UseOf(name).cpu(), facts.cpu());
     capacity += facts.cpu();
   }
   return 2 * reserved < capacity;
--- a/test/cell/changing_room_test.cc
+++ b/test/cell/changing_room_test.cc
@@ -228,6 +228,22 @@
   BOOST_TEST(fleet.Waiting(job) == 0U);
 }
 
+// Guards against an overdue task that waits beside an unused worker, since what
+// runs beyond the capacity of another one counts as use of them all.
+BOOST_AUTO_TEST_CASE(an_overdue_task_waits_for_no_shrunk_capacity) {
+  PlacementFleet fleet(2);
+  fleet.AddRunning(Step(1, 60'000), 0);
+  ReportCpu(fleet, 0, 5000);
+  auto& workers = fleet.tables().workers_;
+  const MemberName avoided = PlacementFleet::Name(1);
+  workers.Put(avoided, WorkerRow::Builder(*workers.Find(avoided))
+                           .rests_until(kFleetNow + seconds(16))
+                           .Build());
+  const std::uint64_t job = fleet.AddJob(Step(1, 10'000), seconds(2));
+  fleet.Place();
+  BOOST_TEST(fleet.Waiting(job) == 0U);
+}
+
 // Guards against a gang of which one task is placed on a worker whose capacity
 // has shrunk.
 BOOST_AUTO_TEST_CASE(a_gang_waits_as_a_whole_for_a_shrunk_capacity) {
