Log changes of a worker's capacity

The log did not show from when on a worker had another capacity, nor what was reserved there at that time, so a start beyond the capacity could not be traced to its cause. The holder now writes worker-capacity-changed once for each change that a report shows. changing_rooms/a_changed_capacity_is_logged_once.

--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -32,6 +32,11 @@
   return a.worker() != b.worker() || a.born_ms() != b.born_ms();
 }
 
+bool HasSameCapacity(const WorkerDescription& a, const WorkerDescription& b) {
+  return a.cpu() == b.cpu() && a.memory_mb() == b.memory_mb() &&
+         a.gpu() == b.gpu();
+}
+
 void ReturnAllTasks(const MemberName& name, Reason reason,
                     SchedulerTables& tables, SchedulerTick& tick) {
   const std::set<TaskKey> tasks = tables.tasks_.TasksOnWorker(name);
@@ -110,6 +115,14 @@
             {Field("member", name.value()), Field("worker", facts.worker()),
              Field("born_ms", facts.born_ms()), Field("cpu", facts.cpu())});
   }
+  if (worker.facts() && !HasSameCapacity(*worker.facts(), facts)) {
+    const WorkerUse& use = tables.tasks_.UseOf(name);
+    LogLine(
+        tick, "worker-capacity-changed", 0,
+        {Field("member", name.value()), Field("cpu", facts.cpu()),
+         Field("memory_mb", facts.memory_mb()), Field("gpu", facts.gpu()),
+         Field("use_cpu", use.cpu()), Field("use_memory_mb", use.memory_mb())});
+  }
   if (!worker.facts() || worker.facts()->draining() != facts.draining()) {
     LogLine(tick, "worker-state", 0,
             {Field("member", name.value()),
--- a/test/cell/changing_room_test.cc
+++ b/test/cell/changing_room_test.cc
@@ -109,11 +109,12 @@
   std::int64_t last_sequence_ = 0;
 };
 
-// Reports that the worker has another CPU capacity.
-void ReportCpu(PlacementFleet& fleet, int worker, std::int64_t cpu) {
+// Reports that the worker has another CPU capacity. Returns the effects.
+std::vector<SchedulerEffect> ReportCpu(PlacementFleet& fleet, int worker,
+                                       std::int64_t cpu) {
   const WorkerRow row =
       *fleet.tables().workers_.Find(PlacementFleet::Name(worker));
-  fleet.Report(
+  return fleet.Report(
       worker,
       WorkerReport::Builder()
           .facts(WorkerDescription::Builder(*row.facts()).cpu(cpu).Build())
@@ -201,6 +202,25 @@
   BOOST_TEST(fleet.Waiting(job) == 0U);
 }
 
+// Guards against changes of a capacity that the log does not show, with what is
+// reserved at that time.
+BOOST_AUTO_TEST_CASE(a_changed_capacity_is_logged_once) {
+  PlacementFleet fleet(1);
+  fleet.AddRunning(Step(1, 16'000), 0);
+  const auto lines_after = [&](std::int64_t cpu) {
+    std::size_t lines = 0;
+    for (const SchedulerEffect& effect : ReportCpu(fleet, 0, cpu)) {
+      const auto* line = std::get_if<LogDecision>(&effect);
+      if (line != nullptr && line->event() == "worker-capacity-changed")
+        ++lines;
+    }
+    return lines;
+  };
+  BOOST_TEST(lines_after(5000) == 1U);
+  BOOST_TEST(lines_after(5000) == 0U);
+  BOOST_TEST(lines_after(64'000) == 1U);
+}
+
 // Guards against tasks that are placed beside others which exceed the capacity
 // since it shrank.
 BOOST_AUTO_TEST_CASE(what_runs_beyond_a_shrunk_capacity_counts) {
