--- a/src/standin/memory_worker.cc
+++ b/src/standin/memory_worker.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "core/overloaded.h"
+#include "core/resources_arithmetic.h"
 
 namespace quetzalline {
 namespace {
@@ -70,6 +71,10 @@
     return Report(start.task(),
                   TaskFailed::Builder().reason(Reason::kWorkerFailed).Build());
   }
+  if (!HasRoom(start.work().needs())) {
+    return Report(start.task(),
+                  TaskRefused::Builder().reason(Reason::kDoesNotFit).Build());
+  }
   const Duration done = ParseCheckpoint(start.checkpoint());
   tasks_.emplace(start.task(), WorkerTask::Builder()
                                    .task(start.task())
@@ -80,6 +85,22 @@
                                                     done, speed_, now))
                                    .Build());
   Report(start.task(), TaskStarted());
+  const std::string& crashing = faults_.crash_on_start();
+  if (!crashing.empty() && start.work().name() == crashing) Crash();
+}
+
+bool MemoryWorker::HasRoom(const Resources& needs) const {
+  if (!faults_.room()) return true;
+  Resources sum = needs;
+  for (const auto& [id, task] : tasks_) sum = Sum(sum, task.work().needs());
+  return Fits(sum, *faults_.room());
+}
+
+void MemoryWorker::Crash() {
+  for (const auto& [id, task] : tasks_) {
+    Report(id, TaskFailed::Builder().reason(Reason::kInstanceLost).Build());
+  }
+  tasks_.clear();
 }
 
 void MemoryWorker::Stop(const TaskAttemptId& task, Instant now) {
--- a/src/standin/memory_worker.h
+++ b/src/standin/memory_worker.h
@@ -22,7 +22,8 @@
   /// Tasks run this many times faster than declared.
   explicit MemoryWorker(std::int64_t speed = 1) : speed_(speed) {}
 
-  /// Starts a task attempt. Does nothing if it runs already.
+  /// Starts a task attempt, or refuses it if it does not fit. Does nothing if
+  /// it runs already.
   void Start(const StartWork& start, Instant now);
   /// Stops a task attempt. Does nothing if it is not running.
   void Stop(const TaskAttemptId& task, Instant now);
@@ -42,6 +43,9 @@
 
  private:
   void StopAll(Instant now);
+  /// Ends all task attempts, whose work is lost.
+  void Crash();
+  bool HasRoom(const Resources& needs) const;
   void Report(const TaskAttemptId& task, const TaskEvent& news);
 
   std::map<TaskAttemptId, WorkerTask> tasks_;
--- a/test/placement/job_test.cc
+++ b/test/placement/job_test.cc
@@ -167,6 +167,43 @@
   BOOST_TEST((task->last_reason() == Reason::kWorkerFailed));
 }
 
+// Guards against a stand-in worker whose crash spares the tasks beside the one
+// that causes it, and against tasks that are lost with their worker.
+BOOST_AUTO_TEST_CASE(a_task_beside_one_that_crashes_its_worker_is_restarted) {
+  SmallFleet small(9, 1, 1);
+  VirtualFleet& fleet = small.fleet_;
+  fleet.Command(0, Job("beside", "rebuild"));
+  fleet.RunFor(seconds(2));
+  BOOST_TEST(fleet.worker(0).tasks().size() == 1U);
+  fleet.worker(0).SetFaults(
+      WorkerFaults::Builder().crash_on_start("long").Build());
+  fleet.Command(0, Job("crashes", "long"));
+  fleet.RunFor(seconds(1));
+  fleet.worker(0).SetFaults(WorkerFaults());
+  fleet.RunFor(minutes(2));
+  BOOST_TEST(StateOf(fleet, "beside/1") == "finished");
+  BOOST_TEST(fleet.log().TaskRuns(TaskId("beside/1")) > 1);
+  BOOST_TEST(fleet.log().TaskRuns(TaskId("crashes/1")) > 1);
+}
+
+// Guards against work that is given up, or that stays away, because a worker
+// had less capacity than its agent assumes for a while.
+BOOST_AUTO_TEST_CASE(a_task_starts_once_the_room_of_its_worker_has_grown) {
+  SmallFleet small(10, 1, 1);
+  VirtualFleet& fleet = small.fleet_;
+  fleet.worker(0).SetFaults(
+      WorkerFaults::Builder()
+          .room(Resources::Builder().milli_cores(100).Build())
+          .Build());
+  fleet.Command(0, Job("j", "rebuild"));
+  fleet.RunFor(minutes(1));
+  BOOST_TEST(fleet.worker(0).tasks().empty());
+  BOOST_TEST(StateOf(fleet, "j/1") != "given-up");
+  fleet.worker(0).SetFaults(WorkerFaults());
+  fleet.RunFor(minutes(1));
+  BOOST_TEST(StateOf(fleet, "j/1") == "finished");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace quetzalline
