--- a/test/cell/changing_room_test.cc
+++ b/test/cell/changing_room_test.cc
@@ -425,7 +425,8 @@
   ReadyCell fixture(3);
   VirtualCell& cell = fixture.cell_;
   fixture.SetCpu(3000);
-  cell.RunFor(milliseconds(100));
+  // The capacity of before counts for 5.5 s.
+  cell.RunFor(seconds(6));
   cell.KillAgent(cell.Holder().value());
   const std::uint64_t job = cell.Submit(Job(Step(12, 2000, seconds(4))), 20);
   cell.RunFor(seconds(8));
