Schedules of changing rooms lose answers too

Workers that execute calls without answering are among the faults beside which capacities change, and were not drawn by kChangingRooms and kCrashingTasks.

--- a/test/support/cell_schedule.cc
+++ b/test/support/cell_schedule.cc
@@ -149,8 +149,14 @@
       return InjectLostAnswers(agent);
     }
     if (further) {
-      return UniformInt(random_, 2) == 0 ? InjectCrash(agent)
-                                         : ChangeRooms(agent);
+      switch (UniformInt(random_, 3)) {
+        case 0:
+          return InjectCrash(agent);
+        case 1:
+          return InjectLostAnswers(agent);
+        default:
+          return ChangeRooms(agent);
+      }
     }
     switch (UniformInt(random_, kTransientFaults - 1)) {
       case 0:
--- a/test/support/cell_schedule.h
+++ b/test/support/cell_schedule.h
@@ -11,8 +11,9 @@
 /// end. kDepartures: also workers that are lost or shut down for good.
 /// kLostAnswers: also workers that execute calls without answering and runs
 /// that fail, in a cell of unequal distances. kChangingRooms: also workers
-/// whose capacity shrinks and grows, and crashes of several workers at once.
-/// kCrashingTasks: the same, and tasks that crash their workers.
+/// whose capacity shrinks and grows, lost answers, and crashes of several
+/// workers at once. kCrashingTasks: the same, and tasks that crash their
+/// workers.
 enum class ScheduleFaults : std::uint8_t {
   kTransient,
   kDepartures,
