--- a/src/systems/scheduler/reconcile_tasks.cc
+++ b/src/systems/scheduler/reconcile_tasks.cc
@@ -135,11 +135,14 @@
 
 void ReconcileTasks(SchedulerTables& tables, SchedulerTick& tick) {
   const auto* acting = std::get_if<HolderActing>(&tables.stage_);
-  if (acting == nullptr || tables.term_.settled()) return;
+  if (acting == nullptr) return;
+  // A holder may be followed by a majority only after it has reconciled its
+  // tasks; from then on it can tell when the leases of earlier holders end.
   if (!tables.term_.majority_since() && IsFollowedByMajority(tables)) {
     tables.term_ =
         HolderTerm::Builder(tables.term_).majority_since(tick.now()).Build();
   }
+  if (tables.term_.settled()) return;
   const std::vector<MemberName> unresolved =
       UnresolvedWorkers(acting->since(), tables, tick);
   if (!unresolved.empty()) return ReleaseOtherTasks(unresolved, tables, tick);
