--- a/test/cell/holder_changes_test.cc
+++ b/test/cell/holder_changes_test.cc
@@ -342,6 +342,32 @@
   BOOST_TEST(!fleet.Commit(Duration()).has_value());
 }
 
+// A process that was asked to stop during its claim held the cell without
+// renewing it, so that nobody scheduled work until its lease had expired.
+BOOST_AUTO_TEST_CASE(a_process_that_stops_does_not_take_the_cell) {
+  HolderChanges run;
+  VirtualCell& cell = run.cell_;
+  cell.KillAgent(*cell.Holder());
+  std::optional<std::size_t> claiming;
+  for (int i = 0; i < 5000 && !claiming; ++i) {
+    cell.RunFor(milliseconds(1));
+    for (std::size_t agent = 0; agent < kAgents; ++agent) {
+      if (!cell.IsAlive(agent)) continue;
+      if (std::holds_alternative<HolderClaiming>(
+              cell.scheduler(agent).stage_)) {
+        claiming = agent;
+      }
+    }
+  }
+  BOOST_REQUIRE(claiming.has_value());
+  cell.StopAgent(*claiming, seconds(5));
+  for (int i = 0; i < 1000 && !cell.Holder(); ++i) {
+    cell.RunFor(milliseconds(1));
+  }
+  BOOST_REQUIRE(cell.Holder().has_value());
+  BOOST_TEST(*cell.Holder() != *claiming);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace quetzalline
--- a/test/support/virtual_cell.h
+++ b/test/support/virtual_cell.h
@@ -60,6 +60,9 @@
   const SchedulerTables& scheduler(std::size_t agent) const;
   const RunnerTables& runner(std::size_t agent) const;
 
+  bool IsAlive(std::size_t agent) const {
+    return agents_[agent].scheduler_->alive();
+  }
   void KillAgent(std::size_t agent);
   void StartAgent(std::size_t agent);
   /// Requests the agent to stop, as at planned work, and kills it if it still
