--- a/test/faults/cell_schedule_test.cc
+++ b/test/faults/cell_schedule_test.cc
@@ -86,6 +86,12 @@
   RunSeeds(ScheduleFaults::kLostAnswers, 150);
 }
 
+// Guards against tasks that each new holder holds back anew, and against work
+// that is started again on the word of the previous holder.
+BOOST_AUTO_TEST_CASE(random_changes_of_holders_violate_no_invariant) {
+  RunSeeds(ScheduleFaults::kHolderChanges, 150);
+}
+
 BOOST_AUTO_TEST_CASE(regression_seeds_violate_no_invariant) {
   for (const std::uint64_t seed : kRegressionSeeds) RunSeed(seed);
 }
--- a/test/support/cell_schedule.cc
+++ b/test/support/cell_schedule.cc
@@ -1,9 +1,12 @@
 #include "support/cell_schedule.h"
 
+#include <algorithm>
+#include <optional>
 #include <set>
 
 #include "support/virtual_cell.h"
 #include "systems/cell/cell_keys.h"
+#include "systems/cell/max_lease_duration.h"
 
 namespace quetzalline {
 namespace {
@@ -20,6 +23,12 @@
 constexpr std::size_t kMaxDeparted = 2;
 // Highest one-way latency of an agent, less one millisecond.
 constexpr std::int64_t kMaxLatencyMs = 39;
+// A lease has certainly expired by then, and placement has had a second.
+const Duration kMaxWait = MaxLeaseDuration(seconds(5)) + seconds(1);
+// Time from a stop or kill until the process starts again.
+constexpr Duration kRestartTime = milliseconds(900);
+// A cell whose holder was killed has another holder by then.
+constexpr Duration kMaxTakeover = seconds(3);
 // Fault-free time at the end of a run: every lease expires, every leader
 // election finishes and every retry runs out within it.
 constexpr Duration kRecoveryTime = seconds(45);
@@ -50,8 +59,7 @@
   Schedule(std::uint64_t seed, ScheduleFaults faults)
       : random_(seed),
         faults_(faults),
-        agents_(faults == ScheduleFaults::kDepartures ? kAgents + kMaxDeparted
-                                                      : kAgents),
+        agents_(HasDepartures() ? kAgents + kMaxDeparted : kAgents),
         cell_(agents_, kEntries, seed) {
     if (faults_ != ScheduleFaults::kLostAnswers) return;
     for (std::size_t i = 0; i < agents_; ++i) {
@@ -64,14 +72,21 @@
     for (int round = 0; round < kRounds; ++round) {
       IssueCalls();
       InjectFault();
+      ContinueSeries();
       cell_.RunFor(kRoundDuration);
     }
     RepairFaults();
     cell_.RunFor(kRecoveryTime);
+    if (faults_ == ScheduleFaults::kHolderChanges) CheckWaitAfterSeries();
     return CheckFinalState();
   }
 
  private:
+  bool HasDepartures() const {
+    return faults_ == ScheduleFaults::kDepartures ||
+           faults_ == ScheduleFaults::kHolderChanges;
+  }
+
   std::size_t RandomAgent() {
     return static_cast<std::size_t>(
         UniformInt(random_, static_cast<std::int64_t>(agents_) - 1));
@@ -104,7 +119,10 @@
     const bool further = faults_ != ScheduleFaults::kTransient &&
                          UniformInt(random_, kTransientFaults + kFurtherFaults -
                                                  1) >= kTransientFaults;
-    if (further && faults_ == ScheduleFaults::kDepartures) {
+    if (further && HasDepartures()) {
+      if (faults_ == ScheduleFaults::kHolderChanges) {
+        series_left_ = static_cast<int>(2 + UniformInt(random_, 6));
+      }
       return InjectDeparture(agent);
     }
     if (further) return InjectLostAnswers(agent);
@@ -171,6 +189,67 @@
     }
   }
 
+  void StartAgents() {
+    for (std::size_t i = 0; i < agents_; ++i) {
+      if (i != last_lost_) cell_.StartAgent(i);
+    }
+  }
+
+  // Stops or kills the holder, if there is one.
+  void ChangeHolder() {
+    const auto holder = cell_.Holder();
+    if (!holder) return;
+    if (UniformInt(random_, 1) == 0) {
+      cell_.KillAgent(*holder);
+    } else {
+      cell_.StopAgent(*holder, milliseconds(100 + UniformInt(random_, 700)));
+    }
+  }
+
+  void ContinueSeries() {
+    if (series_left_ == 0) return;
+    --series_left_;
+    StartAgents();
+    ChangeHolder();
+  }
+
+  std::size_t RunningTasks() {
+    std::size_t running = 0;
+    for (std::size_t i = 0; i < agents_; ++i) {
+      running += cell_.worker(i).running();
+    }
+    return running;
+  }
+
+  // Loses a worker with its agent, changes the holder repeatedly, and checks
+  // that as many tasks run after one lease as later.
+  void CheckWaitAfterSeries() {
+    const auto holder = cell_.Holder();
+    std::size_t agent = RandomAgent();
+    while (agent == holder || departed_.count(agent) > 0) {
+      agent = (agent + 1) % agents_;
+    }
+    last_lost_ = agent;
+    departed_.insert(agent);
+    const Instant lost_at = cell_.now();
+    cell_.worker(agent).Crash();
+    cell_.KillAgent(agent);
+    cell_.RunFor(seconds(1));
+    const std::int64_t changes = 1 + UniformInt(random_, 3);
+    for (std::int64_t i = 0; i < changes; ++i) {
+      ChangeHolder();
+      cell_.RunFor(kRestartTime);
+      StartAgents();
+      cell_.RunFor(milliseconds(UniformInt(random_, 1500)));
+    }
+    cell_.RunFor(std::max(kMaxTakeover, lost_at + kMaxWait - cell_.now()));
+    const std::size_t running = RunningTasks();
+    cell_.RunFor(seconds(20));
+    if (running < RunningTasks()) {
+      violations_.push_back("tasks waited longer than one lease");
+    }
+  }
+
   // Makes a worker mute, alone or together with a partition of the holder,
   // makes all of them answer again, or sets the share of runs that fail.
   void InjectLostAnswers(std::size_t agent) {
@@ -213,6 +292,7 @@
     cell_.RunFor(seconds(3));
     cell_.log().CheckRefused();
     std::vector<std::string> violations = cell_.log().violations();
+    violations.insert(violations.end(), violations_.begin(), violations_.end());
     for (const std::uint64_t job : jobs_) {
       if (!cell_.IsAccepted(job) || cancelled_jobs_.count(job) > 0) continue;
       const std::optional<JobState> state = cell_.StateOf(job);
@@ -243,6 +323,11 @@
   VirtualCell cell_;
   /// Agents whose workers are gone for good.
   std::set<std::size_t> departed_;
+  /// Changes of the holder that the present series still has.
+  int series_left_ = 0;
+  /// The agent that is lost with its worker before the last series.
+  std::optional<std::size_t> last_lost_;
+  std::vector<std::string> violations_;
   std::vector<std::uint64_t> jobs_;
   std::set<std::uint64_t> long_running_jobs_;
   std::set<std::uint64_t> cancelled_jobs_;
--- a/test/support/cell_schedule.h
+++ b/test/support/cell_schedule.h
@@ -10,11 +10,15 @@
 /// The faults that a schedule draws from. kTransient: each is repaired at the
 /// end. kDepartures: also workers that are lost or shut down for good.
 /// kLostAnswers: also workers that execute calls without answering and runs
-/// that fail, in a cell of unequal distances.
+/// that fail, in a cell of unequal distances. kHolderChanges: departures, and
+/// series of planned stops and kills of one holder after another; at the end a
+/// last worker is lost before such a series, and all tasks have to run again
+/// within one lease.
 enum class ScheduleFaults : std::uint8_t {
   kTransient,
   kDepartures,
-  kLostAnswers
+  kLostAnswers,
+  kHolderChanges
 };
 
 /// Runs a cell under random jobs and random faults, all drawn from the seed,
