--- a/test/cell/holder_changes_test.cc
+++ b/test/cell/holder_changes_test.cc
@@ -6,9 +6,11 @@
 #include "support/virtual_cell.h"
 #include "systems/cell/cell_keys.h"
 #include "systems/cell/max_lease_duration.h"
+#include "systems/cell/validate_record.h"
 #include "systems/scheduler/choose_worker.h"
 #include "systems/scheduler/hand_over_workers.h"
 #include "systems/scheduler/track_members.h"
+#include "wire/kvs_record_codec.h"
 
 namespace quetzalline {
 namespace {
@@ -342,6 +344,24 @@
   BOOST_TEST(!fleet.Commit(Duration()).has_value());
 }
 
+// A value that another writer left, or one under another kind of key, must not
+// end the wait for a lease.
+BOOST_AUTO_TEST_CASE(only_records_that_a_holder_can_have_written_are_read) {
+  const WorkerHandover good = Record(6);
+  const std::string key = HandoverKey(MemberName("a"));
+  BOOST_TEST(!ValidateRecord(key, good).has_value());
+  BOOST_TEST((DecodeKvsRecord(EncodeKvsRecord(good)) == KvsRecord(good)));
+  BOOST_TEST(ValidateRecord("handover/", good).has_value());
+  BOOST_TEST(ValidateRecord("vacant/a", good).has_value());
+  BOOST_TEST(ValidateRecord("members/a", good).has_value());
+  BOOST_TEST(ValidateRecord(key, MemberRecord()).has_value());
+  BOOST_TEST(ValidateRecord(key, Record(0)).has_value());
+  BOOST_TEST(
+      ValidateRecord(
+          key, WorkerHandover::Builder(good).remaining(-seconds(1)).Build())
+          .has_value());
+}
+
 // A process that was asked to stop during its claim held the cell without
 // renewing it, so that nobody scheduled work until its lease had expired.
 BOOST_AUTO_TEST_CASE(a_process_that_stops_does_not_take_the_cell) {
