--- a/test/support/cell_schedule.h
+++ b/test/support/cell_schedule.h
@@ -10,14 +10,17 @@
 /// The faults that a schedule draws from. kTransient: each is repaired at the
 /// end. kDepartures: also workers that are lost or shut down for good.
 /// kLostAnswers: also workers that execute calls without answering and runs
-/// that fail, in a cell of unequal distances. kChangingRooms: also workers
-/// whose capacity shrinks and grows, lost answers, and crashes of several
-/// workers at once. kCrashingTasks: the same, and tasks that crash their
-/// workers.
+/// that fail, in a cell of unequal distances. kHolderChanges: departures, and
+/// series of planned stops and kills of one holder after another; at the end a
+/// last worker is lost before such a series, and all tasks have to run again
+/// within one lease. kChangingRooms: transient faults, workers whose capacity
+/// shrinks and grows, lost answers, and crashes of several workers at once.
+/// kCrashingTasks: the same, and tasks that crash their workers.
 enum class ScheduleFaults : std::uint8_t {
   kTransient,
   kDepartures,
   kLostAnswers,
+  kHolderChanges,
   kChangingRooms,
   kCrashingTasks
 };
