Let a task that a worker refuses wait on as if it had not been sent

What callers would see: one worker refuses every start and is the cheapest; on the others the task would disturb a service, or they are full of best-effort tasks. The task is sent to the first again and again and never becomes overdue, so that the others are never opened to it.

Cause: ReturnTask begins the wait anew, and the job counted as running while the refused start was in flight.

Change: a refused task keeps the time since which it is ready, and its job the time since which it is idle (IdleJob::tried_at).

Evidence: virtual tables; refusals_beside_a_disturbed_service and refusals_beside_full_workers failed before (20 s without a run).

--- a/src/systems/scheduler/measure_cell.cc
+++ b/src/systems/scheduler/measure_cell.cc
@@ -46,7 +46,7 @@
           MakeGauge("cell_tasks_ready", ready),
           MakeGauge("cell_tasks_assigned", assigned),
           MakeGauge("cell_tasks_on_unlisted_workers", unlisted),
-          MakeGauge("cell_jobs_idle", tables.idle_jobs_.size()),
+          MakeGauge("cell_jobs_idle", CountIdleJobs(tables)),
           MakeGauge("cell_longest_idle_ms",
                     ToMilliseconds(LongestIdleTime(tables, tables.last_tick_))),
           MakeGauge("cell_workers", tables.workers_.size()),
--- a/src/systems/scheduler/place_runs.cc
+++ b/src/systems/scheduler/place_runs.cc
@@ -120,7 +120,7 @@
   const MemberName& worker = started.worker();
   tick.counters().Add(Counter::kTasksAssigned);
   MarkStarted(key.job(), tables, tick);
-  tables.idle_jobs_.Erase(key.job());
+  MarkTried(key.job(), tables, tick.now());
   const WorkerUse& use = tables.tasks_.UseOf(worker);
   LogLine(tick, "task-placed", key.job(),
           {Field("step", key.step()), Field("index", key.index()),
--- a/src/systems/scheduler/track_idle_jobs.cc
+++ b/src/systems/scheduler/track_idle_jobs.cc
@@ -20,6 +20,9 @@
 // The platform calls a job lost after 3 s.
 constexpr Duration kLongestIdle = std::chrono::milliseconds(1500);
 
+// A worker that refuses a task does so within this time.
+constexpr Duration kMaxRefusalTime = std::chrono::seconds(2);
+
 // Returns the number of tasks of each job on workers that give no sign of life.
 std::map<std::uint64_t, std::int32_t> CountUnheardTasks(
     const SchedulerTables& tables) {
@@ -77,8 +80,8 @@
     if (half_free.count(service) == 0) {
       half_free[service] = IsHalfFree(service, schedulable, tables);
     }
-    const bool starved =
-        half_free[service] && now - idle.since() >= kLongestIdle;
+    const bool starved = IsIdle(idle) && half_free[service] &&
+                         now - idle.since() >= kLongestIdle;
     if (starved == idle.starved()) continue;
     tables.idle_jobs_.Put(job, IdleJob::Builder(idle).starved(starved).Build());
   }
@@ -101,9 +104,17 @@
     const auto lost = unheard.find(key.job());
     const std::int32_t running = tables.tasks_.ActiveIn(key.job()) -
                                  (lost == unheard.end() ? 0 : lost->second);
-    if (running > 0 && !long_running) continue;
     if (idle.Find(key.job()) != nullptr) continue;
     const IdleJob* known = tables.idle_jobs_.Find(key.job());
+    if (known != nullptr && !IsIdle(*known)) {
+      if (running > 0 && now - *known->tried_at() <= kMaxRefusalTime) {
+        idle.Put(key.job(), *known);
+        continue;
+      }
+      // The task that was sent has run.
+      known = nullptr;
+    }
+    if (running > 0 && !long_running) continue;
     if (known != nullptr) {
       idle.Put(key.job(), *known);
       continue;
@@ -119,18 +130,40 @@
   MarkStarvedJobs(schedulable, tables, now);
 }
 
+void MarkTried(std::uint64_t job, SchedulerTables& tables, Instant now) {
+  const IdleJob* idle = tables.idle_jobs_.Find(job);
+  if (idle == nullptr || !IsIdle(*idle)) return;
+  tables.idle_jobs_.Put(
+      job, IdleJob::Builder(*idle).starved(false).tried_at(now).Build());
+}
+
+void MarkRefused(std::uint64_t job, SchedulerTables& tables) {
+  const IdleJob* idle = tables.idle_jobs_.Find(job);
+  if (idle == nullptr) return;
+  tables.idle_jobs_.Put(job,
+                        IdleJob::Builder(*idle).tried_at(std::nullopt).Build());
+}
+
+bool IsIdle(const IdleJob& job) { return !job.tried_at().has_value(); }
+
+std::size_t CountIdleJobs(const SchedulerTables& tables) {
+  std::size_t idle = 0;
+  for (const auto& [job, row] : tables.idle_jobs_) idle += IsIdle(row) ? 1 : 0;
+  return idle;
+}
+
 void LogIdleJob(const StepKey& key, const WaitCauses& causes,
                 SchedulerTables& tables, SchedulerTick& tick) {
   const Instant now = tick.now();
   const IdleJob* idle = tables.idle_jobs_.Find(key.job());
-  if (idle == nullptr || now < idle->next_line()) return;
+  if (idle == nullptr || !IsIdle(*idle) || now < idle->next_line()) return;
   if (now < tables.next_idle_log_) return;
   tables.next_idle_log_ = now + kIdleLogInterval;
   const JobRow& job = *tables.jobs_.Find(key.job());
   const auto closed = CountClosedWorkers(job.queue()->service(), tables, now);
   std::vector<LogField> fields = {Field("step", key.step()),
                                   FieldMs("idle_ms", now - idle->since()),
-                                  Field("jobs_idle", tables.idle_jobs_.size()),
+                                  Field("jobs_idle", CountIdleJobs(tables)),
                                   Field("no_room", causes.no_capacity_),
                                   Field("neighbours", causes.interference_),
                                   Field("resting", causes.quarantined_),
@@ -149,7 +182,7 @@
 Duration LongestIdleTime(const SchedulerTables& tables, Instant now) {
   Duration longest{};
   for (const auto& [job, idle] : tables.idle_jobs_) {
-    longest = std::max(longest, now - idle.since());
+    if (IsIdle(idle)) longest = std::max(longest, now - idle.since());
   }
   return longest;
 }
--- a/src/systems/scheduler/track_idle_jobs.h
+++ b/src/systems/scheduler/track_idle_jobs.h
@@ -18,6 +18,20 @@
 void UpdateIdleJobs(const std::vector<MemberName>& schedulable,
                     SchedulerTables& tables, Instant now);
 
+/// Records that a task of the job was sent to a worker. The job is idle no
+/// longer, unless the worker refuses the task.
+void MarkTried(std::uint64_t job, SchedulerTables& tables, Instant now);
+
+/// Records that a worker refused a task of the job, which therefore is idle as
+/// long as if the task had not been sent.
+void MarkRefused(std::uint64_t job, SchedulerTables& tables);
+
+/// Returns true if the job is idle and none of its tasks was just sent.
+bool IsIdle(const IdleJob& job);
+
+/// Returns the number of idle jobs.
+std::size_t CountIdleJobs(const SchedulerTables& tables);
+
 /// Logs why a step of an idle job has no worker. Each job is logged at
 /// intervals that grow with its wait, and all together at a bounded rate.
 void LogIdleJob(const StepKey& key, const WaitCauses& causes,
--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -12,6 +12,7 @@
 #include "systems/scheduler/finish_job.h"
 #include "systems/scheduler/leader_election.h"
 #include "systems/scheduler/send_start.h"
+#include "systems/scheduler/track_idle_jobs.h"
 #include "systems/scheduler/track_jobs.h"
 #include "systems/scheduler/track_lost_workers.h"
 #include "systems/scheduler/track_members.h"
@@ -237,6 +238,19 @@
   AcknowledgeCompletions(tables, tick);
 }
 
+// Returns a task that was not started. It waits as long as if it had not been
+// sent, so that refusals do not keep it from becoming overdue.
+void ReturnRefusedTask(const TaskKey& key, Reason reason,
+                       SchedulerTables& tables, SchedulerTick& tick) {
+  const Instant ready_since = tables.tasks_.Find(key)->ready_since();
+  ReturnTask(key, reason, tables, tick);
+  MarkRefused(key.job(), tables);
+  const JobTask* task = tables.tasks_.Find(key);
+  if (task == nullptr || task->stage() != TaskStage::kReady) return;
+  tables.tasks_.Put(key,
+                    JobTask::Builder(*task).ready_since(ready_since).Build());
+}
+
 void HandleRefusals(const MemberName& name, const WorkerReport& report,
                     SchedulerTables& tables, SchedulerTick& tick) {
   for (const RunRefused& refused : report.refused()) {
@@ -246,7 +260,7 @@
     if (task == nullptr || task->stage() != TaskStage::kAssigned) continue;
     if (task->worker() != name || task->run() != refused.run().run()) continue;
     tick.counters().Add(Counter::kTasksRefused, refused.reason());
-    ReturnTask(key, refused.reason(), tables, tick);
+    ReturnRefusedTask(key, refused.reason(), tables, tick);
     tables.workers_.Put(name, WorkerRow::Builder(*tables.workers_.Find(name))
                                   .rests_until(tick.now() + kRefusalBackoff)
                                   .Build());
--- a/src/tables/idle_job.h
+++ b/src/tables/idle_job.h
@@ -2,6 +2,7 @@
 #define QUETZALLINE_TABLES_IDLE_JOB_H_
 
 #include <compare>
+#include <optional>
 #include <string_view>
 
 #include "core/time.h"
@@ -22,16 +23,20 @@
   /// its next task goes before those of other jobs and may overcommit the CPU
   /// of best-effort tasks.
   bool starved() const { return starved_; }
+  /// Time at which a task of the job was sent to a worker, until it is known
+  /// whether that worker refuses it.
+  const std::optional<Instant>& tried_at() const { return tried_at_; }
   /// Earliest time of the next log line about the job.
   Instant next_line() const { return next_line_; }
 
   friend auto operator<=>(const IdleJob&, const IdleJob&) = default;
 
  private:
-  QUETZALLINE_VALUE(IdleJob, since_, starved_, next_line_)
+  QUETZALLINE_VALUE(IdleJob, since_, starved_, tried_at_, next_line_)
 
   Instant since_ = Instant{};
   bool starved_ = false;
+  std::optional<Instant> tried_at_;
   Instant next_line_ = Instant{};
 };
 
@@ -42,6 +47,9 @@
 
   Builder& since(Instant value) { return Set(value_.since_, value); }
   Builder& starved(bool value) { return Set(value_.starved_, value); }
+  Builder& tried_at(std::optional<Instant> value) {
+    return Set(value_.tried_at_, value);
+  }
   Builder& next_line(Instant value) { return Set(value_.next_line_, value); }
 };
 
--- /dev/null
+++ b/test/cell/waiting_reason_test.cc
@@ -0,0 +1,210 @@
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "support/placement_fleet.h"
+
+namespace quetzalline {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kPass = milliseconds(200);
+// A refusal leads to the next pass after this time.
+constexpr Duration kRefusalRoundTrip = milliseconds(40);
+// The platform calls a job lost after 3 s without a run.
+constexpr Duration kMaxWait = milliseconds(3000);
+
+JobStep Service(std::int64_t cpu) {
+  return JobStep::Builder()
+      .count(1)
+      .cpu(cpu)
+      .memory_mb(1000)
+      .long_running(true)
+      .image("service")
+      .target(milliseconds(100))
+      .Build();
+}
+
+JobStep BestEffort(std::int32_t count, std::int64_t cpu) {
+  return JobStep::Builder()
+      .count(count)
+      .cpu(cpu)
+      .memory_mb(1000)
+      .estimate(seconds(2))
+      .image("batch")
+      .fills(true)
+      .Build();
+}
+
+JobStep Urgent(std::int32_t count, std::int64_t cpu) {
+  return JobStep::Builder()
+      .count(count)
+      .cpu(cpu)
+      .memory_mb(1000)
+      .estimate(seconds(1))
+      .Build();
+}
+
+// A fleet some of whose workers refuse every start.
+class WaitingFleet {
+ public:
+  explicit WaitingFleet(int workers) : fleet_(workers) {}
+
+  PlacementFleet& fleet() { return fleet_; }
+  void Refuse(int worker) { refusing_.insert(worker); }
+  void ChangeWorker(int worker, auto&& change) {
+    const MemberName name = PlacementFleet::Name(worker);
+    Table<MemberName, WorkerRow>& rows = fleet_.tables().workers_;
+    WorkerRow::Builder builder(*rows.Find(name));
+    change(builder);
+    rows.Put(name, builder.Build());
+  }
+  // Fills the worker with tasks of one job that has more of them waiting.
+  void FillWithBestEffort(int worker) {
+    fleet_.AddRunning(BestEffort(9, 7000), worker);
+  }
+  // Runs a service on the worker that best-effort tasks disturb.
+  void AddDisturbedService(int worker) {
+    fleet_.AddRunning(Service(13'000), worker);
+    fleet_.Observe(worker, "batch", 7000, "service", 400);
+  }
+
+  // Lets passes run until the job has a task on a worker that does not refuse
+  // it. Returns how long that took.
+  Duration TimeUntilRunning(std::uint64_t job, Duration limit) {
+    Duration waited{};
+    while (waited < limit) {
+      fleet_.Place();
+      const Duration pause = RefuseStarts() ? kRefusalRoundTrip : kPass;
+      if (IsRunning(job)) return waited;
+      fleet_.Advance(pause);
+      waited += pause;
+    }
+    return waited;
+  }
+
+ private:
+  bool IsRunning(std::uint64_t job) {
+    return fleet_.tables().tasks_.ActiveIn(job) > 0;
+  }
+
+  bool RefuseStarts() {
+    bool any = false;
+    for (const int worker : refusing_) {
+      std::vector<RunRefused> refused;
+      const std::set<TaskKey> tasks =
+          fleet_.tables().tasks_.TasksOnWorker(PlacementFleet::Name(worker));
+      for (const TaskKey& task : tasks) {
+        const JobTask& row = *fleet_.tables().tasks_.Find(task);
+        refused.push_back(
+            RunRefused::Builder()
+                .run(RunKey::Builder().task(task).run(row.run()).Build())
+                .reason(Reason::kDoesNotFit)
+                .Build());
+      }
+      if (refused.empty()) continue;
+      fleet_.Report(worker, WorkerReport::Builder().refused(refused).Build());
+      any = true;
+    }
+    return any;
+  }
+
+  PlacementFleet fleet_;
+  std::set<int> refusing_;
+};
+
+}  // namespace
+
+// Each reason for which a worker is passed over has to end by itself while the
+// turn of a task and the room for it last.
+BOOST_AUTO_TEST_SUITE(waiting_reasons)
+
+BOOST_AUTO_TEST_CASE(quarantine) {
+  WaitingFleet waiting(2);
+  for (int i = 0; i < 2; ++i) {
+    waiting.ChangeWorker(i, [](WorkerRow::Builder& row) {
+      row.rests_until(kFleetNow + seconds(16));
+    });
+  }
+  const std::uint64_t job = waiting.fleet().AddJob(Urgent(1, 1000));
+  BOOST_TEST((waiting.TimeUntilRunning(job, seconds(20)) < kMaxWait));
+}
+
+BOOST_AUTO_TEST_CASE(disturbed_services) {
+  WaitingFleet waiting(2);
+  for (int i = 0; i < 2; ++i) waiting.AddDisturbedService(i);
+  const std::uint64_t job = waiting.fleet().AddJob(BestEffort(1, 7000));
+  BOOST_TEST((waiting.TimeUntilRunning(job, seconds(20)) < kMaxWait));
+}
+
+BOOST_AUTO_TEST_CASE(throttled_best_effort_tasks) {
+  WaitingFleet waiting(2);
+  for (int i = 0; i < 2; ++i) {
+    waiting.fleet().AddRunning(Service(13'000), i);
+    waiting.ChangeWorker(i, [](WorkerRow::Builder& row) { row.fill_pace(0); });
+  }
+  const std::uint64_t job = waiting.fleet().AddJob(BestEffort(1, 7000));
+  BOOST_TEST((waiting.TimeUntilRunning(job, seconds(20)) < kMaxWait));
+}
+
+// One worker refuses every start, and the task would disturb a service on the
+// other one. Each refusal began the wait anew, so that the task was never
+// overdue.
+BOOST_AUTO_TEST_CASE(refusals_beside_a_disturbed_service) {
+  WaitingFleet waiting(2);
+  waiting.Refuse(0);
+  waiting.AddDisturbedService(1);
+  const std::uint64_t job = waiting.fleet().AddJob(BestEffort(1, 7000));
+  BOOST_TEST((waiting.TimeUntilRunning(job, seconds(20)) < kMaxWait));
+}
+
+// As before, with workers that are full of best-effort tasks instead.
+BOOST_AUTO_TEST_CASE(refusals_beside_full_workers) {
+  WaitingFleet waiting(2);
+  waiting.Refuse(0);
+  waiting.FillWithBestEffort(1);
+  const std::uint64_t job = waiting.fleet().AddJob(BestEffort(1, 7000));
+  BOOST_TEST((waiting.TimeUntilRunning(job, seconds(20)) < kMaxWait));
+}
+
+// Several workers refuse every start; the task has to reach the last one.
+BOOST_AUTO_TEST_CASE(refusals_of_all_workers_but_one) {
+  WaitingFleet waiting(6);
+  for (int i = 0; i < 5; ++i) waiting.Refuse(i);
+  waiting.fleet().AddRunning(Urgent(1, 20'000), 5);
+  const std::uint64_t job = waiting.fleet().AddJob(Urgent(1, 1000));
+  BOOST_TEST((waiting.TimeUntilRunning(job, seconds(20)) < kMaxWait));
+}
+
+// Reasons that legitimately last: another label, a worker that drains, memory,
+// a limit of tasks per worker.
+BOOST_AUTO_TEST_CASE(reasons_that_last) {
+  const auto waits = [](const JobStep& step, bool draining) {
+    WaitingFleet waiting(1);
+    if (draining) {
+      waiting.ChangeWorker(0, [&](WorkerRow::Builder& row) {
+        const WorkerRow old =
+            *waiting.fleet().tables().workers_.Find(PlacementFleet::Name(0));
+        row.facts(
+            WorkerDescription::Builder(*old.facts()).draining(true).Build());
+      });
+    }
+    const std::uint64_t job = waiting.fleet().AddJob(step);
+    return waiting.TimeUntilRunning(job, seconds(20)) == seconds(20);
+  };
+  BOOST_TEST(!waits(Urgent(1, 1000), false));
+  BOOST_TEST(waits(Urgent(1, 1000), true));
+  BOOST_TEST(waits(
+      JobStep::Builder(Urgent(1, 1000)).required_label("x").Build(), false));
+  BOOST_TEST(waits(JobStep::Builder(Urgent(1, 1000)).memory_mb(250'001).Build(),
+                   false));
+  BOOST_TEST(waits(Urgent(1, kFleetMillicores + 1), false));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace quetzalline
