Place a starved job of which nothing can be earned like best-effort work

Cause: jobs over three times the allowed time are placed after all others, so that a steady backlog keeps them from starting for ever.

Change: while such a job is starved (nothing running for 1.5 s beside unreserved CPU) its steps rank among the best-effort ones, still after urgent and long-running ones, and by the time since which the job is idle.

Evidence: virtual tables; best_effort_work_of_other_jobs_before_an_unmeetable_one failed before (20 s without a run).

--- a/src/systems/scheduler/place_runs.cc
+++ b/src/systems/scheduler/place_runs.cc
@@ -58,12 +58,16 @@
   const JobStep& step = StepAt(job, key.step());
   PlacementClass placement_class =
       step.fills() ? PlacementClass::kBestEffort : PlacementClass::kUrgent;
-  if (IsUnmeetable(job, now)) placement_class = PlacementClass::kUnmeetable;
+  const bool starved = IsStarved(key.job(), tables) && !step.long_running();
+  // Best-effort work is placed all the time, so a job that is placed after all
+  // of it might never start.
+  if (IsUnmeetable(job, now)) {
+    placement_class =
+        starved ? PlacementClass::kBestEffort : PlacementClass::kUnmeetable;
+  }
   if (step.long_running()) placement_class = PlacementClass::kService;
   const Instant starved_since =
-      IsStarved(key.job(), tables) && !step.long_running()
-          ? tables.idle_jobs_.Find(key.job())->since()
-          : Instant::max();
+      starved ? tables.idle_jobs_.Find(key.job())->since() : Instant::max();
   return ReadyStep{placement_class, starved_since, job.queue()->priority(),
                    job.due(), key};
 }
--- a/test/cell/waiting_reason_test.cc
+++ b/test/cell/waiting_reason_test.cc
@@ -117,6 +117,14 @@
   std::set<int> refusing_;
 };
 
+void MakeUnmeetable(PlacementFleet& fleet, std::uint64_t job) {
+  const JobRow row = *fleet.tables().jobs_.Find(job);
+  fleet.tables().jobs_.Put(job, JobRow::Builder(row)
+                                    .accepted_at(kFleetNow - seconds(60))
+                                    .due(kFleetNow - seconds(50))
+                                    .Build());
+}
+
 }  // namespace
 
 // Each reason for which a worker is passed over has to end by itself while the
@@ -180,6 +188,17 @@
   BOOST_TEST((waiting.TimeUntilRunning(job, seconds(20)) < kMaxWait));
 }
 
+// Best-effort tasks of an unmeetable job are placed last. Other jobs with
+// nothing running took each place before it.
+BOOST_AUTO_TEST_CASE(best_effort_work_of_other_jobs_before_an_unmeetable_one) {
+  WaitingFleet waiting(1);
+  PlacementFleet& fleet = waiting.fleet();
+  const std::uint64_t job = fleet.AddJob(BestEffort(1, 7000));
+  MakeUnmeetable(fleet, job);
+  for (int i = 0; i < 40; ++i) fleet.AddJob(BestEffort(1, 7000));
+  BOOST_TEST((waiting.TimeUntilRunning(job, seconds(20)) < kMaxWait));
+}
+
 // Reasons that legitimately last: another label, a worker that drains, memory,
 // a limit of tasks per worker.
 BOOST_AUTO_TEST_CASE(reasons_that_last) {
