Count workers that are closed but sound as free capacity

What callers would see: a job has nothing running while most of the service's CPU is unreserved by the platform's account. The open workers are more than half reserved; the others are in touch but closed (a run there that is not assigned to them, or a record as confirmed lost that is not removed yet), so the service counts as more than half used, and nothing is overdue or starved.

Change: IsHalfFree is asked about the sound workers: the open ones and those in touch that are closed for one of these two reasons. Whether a worker is in touch is checked before them.

Evidence: virtual tables; full_workers_beside_closed_empty_ones failed before (20 s without a run).

--- a/src/systems/scheduler/choose_worker.cc
+++ b/src/systems/scheduler/choose_worker.cc
@@ -130,13 +130,14 @@
   if (!worker.reported() || !worker.facts()) return ClosedCause::kUnlisted;
   if (worker.facts()->draining()) return ClosedCause::kDraining;
   if (worker.silent()) return ClosedCause::kUnresponsive;
-  if (tables.orphaned_runs_.count(name) > 0) return ClosedCause::kOrphanedRuns;
-  if (tables.confirmed_lost_.count(name) > 0) return ClosedCause::kRecordedLost;
   const MemberRow* member = tables.members_.Find(name);
   const bool in_touch = member != nullptr && member->connection() &&
                         now - member->heard_at() <= kMaxHeartbeatAge &&
                         now - worker.granted_at() <= kMaxHeartbeatAge;
-  return in_touch ? ClosedCause::kOpen : ClosedCause::kOutOfTouch;
+  if (!in_touch) return ClosedCause::kOutOfTouch;
+  if (tables.orphaned_runs_.count(name) > 0) return ClosedCause::kOrphanedRuns;
+  if (tables.confirmed_lost_.count(name) > 0) return ClosedCause::kRecordedLost;
+  return ClosedCause::kOpen;
 }
 
 std::vector<MemberName> SchedulableWorkers(const SchedulerTables& tables,
@@ -150,12 +151,25 @@
   return schedulable;
 }
 
+std::vector<MemberName> SoundWorkers(const SchedulerTables& tables,
+                                     Instant now) {
+  std::vector<MemberName> sound;
+  for (const auto& [name, worker] : tables.workers_) {
+    const ClosedCause cause = FindClosedCause(name, worker, tables, now);
+    if (cause == ClosedCause::kOpen || cause == ClosedCause::kOrphanedRuns ||
+        cause == ClosedCause::kRecordedLost) {
+      sound.push_back(name);
+    }
+  }
+  return sound;
+}
+
 bool IsHalfFree(const ServiceName& service,
-                const std::vector<MemberName>& schedulable,
+                const std::vector<MemberName>& sound,
                 const SchedulerTables& tables) {
   std::int64_t reserved = 0;
   std::int64_t capacity = 0;
-  for (const MemberName& name : schedulable) {
+  for (const MemberName& name : sound) {
     const WorkerDescription& facts = *tables.workers_.Find(name)->facts();
     if (facts.service() != service) continue;
     reserved += tables.tasks_.UseOf(name).cpu();
--- a/src/systems/scheduler/choose_worker.h
+++ b/src/systems/scheduler/choose_worker.h
@@ -39,10 +39,16 @@
 std::vector<MemberName> SchedulableWorkers(const SchedulerTables& tables,
                                            Instant now);
 
-/// Returns true if less than half of the CPU of the service's schedulable
-/// workers is reserved.
+/// Returns the workers whose CPU counts as capacity: the schedulable ones, and
+/// those that are in touch but closed for what runs there or is recorded of
+/// them.
+std::vector<MemberName> SoundWorkers(const SchedulerTables& tables,
+                                     Instant now);
+
+/// Returns true if less than half of the CPU of the service's sound workers is
+/// reserved.
 bool IsHalfFree(const ServiceName& service,
-                const std::vector<MemberName>& schedulable,
+                const std::vector<MemberName>& sound,
                 const SchedulerTables& tables);
 
 /// Returns true if the job has been idle so long that its next task goes before
--- a/src/systems/scheduler/place_runs.cc
+++ b/src/systems/scheduler/place_runs.cc
@@ -311,7 +311,8 @@
 
 // Places the ready tasks of a step. Returns true if all of them found a worker.
 bool PlaceStep(const StepKey& key, const std::vector<MemberName>& schedulable,
-               SchedulerTables& tables, SchedulerTick& tick) {
+               const std::vector<MemberName>& sound, SchedulerTables& tables,
+               SchedulerTick& tick) {
   const JobRow* job = tables.jobs_.Find(key.job());
   StepPlacement placement;
   placement.key_ = key;
@@ -320,7 +321,7 @@
   placement.candidates_ =
       FindCandidates(key, placement.step(), placement.service_, schedulable,
                      tables, placement.causes_);
-  const bool half_free = IsHalfFree(placement.service_, schedulable, tables);
+  const bool half_free = IsHalfFree(placement.service_, sound, tables);
   const auto ready = tables.tasks_.ready().find(key);
   const std::vector<TaskKey> tasks = TasksOf(key, ready->second);
   const bool placed =
@@ -355,10 +356,12 @@
   tables.next_placement_ = tick.now() + kPlacementInterval;
   const std::vector<MemberName> schedulable =
       SchedulableWorkers(tables, tick.now());
-  UpdateIdleJobs(schedulable, tables, tick.now());
+  const std::vector<MemberName> sound = SoundWorkers(tables, tick.now());
+  UpdateIdleJobs(sound, tables, tick.now());
   bool placed_all = true;
   for (const ReadyStep& step : RankReadySteps(tables, tick.now())) {
-    placed_all = PlaceStep(step.key_, schedulable, tables, tick) && placed_all;
+    placed_all =
+        PlaceStep(step.key_, schedulable, sound, tables, tick) && placed_all;
   }
   // While ready tasks are left without a worker, passes are long and changes
   // are frequent.
--- a/src/systems/scheduler/track_idle_jobs.cc
+++ b/src/systems/scheduler/track_idle_jobs.cc
@@ -72,13 +72,13 @@
 
 // Marks the idle jobs that are starved. Long-running tasks are placed before
 // best-effort ones anyway.
-void MarkStarvedJobs(const std::vector<MemberName>& schedulable,
+void MarkStarvedJobs(const std::vector<MemberName>& sound,
                      SchedulerTables& tables, Instant now) {
   std::map<ServiceName, bool> half_free;
   for (const auto& [job, idle] : tables.idle_jobs_.Sorted()) {
     const ServiceName& service = tables.jobs_.Find(job)->queue()->service();
     if (half_free.count(service) == 0) {
-      half_free[service] = IsHalfFree(service, schedulable, tables);
+      half_free[service] = IsHalfFree(service, sound, tables);
     }
     const bool starved = IsIdle(idle) && half_free[service] &&
                          now - idle.since() >= kLongestIdle;
@@ -89,7 +89,7 @@
 
 }  // namespace
 
-void UpdateIdleJobs(const std::vector<MemberName>& schedulable,
+void UpdateIdleJobs(const std::vector<MemberName>& sound,
                     SchedulerTables& tables, Instant now) {
   const auto unheard = CountUnheardTasks(tables);
   Table<std::uint64_t, IdleJob> idle;
@@ -127,7 +127,7 @@
                             .Build());
   }
   tables.idle_jobs_ = std::move(idle);
-  MarkStarvedJobs(schedulable, tables, now);
+  MarkStarvedJobs(sound, tables, now);
 }
 
 void MarkTried(std::uint64_t job, SchedulerTables& tables, Instant now) {
--- a/src/systems/scheduler/track_idle_jobs.h
+++ b/src/systems/scheduler/track_idle_jobs.h
@@ -14,8 +14,8 @@
 /// Tasks of unknown state may run and count as running; tasks that are assigned
 /// to a worker that gives no sign of life do not. A job with a ready
 /// long-running task is idle whatever else it runs.
-/// Marks the jobs that are starved.
-void UpdateIdleJobs(const std::vector<MemberName>& schedulable,
+/// Marks the jobs that are starved, beside the sound workers of their service.
+void UpdateIdleJobs(const std::vector<MemberName>& sound,
                     SchedulerTables& tables, Instant now);
 
 /// Records that a task of the job was sent to a worker. The job is idle no
--- a/test/cell/waiting_reason_test.cc
+++ b/test/cell/waiting_reason_test.cc
@@ -199,6 +199,20 @@
   BOOST_TEST((waiting.TimeUntilRunning(job, seconds(20)) < kMaxWait));
 }
 
+// The workers that are open are more than half reserved, those that are closed
+// are empty. The platform counts them all, so less than half is in use.
+BOOST_AUTO_TEST_CASE(full_workers_beside_closed_empty_ones) {
+  WaitingFleet waiting(4);
+  PlacementFleet& fleet = waiting.fleet();
+  fleet.AddRunning(Urgent(1, 40'000), 0);
+  fleet.AddRunning(BestEffort(3, 7000), 0);
+  for (int i = 1; i < 4; ++i) {
+    fleet.tables().orphaned_runs_[PlacementFleet::Name(i)].insert(RunKey());
+  }
+  const std::uint64_t job = fleet.AddJob(BestEffort(1, 7000));
+  BOOST_TEST((waiting.TimeUntilRunning(job, seconds(20)) < kMaxWait));
+}
+
 // Reasons that legitimately last: another label, a worker that drains, memory,
 // a limit of tasks per worker.
 BOOST_AUTO_TEST_CASE(reasons_that_last) {
