Send not even overdue tasks to a worker that has just refused one

What callers would see: some workers refuse every start and the sound ones are in quarantine. Overdue tasks are sent to the refusing workers again and again, for up to the 16 s of the quarantine.

Cause: a back-off after a refusal and a quarantine were the same to placement: both are open to overdue tasks, at the same cost, so that the emptier worker, which is the refusing one, was chosen.

Change: a worker whose rest ends within 250 ms, the length of a back-off, is no candidate for any task. That ends by itself.

--- a/src/systems/scheduler/choose_worker.cc
+++ b/src/systems/scheduler/choose_worker.cc
@@ -24,6 +24,16 @@
 constexpr std::int64_t kAllCpuPercent = 100;
 constexpr std::int64_t kOvercommittedCpuPercent = 200;
 
+// Even overdue tasks wait for the end of a back-off after a refusal, which is
+// at most this far away. They would be refused again and again, while workers
+// in quarantine, which cost no less, get none of them.
+constexpr Duration kLongestBackoff = std::chrono::milliseconds(250);
+
+bool IsBackingOff(const WorkerRow& worker, Instant now) {
+  return worker.rests_until() > now &&
+         worker.rests_until() - now <= kLongestBackoff;
+}
+
 bool HasLabel(const WorkerDescription& facts, const std::string& label) {
   return std::find(facts.labels().begin(), facts.labels().end(), label) !=
          facts.labels().end();
@@ -219,6 +229,10 @@
     ++causes.no_capacity_;
     return std::nullopt;
   }
+  if (IsBackingOff(worker, tables.last_tick_)) {
+    ++causes.quarantined_;
+    return std::nullopt;
+  }
   const bool quarantined = worker.rests_until() > tables.last_tick_;
   WorkerCandidate candidate;
   candidate.worker_ = name;
--- a/test/cell/waiting_reason_test.cc
+++ b/test/cell/waiting_reason_test.cc
@@ -1,5 +1,6 @@
-#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <cstdlib>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -125,6 +126,72 @@
                                     .Build());
 }
 
+// Conditions of a worker. The first ones leave room by the platform's account.
+enum class Condition {
+  kFree,
+  kQuarantined,
+  kDisturbedService,
+  kThrottled,
+  kFull,
+  kRefusing,
+  kOrphanedRun
+};
+constexpr int kConditionsWithRoom = 5;
+constexpr int kConditions = 7;
+
+void Apply(Condition condition, int worker, WaitingFleet& waiting) {
+  switch (condition) {
+    case Condition::kFree:
+      return;
+    case Condition::kQuarantined:
+      return waiting.ChangeWorker(worker, [](WorkerRow::Builder& row) {
+        row.rests_until(kFleetNow + seconds(16));
+      });
+    case Condition::kDisturbedService:
+      return waiting.AddDisturbedService(worker);
+    case Condition::kThrottled:
+      waiting.fleet().AddRunning(Service(13'000), worker);
+      return waiting.ChangeWorker(
+          worker, [](WorkerRow::Builder& row) { row.fill_pace(0); });
+    case Condition::kFull:
+      return waiting.FillWithBestEffort(worker);
+    case Condition::kRefusing:
+      return waiting.Refuse(worker);
+    case Condition::kOrphanedRun:
+      waiting.fleet()
+          .tables()
+          .orphaned_runs_[PlacementFleet::Name(worker)]
+          .insert(RunKey());
+      return;
+  }
+}
+
+JobStep DrawStep(std::mt19937& random) {
+  const bool best_effort = random() % 2 == 0;
+  const auto count = static_cast<std::int32_t>(1 + random() % 3);
+  const JobStep step =
+      best_effort ? BestEffort(count, 7000) : Urgent(count, 9000);
+  return JobStep::Builder(step).gang(random() % 4 == 0).Build();
+}
+
+// Draws a fleet, other jobs, and a job that waits; returns how long that has
+// nothing running. One worker has room for all of them.
+Duration WaitOfDrawnJob(unsigned seed) {
+  std::mt19937 random(seed);
+  const int workers = 2 + static_cast<int>(random() % 4);
+  WaitingFleet waiting(workers);
+  Apply(static_cast<Condition>(random() % kConditionsWithRoom), 0, waiting);
+  for (int i = 1; i < workers; ++i) {
+    Apply(static_cast<Condition>(random() % kConditions), i, waiting);
+  }
+  for (unsigned i = random() % 4; i > 0; --i) {
+    waiting.fleet().AddJob(BestEffort(2, 7000));
+  }
+  const std::uint64_t job = waiting.fleet().AddJob(DrawStep(random));
+  if (random() % 3 == 0) MakeUnmeetable(waiting.fleet(), job);
+  return waiting.TimeUntilRunning(job, seconds(20));
+}
+
 }  // namespace
 
 // Each reason for which a worker is passed over has to end by itself while the
@@ -213,6 +280,20 @@
   BOOST_TEST((waiting.TimeUntilRunning(job, seconds(20)) < kMaxWait));
 }
 
+// Any mix of the reasons above has to end within the same time.
+BOOST_AUTO_TEST_CASE(drawn_mixes_of_reasons) {
+  constexpr unsigned kDefaultSeeds = 300;
+  const char* set = std::getenv("QUETZALLINE_WAITING_SEEDS");
+  const unsigned seeds =
+      set == nullptr ? kDefaultSeeds
+                     : static_cast<unsigned>(std::strtoul(set, nullptr, 10));
+  for (unsigned seed = 1; seed <= seeds; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      BOOST_TEST((WaitOfDrawnJob(seed) < kMaxWait));
+    }
+  }
+}
+
 // Reasons that legitimately last: another label, a worker that drains, memory,
 // a limit of tasks per worker.
 BOOST_AUTO_TEST_CASE(reasons_that_last) {
