--- a/src/systems/scheduler/choose_worker.cc
+++ b/src/systems/scheduler/choose_worker.cc
@@ -25,6 +25,16 @@
 constexpr std::int64_t kAllCpuPercent = 100;
 constexpr std::int64_t kOvercommittedCpuPercent = 200;
 
+// Even overdue tasks wait for the end of a back-off after a refusal, which is
+// at most this far away. They would be refused again and again, while workers
+// in quarantine, which cost no less, get none of them.
+constexpr Duration kLongestBackoff = std::chrono::milliseconds(250);
+
+bool IsBackingOff(const WorkerRow& worker, Instant now) {
+  return worker.rests_until() > now &&
+         worker.rests_until() - now <= kLongestBackoff;
+}
+
 bool HasLabel(const WorkerDescription& facts, const std::string& label) {
   return std::find(facts.labels().begin(), facts.labels().end(), label) !=
          facts.labels().end();
@@ -134,14 +144,15 @@
   if (!worker.reported() || !worker.facts()) return ClosedCause::kUnlisted;
   if (worker.facts()->draining()) return ClosedCause::kDraining;
   if (worker.silent()) return ClosedCause::kUnresponsive;
-  if (tables.orphaned_runs_.count(name) > 0) return ClosedCause::kOrphanedRuns;
-  if (tables.confirmed_lost_.count(name) > 0) return ClosedCause::kRecordedLost;
-  if (IsHandedOver(name, tables)) return ClosedCause::kHandedOver;
   const MemberRow* member = tables.members_.Find(name);
   const bool in_touch = member != nullptr && member->connection() &&
                         now - member->heard_at() <= kMaxHeartbeatAge &&
                         now - worker.granted_at() <= kMaxHeartbeatAge;
-  return in_touch ? ClosedCause::kOpen : ClosedCause::kOutOfTouch;
+  if (!in_touch) return ClosedCause::kOutOfTouch;
+  if (tables.orphaned_runs_.count(name) > 0) return ClosedCause::kOrphanedRuns;
+  if (tables.confirmed_lost_.count(name) > 0) return ClosedCause::kRecordedLost;
+  if (IsHandedOver(name, tables)) return ClosedCause::kHandedOver;
+  return ClosedCause::kOpen;
 }
 
 std::vector<MemberName> SchedulableWorkers(const SchedulerTables& tables,
@@ -155,12 +166,26 @@
   return schedulable;
 }
 
+std::vector<MemberName> SoundWorkers(const SchedulerTables& tables,
+                                     Instant now) {
+  std::vector<MemberName> sound;
+  for (const auto& [name, worker] : tables.workers_) {
+    const ClosedCause cause = FindClosedCause(name, worker, tables, now);
+    if (cause == ClosedCause::kOpen || cause == ClosedCause::kOrphanedRuns ||
+        cause == ClosedCause::kRecordedLost ||
+        cause == ClosedCause::kHandedOver) {
+      sound.push_back(name);
+    }
+  }
+  return sound;
+}
+
 bool IsHalfFree(const ServiceName& service,
-                const std::vector<MemberName>& schedulable,
+                const std::vector<MemberName>& sound,
                 const SchedulerTables& tables) {
   std::int64_t reserved = 0;
   std::int64_t capacity = 0;
-  for (const MemberName& name : schedulable) {
+  for (const MemberName& name : sound) {
     const WorkerDescription& facts = *tables.workers_.Find(name)->facts();
     if (facts.service() != service) continue;
     // A capacity that has shrunk may be exceeded.
@@ -211,6 +236,10 @@
     ++causes.no_capacity_;
     return std::nullopt;
   }
+  if (IsBackingOff(worker, tables.last_tick_)) {
+    ++causes.quarantined_;
+    return std::nullopt;
+  }
   const bool quarantined = worker.rests_until() > tables.last_tick_;
   WorkerCandidate candidate;
   candidate.worker_ = name;
--- a/src/systems/scheduler/place_runs.cc
+++ b/src/systems/scheduler/place_runs.cc
@@ -58,12 +58,16 @@
   const JobStep& step = StepAt(job, key.step());
   PlacementClass placement_class =
       step.fills() ? PlacementClass::kBestEffort : PlacementClass::kUrgent;
-  if (IsUnmeetable(job, now)) placement_class = PlacementClass::kUnmeetable;
+  const bool starved = IsStarved(key.job(), tables) && !step.long_running();
+  // Best-effort work is placed all the time, so a job that is placed after all
+  // of it might never start.
+  if (IsUnmeetable(job, now)) {
+    placement_class =
+        starved ? PlacementClass::kBestEffort : PlacementClass::kUnmeetable;
+  }
   if (step.long_running()) placement_class = PlacementClass::kService;
   const Instant starved_since =
-      IsStarved(key.job(), tables) && !step.long_running()
-          ? tables.idle_jobs_.Find(key.job())->since()
-          : Instant::max();
+      starved ? tables.idle_jobs_.Find(key.job())->since() : Instant::max();
   return ReadyStep{placement_class, starved_since, job.queue()->priority(),
                    job.due(), key};
 }
@@ -120,7 +124,7 @@
   const MemberName& worker = started.worker();
   tick.counters().Add(Counter::kTasksAssigned);
   MarkStarted(key.job(), tables, tick);
-  tables.idle_jobs_.Erase(key.job());
+  MarkTried(key.job(), tables, tick.now());
   const WorkerUse& use = tables.tasks_.UseOf(worker);
   LogLine(tick, "task-placed", key.job(),
           {Field("step", key.step()), Field("index", key.index()),
@@ -307,7 +311,8 @@
 
 // Places the ready tasks of a step. Returns true if all of them found a worker.
 bool PlaceStep(const StepKey& key, const std::vector<MemberName>& schedulable,
-               SchedulerTables& tables, SchedulerTick& tick) {
+               const std::vector<MemberName>& sound, SchedulerTables& tables,
+               SchedulerTick& tick) {
   const JobRow* job = tables.jobs_.Find(key.job());
   StepPlacement placement;
   placement.key_ = key;
@@ -316,7 +321,7 @@
   placement.candidates_ =
       FindCandidates(key, placement.step(), placement.service_, schedulable,
                      tables, placement.causes_);
-  const bool half_free = IsHalfFree(placement.service_, schedulable, tables);
+  const bool half_free = IsHalfFree(placement.service_, sound, tables);
   const auto ready = tables.tasks_.ready().find(key);
   const std::vector<TaskKey> tasks = TasksOf(key, ready->second);
   const bool placed =
@@ -351,10 +356,12 @@
   tables.next_placement_ = tick.now() + kPlacementInterval;
   const std::vector<MemberName> schedulable =
       SchedulableWorkers(tables, tick.now());
-  UpdateIdleJobs(schedulable, tables, tick.now());
+  const std::vector<MemberName> sound = SoundWorkers(tables, tick.now());
+  UpdateIdleJobs(sound, tables, tick.now());
   bool placed_all = true;
   for (const ReadyStep& step : RankReadySteps(tables, tick.now())) {
-    placed_all = PlaceStep(step.key_, schedulable, tables, tick) && placed_all;
+    placed_all =
+        PlaceStep(step.key_, schedulable, sound, tables, tick) && placed_all;
   }
   // While ready tasks are left without a worker, passes are long and changes
   // are frequent.
