--- a/test/faults/cell_schedule_test.cc
+++ b/test/faults/cell_schedule_test.cc
@@ -92,4 +92,16 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Kinds of schedules that find a known failure; KNOWN-RED.txt lists them, and
+// CI does not run them.
+BOOST_AUTO_TEST_SUITE(known_red_schedules)
+
+// Guards against a task that crashes one worker after the other, and against
+// giving up work that ran beside such a task.
+BOOST_AUTO_TEST_CASE(random_crashing_tasks_violate_no_invariant) {
+  RunSeeds(ScheduleFaults::kCrashingTasks, 150);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace quetzalline
--- a/test/support/cell_schedule.cc
+++ b/test/support/cell_schedule.cc
@@ -1,5 +1,6 @@
 #include "support/cell_schedule.h"
 
+#include <map>
 #include <set>
 
 #include "support/virtual_cell.h"
@@ -43,6 +44,20 @@
   return job.steps({step(-1), step(0)}).Build();
 }
 
+// Draws a crash that follows a start at once, that follows some work, or that
+// only some starts cause.
+TaskCrash RandomCrash(Random& random) {
+  TaskCrash::Builder crash;
+  crash.after(milliseconds(5 + UniformInt(random, 30)))
+      .downtime(milliseconds(1000 + UniformInt(random, 3000)));
+  const std::int64_t variant = UniformInt(random, 3);
+  if (variant == 2) crash.after(milliseconds(80 + UniformInt(random, 600)));
+  if (variant == 3) {
+    crash.percent(static_cast<std::int32_t>(30 + UniformInt(random, 60)));
+  }
+  return crash.Build();
+}
+
 // Runs one schedule and tracks the submitted, long-running and cancelled jobs,
 // so that the final state of each can be checked.
 class Schedule {
@@ -83,6 +98,7 @@
       const std::uint64_t number = cell_.Submit(job);
       jobs_.push_back(number);
       if (job.steps().front().long_running()) long_running_jobs_.insert(number);
+      if (faults_ == ScheduleFaults::kCrashingTasks) DrawTaskCrash(number, job);
     }
     if (jobs_.empty()) return;
     const auto last = static_cast<std::int64_t>(jobs_.size()) - 1;
@@ -97,6 +113,23 @@
     if (choice > 1) cell_.QueryJob(job);
   }
 
+  // Lets one task of every sixth job crash its workers.
+  void DrawTaskCrash(std::uint64_t job, const JobDefinition& definition) {
+    if (UniformInt(random_, 5) > 0) return;
+    const auto last_step =
+        static_cast<std::int64_t>(definition.steps().size()) - 1;
+    const auto step = static_cast<std::size_t>(UniformInt(random_, last_step));
+    const std::int64_t last_index = definition.steps()[step].count() - 1;
+    const TaskKey task =
+        TaskKey::Builder()
+            .job(job)
+            .step(static_cast<std::int32_t>(step))
+            .index(static_cast<std::int32_t>(UniformInt(random_, last_index)))
+            .Build();
+    cell_.SetTaskCrash(task, RandomCrash(random_));
+    crashing_jobs_[job] = task;
+  }
+
   void InjectFault() {
     constexpr std::int64_t kTransientFaults = 16;
     constexpr std::int64_t kFurtherFaults = 3;
@@ -107,6 +140,9 @@
     if (further && faults_ == ScheduleFaults::kDepartures) {
       return InjectDeparture(agent);
     }
+    if (further && faults_ == ScheduleFaults::kCrashingTasks) {
+      return InjectCrash(agent);
+    }
     if (further) return InjectLostAnswers(agent);
     switch (UniformInt(random_, kTransientFaults - 1)) {
       case 0:
@@ -171,6 +207,17 @@
     }
   }
 
+  // Crashes one worker for a short time, or several at once, as when a rack
+  // loses power.
+  void InjectCrash(std::size_t agent) {
+    const std::int64_t count = UniformInt(random_, 1) == 0 ? 1 : 3;
+    const Duration downtime = milliseconds(500 + UniformInt(random_, 3000));
+    for (std::int64_t i = 0; i < count; ++i) {
+      cell_.worker((agent + static_cast<std::size_t>(i)) % agents_)
+          .CrashFor(downtime);
+    }
+  }
+
   // Makes a worker mute, alone or together with a partition of the holder,
   // makes all of them answer again, or sets the share of runs that fail.
   void InjectLostAnswers(std::size_t agent) {
@@ -223,7 +270,10 @@
         violations.push_back("accepted job was reported as unknown: " +
                              FormatJobId(job));
       } else if (state == JobState::kFailed &&
-                 cell_.log().HasExhaustedTask(job)) {
+                 (cell_.log().HasExhaustedTask(job) ||
+                  cell_.log().MayBeGivenUp(job))) {
+        continue;
+      } else if (MayBeUnfinished(job)) {
         continue;
       } else if (state != expected_state) {
         violations.push_back("accepted job was not carried out: " +
@@ -233,6 +283,14 @@
     return violations;
   }
 
+  // A job with a task that crashes workers need not run, but is given up once
+  // the task may not be started any more.
+  bool MayBeUnfinished(std::uint64_t job) const {
+    const auto crashing = crashing_jobs_.find(job);
+    return crashing != crashing_jobs_.end() &&
+           cell_.log().CrashesCausedBy(crashing->second) < kCrashesBeforeLimit;
+  }
+
   static std::string AgentName(std::size_t agent) {
     return "agent-" + std::to_string(agent);
   }
@@ -246,6 +304,8 @@
   std::vector<std::uint64_t> jobs_;
   std::set<std::uint64_t> long_running_jobs_;
   std::set<std::uint64_t> cancelled_jobs_;
+  /// The task of each of these jobs that crashes its workers.
+  std::map<std::uint64_t, TaskKey> crashing_jobs_;
 };
 
 }  // namespace
--- a/test/support/cell_schedule.h
+++ b/test/support/cell_schedule.h
@@ -10,11 +10,13 @@
 /// The faults that a schedule draws from. kTransient: each is repaired at the
 /// end. kDepartures: also workers that are lost or shut down for good.
 /// kLostAnswers: also workers that execute calls without answering and runs
-/// that fail, in a cell of unequal distances.
+/// that fail, in a cell of unequal distances. kCrashingTasks: also tasks that
+/// crash their workers, and crashes of several workers at once.
 enum class ScheduleFaults : std::uint8_t {
   kTransient,
   kDepartures,
-  kLostAnswers
+  kLostAnswers,
+  kCrashingTasks
 };
 
 /// Runs a cell under random jobs and random faults, all drawn from the seed,
--- a/test/support/job_invariant_log.cc
+++ b/test/support/job_invariant_log.cc
@@ -61,6 +61,7 @@
     failed_before_start_[run.task()] = failed;
     CheckAttempts(run);
   }
+  if (!late) CheckCrashes(run, text);
   std::set<std::string>& workers = running_[run.task()];
   workers.insert(worker);
   if (workers.size() > 1) Fail("runs on two workers at once: " + text);
@@ -88,6 +89,15 @@
   Fail("started after its last attempt: " + RunText(run));
 }
 
+void JobInvariantLog::CheckCrashes(const RunKey& run, const std::string& text) {
+  const TaskKey& task = run.task();
+  if (CrashesCausedBy(task) < kCrashesBeforeLimit) return;
+  if (++starts_after_crashes_[task] > kMaxStartsAfterCrashes) {
+    Fail("started after it had crashed " +
+         std::to_string(CrashesCausedBy(task)) + " workers: " + text);
+  }
+}
+
 void JobInvariantLog::CompletionAcknowledged(const RunEnd& end,
                                              bool lapsed_since) {
   if (lapsed_since) return;
@@ -147,6 +157,25 @@
       });
 }
 
+void JobInvariantLog::Failed(std::uint64_t job) {
+  if (HasExhaustedTask(job) || MayBeGivenUp(job)) return;
+  Fail("reported as failed without a cause: " + FormatJobId(job));
+}
+
+bool JobInvariantLog::MayBeGivenUp(std::uint64_t job) const {
+  return std::any_of(crashing_tasks_.begin(), crashing_tasks_.end(),
+                     [&](const TaskKey& task) {
+                       const auto found = crashes_.find(task);
+                       return task.job() == job && found != crashes_.end() &&
+                              found->second >= kMinCrashesToGiveUp;
+                     });
+}
+
+std::int32_t JobInvariantLog::CrashesCausedBy(const TaskKey& task) const {
+  const auto found = crashes_caused_.find(task);
+  return found == crashes_caused_.end() ? 0 : found->second;
+}
+
 std::int64_t JobInvariantLog::StartsOf(std::uint64_t job) const {
   const auto found = job_starts_.find(job);
   return found == job_starts_.end() ? 0 : found->second;
--- a/test/support/virtual_cell.cc
+++ b/test/support/virtual_cell.cc
@@ -63,6 +63,11 @@
           return jobs_.at(task.job())
               ->steps()[static_cast<std::size_t>(task.step())];
         },
+        [this](const TaskKey& task) -> std::optional<TaskCrash> {
+          const auto found = crashes_.find(task);
+          if (found == crashes_.end()) return std::nullopt;
+          return found->second;
+        },
         seed * 31 + i);
     agent.runner_ = std::make_unique<VirtualNode<RunnerNode>>(
         events_, [this, i](const RunnerEffect& effect) { Perform(i, effect); });
@@ -435,6 +440,11 @@
   return job;
 }
 
+void VirtualCell::SetTaskCrash(const TaskKey& task, const TaskCrash& crash) {
+  crashes_[task] = crash;
+  log_.CrashesWorkers(task);
+}
+
 void VirtualCell::Resubmit(std::uint64_t job, std::size_t entry) {
   Send({job, SubmitCall::Builder().definition(jobs_[job]).Build(), 1}, entry);
 }
@@ -474,6 +484,9 @@
                    if (reply.state() == JobState::kCompleted) {
                      log_.Completed(call.job_);
                    }
+                   if (reply.state() == JobState::kFailed) {
+                     log_.Failed(call.job_);
+                   }
                  },
                  [](const PendingCountReply&) {},
                  [](const QueueNotFound&) {},
--- a/test/support/virtual_cell.h
+++ b/test/support/virtual_cell.h
@@ -35,6 +35,9 @@
   std::uint64_t Submit(const JobDefinition& definition, int tries = 4);
   /// Submits a job again through an entry, once.
   void Resubmit(std::uint64_t job, std::size_t entry);
+  /// Lets the runs of a task crash their workers. Call it before the task's
+  /// first start.
+  void SetTaskCrash(const TaskKey& task, const TaskCrash& crash);
   void Cancel(std::uint64_t job);
   /// Requests the state of a job.
   void QueryJob(std::uint64_t job);
@@ -80,6 +83,7 @@
   VirtualWorker& worker(std::size_t agent) { return *agents_[agent].worker_; }
   VirtualKv& kv() { return kv_; }
   JobInvariantLog& log() { return log_; }
+  const JobInvariantLog& log() const { return log_; }
   std::size_t agents() const { return agents_.size(); }
   std::size_t entries() const { return entries_.size(); }
 
@@ -137,6 +141,7 @@
   std::uint64_t last_incarnation_ = 0;
   std::uint64_t last_dial_ = 0;
   std::map<std::uint64_t, Shared<JobDefinition>> jobs_;
+  std::map<TaskKey, TaskCrash> crashes_;
   std::map<std::uint64_t, Call> calls_;
   std::uint64_t last_call_ = 0;
   std::uint64_t last_job_ = 0;
--- a/test/support/virtual_worker.cc
+++ b/test/support/virtual_worker.cc
@@ -27,11 +27,12 @@
 
 VirtualWorker::VirtualWorker(EventQueue& events, JobInvariantLog& log,
                              std::string name, StepLookup step_lookup,
-                             std::uint64_t seed)
+                             CrashLookup crash_lookup, std::uint64_t seed)
     : events_(events),
       log_(log),
       name_(std::move(name)),
       step_lookup_(std::move(step_lookup)),
+      crash_lookup_(std::move(crash_lookup)),
       random_(seed),
       started_at_(events.now()) {
   born_ms_ = ToMilliseconds(events_.now().time_since_epoch()) + 1;
@@ -211,17 +212,37 @@
   if (cpu > kWorkerMillicores || memory > kWorkerMemoryMb) {
     log_.CapacityExceeded(name_, events_.now());
   }
-  const JobStep step = step_lookup_(task);
-  if (step.long_running()) return WorkerCallOutcome::kDone;
+  if (const auto crash = crash_lookup_(task)) ScheduleCrash(call.run(), *crash);
+  ScheduleEnd(call.run());
+  return WorkerCallOutcome::kDone;
+}
+
+bool VirtualWorker::IsRunning(const RunKey& run,
+                              std::uint64_t incarnation) const {
+  const auto found = runs_.find(run.task());
+  return incarnation == incarnation_ && found != runs_.end() &&
+         found->second.run_ == run.run();
+}
+
+void VirtualWorker::ScheduleEnd(const RunKey& run) {
+  const JobStep step = step_lookup_(run.task());
+  if (step.long_running()) return;
   const bool fails = UniformInt(random_, kMaxPercentDraw) < fail_percent_;
-  events_.After(step.estimate(), [this, task, run = call.run().run(),
-                                  incarnation = incarnation_, fails] {
-    const auto found = runs_.find(task);
-    if (incarnation != incarnation_ || found == runs_.end()) return;
-    if (found->second.run_ != run) return;
-    FinishRun(task, fails ? RunOutcome::kFailed : RunOutcome::kDone);
+  events_.After(
+      step.estimate(), [this, run, incarnation = incarnation_, fails] {
+        if (!IsRunning(run, incarnation)) return;
+        FinishRun(run.task(), fails ? RunOutcome::kFailed : RunOutcome::kDone);
+      });
+}
+
+void VirtualWorker::ScheduleCrash(const RunKey& run, const TaskCrash& crash) {
+  if (UniformInt(random_, kMaxPercentDraw) >= crash.percent()) return;
+  events_.After(crash.after(), [this, run, downtime = crash.downtime(),
+                                incarnation = incarnation_] {
+    if (!IsRunning(run, incarnation)) return;
+    log_.CrashCaused(run);
+    CrashFor(downtime);
   });
-  return WorkerCallOutcome::kDone;
 }
 
 WorkerCallOutcome VirtualWorker::ApplyStop(const WorkerStop& call) {
@@ -296,8 +317,9 @@
   alive_ = false;
   ++incarnation_;
   for (const auto& [task, run] : runs_) {
-    log_.Ended(RunKey::Builder().task(task).run(run.run_).Build(), name_,
-               RunOutcome::kLapsed, events_.now());
+    const RunKey key = RunKey::Builder().task(task).run(run.run_).Build();
+    log_.WorkerCrashed(key);
+    log_.Ended(key, name_, RunOutcome::kLapsed, events_.now());
   }
   runs_.clear();
   ends_.clear();
@@ -315,6 +337,13 @@
   lease_end_ms_ = 0;
 }
 
+void VirtualWorker::CrashFor(Duration downtime) {
+  Crash();
+  events_.After(downtime, [this, crashed = incarnation_] {
+    if (crashed == incarnation_) Restart();
+  });
+}
+
 void VirtualWorker::Restart() {
   if (alive_) return;
   alive_ = true;
--- a/test/support/virtual_worker.h
+++ b/test/support/virtual_worker.h
@@ -18,6 +18,7 @@
 #include "messages/worker_throttle.h"
 #include "support/event_queue.h"
 #include "support/job_invariant_log.h"
+#include "support/task_crash.h"
 
 namespace quetzalline {
 
@@ -30,9 +31,12 @@
   /// Returns the step of a task, whose declared resources count against the
   /// capacity and whose estimate is the run time.
   using StepLookup = std::function<JobStep(const TaskKey&)>;
+  /// Returns how the runs of a task crash the worker; empty if they do not.
+  using CrashLookup = std::function<std::optional<TaskCrash>(const TaskKey&)>;
 
   VirtualWorker(EventQueue& events, JobInvariantLog& log, std::string name,
-                StepLookup step_lookup, std::uint64_t seed);
+                StepLookup step_lookup, CrashLookup crash_lookup,
+                std::uint64_t seed);
 
   void Perform(const WorkerStart& call, Answer answer);
   void Perform(const WorkerStop& call, Answer answer);
@@ -44,6 +48,9 @@
   /// Ends all runs and loses the state; restarting begins a new incarnation.
   void Crash();
   void Restart();
+  /// Crashes the worker and restarts it after the downtime, unless it crashes
+  /// or is replaced once more meanwhile.
+  void CrashFor(Duration downtime);
   /// Replaces the worker by another one at the same address, whose clock gives
   /// its start as the given time, which may be before that of the last one.
   void Replace(const std::string& name, std::int64_t born_ms);
@@ -76,6 +83,9 @@
   WorkerCallOutcome ApplyStart(const WorkerStart& call, bool late);
   WorkerCallOutcome ApplyStop(const WorkerStop& call);
   void FinishRun(const TaskKey& task, RunOutcome outcome);
+  void ScheduleEnd(const RunKey& run);
+  void ScheduleCrash(const RunKey& run, const TaskCrash& crash);
+  bool IsRunning(const RunKey& run, std::uint64_t incarnation) const;
   void ExtendLease(std::int64_t lease_end_ms);
   void CheckLease();
   std::int64_t ClockMs() const;
@@ -87,6 +97,7 @@
   JobInvariantLog& log_;
   std::string name_;
   StepLookup step_lookup_;
+  CrashLookup crash_lookup_;
   Random random_;
   std::int64_t born_ms_ = 0;
   Instant started_at_;
