--- a/src/core/reason.h
+++ b/src/core/reason.h
@@ -48,6 +48,7 @@
   kLatency,
   kMemory,
   kHeartbeatMissed,
+  kCrashedWorkers,
 };
 
 BOOST_DESCRIBE_ENUM(Reason, kNone, kUnknownService, kBodyTooLarge, kNoEndpoint,
@@ -59,7 +60,7 @@
                     kNotHolder, kStoreFailed, kConflict, kInvalid,
                     kUnauthorized, kUnknownJob, kUnknownEndpoint, kDoesNotFit,
                     kWorkerFailed, kTooManyAttempts, kInstanceLost, kDrain,
-                    kLatency, kMemory, kHeartbeatMissed)
+                    kLatency, kMemory, kHeartbeatMissed, kCrashedWorkers)
 
 }  // namespace quetzalline
 
--- a/src/messages/runner_message.h
+++ b/src/messages/runner_message.h
@@ -3,6 +3,7 @@
 
 #include <variant>
 
+#include "messages/acknowledge_crash.h"
 #include "messages/acknowledge_run_ends.h"
 #include "messages/attach_runner.h"
 #include "messages/grant_lease.h"
@@ -13,7 +14,7 @@
 
 /// All messages from a holder to a runner.
 using RunnerMessage = std::variant<AttachRunner, GrantLease, StartRun, StopRun,
-                                   AcknowledgeRunEnds>;
+                                   AcknowledgeRunEnds, AcknowledgeCrash>;
 
 }  // namespace quetzalline
 
--- a/src/messages/worker_report.h
+++ b/src/messages/worker_report.h
@@ -14,6 +14,7 @@
 #include "core/worker_description.h"
 #include "messages/interference_sample.h"
 #include "messages/run_refused.h"
+#include "messages/worker_crash.h"
 
 namespace quetzalline {
 
@@ -55,13 +56,18 @@
   bool silent() const { return silent_; }
   /// CPU rate limit of best-effort tasks, in percent of full speed.
   std::int32_t fill_pace() const { return fill_pace_; }
+  /// Crashes of earlier incarnations of the worker that the holder has not
+  /// acknowledged; in every report until then.
+  const std::vector<WorkerCrash>& crashes() const { return crashes_; }
+  /// Time since the worker last answered, in milliseconds; -1 if it has not.
+  std::int64_t heard_ms() const { return heard_ms_; }
 
   friend auto operator<=>(const WorkerReport&, const WorkerReport&) = default;
 
  private:
   QUETZALLINE_VALUE(WorkerReport, session_, number_, whole_, more_ends_, facts_,
                     worker_left_, running_, ends_, refused_, neighbours_,
-                    silent_, fill_pace_)
+                    silent_, fill_pace_, crashes_, heard_ms_)
 
   std::int64_t session_ = 0;
   std::int64_t number_ = 0;
@@ -75,6 +81,8 @@
   std::optional<InterferenceSample> neighbours_;
   bool silent_ = false;
   std::int32_t fill_pace_ = 100;
+  std::vector<WorkerCrash> crashes_;
+  std::int64_t heard_ms_ = -1;
 };
 
 /// Builds a WorkerReport; fields that are not set keep their defaults.
@@ -106,6 +114,10 @@
   Builder& fill_pace(std::int32_t value) {
     return Set(value_.fill_pace_, value);
   }
+  Builder& crashes(std::vector<WorkerCrash> value) {
+    return Set(value_.crashes_, std::move(value));
+  }
+  Builder& heard_ms(std::int64_t value) { return Set(value_.heard_ms_, value); }
 };
 
 }  // namespace quetzalline
--- a/src/records/task_progress.h
+++ b/src/records/task_progress.h
@@ -3,12 +3,15 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
 #include "core/value.h"
+#include "records/crashed_run.h"
+#include "records/isolated_run.h"
 
 namespace quetzalline {
 
@@ -33,12 +36,18 @@
   std::int64_t last_run() const { return last_run_; }
   /// Checkpoint from which the next run resumes; empty if there is none.
   const std::string& checkpoint() const { return checkpoint_; }
+  /// Runs that may have caused the crash of a worker. Each counts once. Records
+  /// of earlier releases have none.
+  const std::vector<CrashedRun>& crashed_runs() const { return crashed_runs_; }
+  /// The latest run in isolation, which may have been started or not.
+  const std::optional<IsolatedRun>& isolated() const { return isolated_; }
 
   friend auto operator<=>(const TaskProgress&, const TaskProgress&) = default;
 
  private:
   QUETZALLINE_VALUE(TaskProgress, occurrence_, step_, index_, done_,
-                    failed_runs_, last_run_, checkpoint_)
+                    failed_runs_, last_run_, checkpoint_, crashed_runs_,
+                    isolated_)
 
   std::int32_t occurrence_ = 0;
   std::int32_t step_ = 0;
@@ -47,6 +56,8 @@
   std::vector<std::int64_t> failed_runs_;
   std::int64_t last_run_ = 0;
   std::string checkpoint_;
+  std::vector<CrashedRun> crashed_runs_;
+  std::optional<IsolatedRun> isolated_;
 };
 
 /// Builds a TaskProgress; fields that are not set keep their defaults.
@@ -67,6 +78,12 @@
   Builder& checkpoint(std::string value) {
     return Set(value_.checkpoint_, std::move(value));
   }
+  Builder& crashed_runs(std::vector<CrashedRun> value) {
+    return Set(value_.crashed_runs_, std::move(value));
+  }
+  Builder& isolated(std::optional<IsolatedRun> value) {
+    return Set(value_.isolated_, std::move(value));
+  }
 };
 
 }  // namespace quetzalline
--- a/src/systems/cell/validate_record.cc
+++ b/src/systems/cell/validate_record.cc
@@ -34,13 +34,26 @@
   return ValidateDefinition(*job.definition());
 }
 
+bool IsRunNumber(std::int64_t run) {
+  return run >= 0 && run <= kMaxSequenceNumber;
+}
+
+bool HasValidCrashes(const TaskProgress& task) {
+  const bool in_range = std::all_of(
+      task.crashed_runs().begin(), task.crashed_runs().end(),
+      [](const CrashedRun& crashed) { return IsRunNumber(crashed.run()); });
+  return in_range && (!task.isolated() || IsRunNumber(task.isolated()->run()));
+}
+
 std::optional<std::string> ValidateProgress(const JobProgress& progress) {
   const bool in_range = std::all_of(
       progress.tasks().begin(), progress.tasks().end(),
-      [](const TaskProgress& task) {
-        return task.last_run() >= 0 && task.last_run() <= kMaxSequenceNumber;
-      });
+      [](const TaskProgress& task) { return IsRunNumber(task.last_run()); });
   if (!in_range) return "last_run: out of range";
+  if (!std::all_of(progress.tasks().begin(), progress.tasks().end(),
+                   HasValidCrashes)) {
+    return "crashed_runs: out of range";
+  }
   return std::nullopt;
 }
 
--- a/src/systems/runner/detect_unresponsive_worker.cc
+++ b/src/systems/runner/detect_unresponsive_worker.cc
@@ -3,6 +3,7 @@
 #include "messages/worker_left.h"
 #include "systems/cell/log_fields.h"
 #include "systems/cell/max_lease_duration.h"
+#include "systems/runner/record_crash.h"
 #include "systems/runner/watch_worker.h"
 
 namespace quetzalline {
@@ -33,6 +34,7 @@
           {Field("worker", tables.facts_->worker()),
            Field("runs", tables.runs_.size()),
            FieldMs("silent_ms", tick.now() - tables.worker_answered_at_)});
+  KeepUnresponsive(tables, tick.now());
   const std::string worker = tables.facts_->worker();
   HandleWorkerLeft(WorkerLeft::Builder().worker(worker).Build(), tables, tick);
 }
--- a/src/systems/runner/execute_run_commands.cc
+++ b/src/systems/runner/execute_run_commands.cc
@@ -18,6 +18,7 @@
                             .stage(TrackedRunStage::kStarting)
                             .fence(fence)
                             .called_at(tick.now())
+                            .started_at(tick.now())
                             .Build());
   tick.Emit(WorkerStart::Builder()
                 .call(RegisterWorkerCall(StartCall::Builder().run(run).Build(),
--- a/src/systems/runner/manage_holder_session.cc
+++ b/src/systems/runner/manage_holder_session.cc
@@ -5,6 +5,7 @@
 
 #include "systems/cell/log_fields.h"
 #include "systems/runner/detect_unresponsive_worker.h"
+#include "systems/runner/record_crash.h"
 
 namespace quetzalline {
 namespace {
@@ -20,6 +21,14 @@
          run.stage() == TrackedRunStage::kStopping;
 }
 
+// Returns the time since the worker last answered in milliseconds, or -1.
+std::int64_t TimeSinceAnswer(const RunnerTables& tables, Instant now) {
+  if (tables.worker_heard_at_ == Instant()) return -1;
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             now - tables.worker_heard_at_)
+      .count();
+}
+
 std::vector<RunProgress> CollectProgress(bool whole, RunnerTables& tables) {
   std::vector<RunProgress> progress;
   std::vector<std::pair<TaskKey, TrackedRun>> reported;
@@ -72,7 +81,9 @@
       .worker_left(whole && tables.worker_left_)
       .neighbours(std::exchange(tables.neighbours_, std::nullopt))
       .silent(IsWorkerUnresponsive(tables, tick.now()))
-      .fill_pace(tables.fill_pace_);
+      .fill_pace(tables.fill_pace_)
+      .crashes(CollectCrashes(tables, tick.now()))
+      .heard_ms(TimeSinceAnswer(tables, tick.now()));
   tables.reported_unresponsive_ = IsWorkerUnresponsive(tables, tick.now());
   if (whole || tables.facts_due_) report.facts(tables.facts_);
   tables.facts_due_ = false;
--- a/src/systems/runner/runner_node.cc
+++ b/src/systems/runner/runner_node.cc
@@ -6,6 +6,7 @@
 #include "systems/runner/detect_unresponsive_worker.h"
 #include "systems/runner/execute_run_commands.h"
 #include "systems/runner/manage_holder_session.h"
+#include "systems/runner/record_crash.h"
 #include "systems/runner/throttle_best_effort_tasks.h"
 #include "systems/runner/watch_worker.h"
 
@@ -69,6 +70,9 @@
           [&](const AcknowledgeRunEnds& m) {
             HandleAcknowledgedCompletions(m, tables);
           },
+          [&](const AcknowledgeCrash& m) {
+            HandleAcknowledgedCrash(m, tables);
+          },
       },
       received.message());
 }
--- a/src/systems/runner/watch_worker.cc
+++ b/src/systems/runner/watch_worker.cc
@@ -4,6 +4,7 @@
 
 #include "systems/cell/log_fields.h"
 #include "systems/runner/execute_run_commands.h"
+#include "systems/runner/record_crash.h"
 #include "systems/runner/throttle_best_effort_tasks.h"
 
 namespace quetzalline {
@@ -27,6 +28,8 @@
   tables.next_poll_ = Instant();
   tables.facts_sequence_ = 0;
   tables.incarnation_confirmed_ = false;
+  tables.worker_heard_at_ = Instant();
+  tables.worker_lost_at_.reset();
   tables.fill_pace_ = 100;
   // Voids the commands without an answer, which may still reach the next
   // incarnation.
@@ -48,6 +51,7 @@
           {Field("worker", tables.facts_->worker()),
            Field("born_ms", tables.facts_->born_ms())});
   tables.replaced_ = tables.facts_;
+  RecordCrash(tables, tick);
   ResetWorkerState(tables);
   tables.facts_.reset();
   tables.full_report_due_ = true;
@@ -169,12 +173,16 @@
   if (tables.facts_) {
     if (!same && facts.born_ms() <= tables.facts_->born_ms()) return;
     if (same && seen.sequence() <= tables.facts_sequence_) return;
-    if (!same) ResetWorkerState(tables);
+    if (!same) {
+      RecordCrash(tables, tick);
+      ResetWorkerState(tables);
+    }
     if (same && facts == *tables.facts_) {
       tables.facts_sequence_ = seen.sequence();
       return;
     }
   }
+  if (!tables.facts_) ResolveUnresponsive(facts, tables, tick);
   LogLine(tick, "worker-seen", 0,
           {Field("worker", facts.worker()), Field("born_ms", facts.born_ms()),
            Field("draining", facts.draining() ? 1 : 0)});
@@ -199,6 +207,7 @@
                             RunnerTick& tick) {
   if (answer.verdict() == WorkerCallOutcome::kLost) {
     tables.incarnation_confirmed_ = false;
+    RecordAnswer(false, tables, tick.now());
     return true;
   }
   if (!tables.facts_) return true;
@@ -213,7 +222,10 @@
   if (same) tables.incarnation_confirmed_ = true;
   // An answer that names no incarnation is one of the known incarnation only
   // while that is confirmed.
-  if (tables.incarnation_confirmed_) tables.worker_answered_at_ = tick.now();
+  if (tables.incarnation_confirmed_) {
+    tables.worker_answered_at_ = tick.now();
+    if (same || answer.born_ms() == 0) RecordAnswer(true, tables, tick.now());
+  }
   if (same || answer.born_ms() == 0) return true;
   LogLine(tick, "worker-restarted", 0,
           {Field("worker", tables.facts_->worker()),
@@ -222,6 +234,7 @@
                                       .born_ms(answer.born_ms())
                                       .Build();
   tables.replaced_ = tables.facts_;
+  RecordCrash(tables, tick);
   ResetWorkerState(tables);
   tables.facts_ = facts;
   tables.worker_answered_at_ = tick.now();
--- a/src/systems/scheduler/commit_progress.cc
+++ b/src/systems/scheduler/commit_progress.cc
@@ -7,6 +7,7 @@
 #include "systems/scheduler/admit_jobs.h"
 #include "systems/scheduler/call_kvs.h"
 #include "systems/scheduler/leader_election.h"
+#include "systems/scheduler/track_crashes.h"
 #include "systems/scheduler/track_jobs.h"
 #include "systems/scheduler/track_lost_workers.h"
 
@@ -45,6 +46,9 @@
   if (job_finished && !new_job) batch.removals_.push_back(JobKey(job));
   if (job_finished || !new_job) {
     batch.puts_.push_back(MakePut(ProgressKey(job), ProgressOf(job, tables)));
+    const auto suspects = SuspectsOf(job, tables);
+    batch.suspects_.insert(batch.suspects_.end(), suspects.begin(),
+                           suspects.end());
   }
 }
 
@@ -210,6 +214,7 @@
                      }),
       unacknowledged.end());
   ApplyLostWorkerChanges(batch, tables);
+  MarkSuspectsStored(batch.suspects_, tables);
   AnswerCallers(batch.callers_, tick);
   AnswerLateCallers(tables, tick);
   AcknowledgeCompletions(tables, tick);
--- a/src/systems/scheduler/finish_job.cc
+++ b/src/systems/scheduler/finish_job.cc
@@ -4,6 +4,7 @@
 
 #include "systems/cell/log_fields.h"
 #include "systems/scheduler/run_numbers.h"
+#include "systems/scheduler/track_crashes.h"
 #include "systems/scheduler/track_jobs.h"
 
 namespace quetzalline {
@@ -282,6 +283,7 @@
            Field("worker", worker.value()), Field("outcome", end.outcome()),
            Field("current", current ? 1 : 0)});
   tables.placement_due_ = true;
+  ClearEndedSuspect(end, tables, tick);
   if (IsFinalState(job->state())) {
     if (!current) return;
     tables.tasks_.Put(key,
--- a/src/systems/scheduler/measure_cell.cc
+++ b/src/systems/scheduler/measure_cell.cc
@@ -34,12 +34,21 @@
       unlisted += tasks;
     }
   }
+  std::size_t quarantined = 0;
+  for (const auto& [key, row] : tables.suspects_) {
+    const JobTask* task = tables.tasks_.Find(key);
+    if (task == nullptr || task->stage() != TaskStage::kQuarantined) continue;
+    ++quarantined;
+  }
   const std::size_t schedulable =
       SchedulableWorkers(tables, tables.last_tick_).size();
   return {MakeGauge("cell_tasks_in_doubt", tables.tasks_.unreconciled().size()),
           MakeGauge("cell_tasks_ready", ready),
           MakeGauge("cell_tasks_assigned", assigned),
           MakeGauge("cell_tasks_on_unlisted_workers", unlisted),
+          MakeGauge("cell_tasks_suspected", tables.suspects_.size()),
+          MakeGauge("cell_tasks_quarantined", quarantined),
+          MakeGauge("cell_worker_crashes", tables.crashes_.size()),
           MakeGauge("cell_workers", tables.workers_.size()),
           MakeGauge("cell_workers_listed", listed_workers),
           MakeGauge("cell_workers_schedulable", schedulable)};
--- a/src/systems/scheduler/place_runs.cc
+++ b/src/systems/scheduler/place_runs.cc
@@ -7,6 +7,7 @@
 #include "systems/scheduler/choose_worker.h"
 #include "systems/scheduler/confirm_epoch.h"
 #include "systems/scheduler/finish_job.h"
+#include "systems/scheduler/isolate_suspects.h"
 #include "systems/scheduler/leader_election.h"
 #include "systems/scheduler/run_numbers.h"
 #include "systems/scheduler/send_start.h"
@@ -308,6 +309,13 @@
   return now - job.accepted_at() > kUnmeetableDeadlineFactor * allowed;
 }
 
+void StartIsolatedRun(const TaskKey& key, const IsolatedRun& run,
+                      SchedulerTables& tables, SchedulerTick& tick) {
+  const std::string checkpoint = tables.tasks_.Find(key)->checkpoint();
+  Assign(key, run.worker(), run.run(), checkpoint, tables, tick.now());
+  SendAssigned(key, tables, tick);
+}
+
 void PlaceRuns(SchedulerTables& tables, SchedulerTick& tick) {
   if (!IsActing(tables) || tables.tasks_.ready().empty()) return;
   if (!MayAct(tables, tick.now())) return;
@@ -316,8 +324,11 @@
   if (tick.now() < next) return tick.WakeAt(next);
   tables.placement_due_ = false;
   tables.next_placement_ = tick.now() + kPlacementInterval;
-  const std::vector<MemberName> schedulable =
-      SchedulableWorkers(tables, tick.now());
+  std::vector<MemberName> schedulable = SchedulableWorkers(tables, tick.now());
+  const std::set<MemberName> isolated = IsolatedWorkers(tables, tick.now());
+  std::erase_if(schedulable, [&](const MemberName& name) {
+    return isolated.count(name) > 0;
+  });
   bool placed_all = true;
   for (const ReadyStep& step : RankReadySteps(tables, tick.now())) {
     placed_all = PlaceStep(step.key_, schedulable, tables, tick) && placed_all;
--- a/src/systems/scheduler/place_runs.h
+++ b/src/systems/scheduler/place_runs.h
@@ -14,6 +14,10 @@
 /// deadline; within a class by priority, then by due time.
 void PlaceRuns(SchedulerTables& tables, SchedulerTick& tick);
 
+/// Starts a suspect at the place that was planned for it.
+void StartIsolatedRun(const TaskKey& key, const IsolatedRun& run,
+                      SchedulerTables& tables, SchedulerTick& tick);
+
 /// Stops long-running tasks on draining workers, so that they are placed
 /// elsewhere.
 void EvictFromDrainingWorkers(SchedulerTables& tables, SchedulerTick& tick);
--- a/src/systems/scheduler/scheduler_node.cc
+++ b/src/systems/scheduler/scheduler_node.cc
@@ -3,6 +3,7 @@
 #include "systems/scheduler/commit_progress.h"
 #include "systems/scheduler/confirm_epoch.h"
 #include "systems/scheduler/dispatch_inputs.h"
+#include "systems/scheduler/isolate_suspects.h"
 #include "systems/scheduler/leader_election.h"
 #include "systems/scheduler/load_stored_state.h"
 #include "systems/scheduler/place_runs.h"
@@ -32,6 +33,7 @@
   EvictFromDrainingWorkers(tables_, tick);
   GrantLeases(tables_, tick);
   ReleaseDueOccurrences(tables_, tick);
+  IsolateSuspects(tables_, tick);
   PlaceRuns(tables_, tick);
   PreemptLongRunning(tables_, tick);
   ConsolidateServices(tables_, tick);
--- a/src/systems/scheduler/track_jobs.cc
+++ b/src/systems/scheduler/track_jobs.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/limits.h"
+#include "systems/scheduler/track_crashes.h"
 
 namespace quetzalline {
 namespace {
@@ -102,6 +103,7 @@
       work_left += DeclaredWork(step);
     }
     tables.tasks_.Put(key, task);
+    if (found != known.end()) RestoreSuspect(key, found->second, tables);
   });
   for (const auto& [key, count] : left) {
     tables.steps_.Put(key, StepRow::Builder().left(count).Build());
@@ -134,6 +136,16 @@
       });
 }
 
+// Adds the evidence against a task to its stored progress. The number of a
+// planned run must not be used again.
+void AddSuspect(const SuspectRow& suspect, TaskProgress::Builder& progress) {
+  const std::int64_t planned =
+      suspect.isolated() ? suspect.isolated()->run() : 0;
+  progress.crashed_runs(suspect.crashed_runs())
+      .isolated(suspect.isolated())
+      .last_run(std::max(progress.Build().last_run(), planned));
+}
+
 }  // namespace
 
 std::int64_t DeclaredWork(const JobStep& step) {
@@ -250,18 +262,20 @@
       const JobTask* task = tables.tasks_.Find(key);
       if (task == nullptr) return;
       const bool done = task->stage() == TaskStage::kDone;
-      const bool untouched =
-          task->failed_runs().empty() && task->checkpoint().empty();
+      const SuspectRow* suspect = tables.suspects_.Find(key);
+      const bool untouched = task->failed_runs().empty() &&
+                             task->checkpoint().empty() && suspect == nullptr;
       if (!done && untouched) return;
-      tasks.push_back(TaskProgress::Builder()
-                          .occurrence(key.occurrence())
-                          .step(key.step())
-                          .index(key.index())
-                          .done(done)
-                          .failed_runs(task->failed_runs())
-                          .last_run(task->run())
-                          .checkpoint(done ? "" : task->checkpoint())
-                          .Build());
+      TaskProgress::Builder progress;
+      progress.occurrence(key.occurrence())
+          .step(key.step())
+          .index(key.index())
+          .done(done)
+          .failed_runs(task->failed_runs())
+          .last_run(task->run())
+          .checkpoint(done ? "" : task->checkpoint());
+      if (!done && suspect != nullptr) AddSuspect(*suspect, progress);
+      tasks.push_back(progress.Build());
     });
   }
   return JobProgress::Builder()
--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -12,6 +12,7 @@
 #include "systems/scheduler/finish_job.h"
 #include "systems/scheduler/leader_election.h"
 #include "systems/scheduler/send_start.h"
+#include "systems/scheduler/track_crashes.h"
 #include "systems/scheduler/track_jobs.h"
 #include "systems/scheduler/track_lost_workers.h"
 #include "systems/scheduler/track_members.h"
@@ -333,6 +334,7 @@
   RecordMemberContact(connection, tables, tick.now());
   tables.grants_due_[connection] = report.number();
   if (!report.whole() && !known->reported()) return;
+  HandleCrashes(name, report, tables, tick);
   // The rest of the report refers to the next incarnation.
   if (report.worker_left()) HandleWorkerLeft(name, tables, tick);
   if (report.facts()) HandleFacts(name, *report.facts(), tables, tick);
@@ -363,6 +365,7 @@
     UpdateProgress(name, report, tables);
   }
   HandleRefusals(name, report, tables, tick);
+  ClearSurvivors(name, report, tables, tick);
 }
 
 void GrantLeases(SchedulerTables& tables, SchedulerTick& tick) {
--- a/src/tables/commit_batch.h
+++ b/src/tables/commit_batch.h
@@ -4,11 +4,14 @@
 #include <compare>
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "core/task_key.h"
 #include "core/time.h"
 #include "messages/kvs_put.h"
 #include "tables/caller_waiting.h"
+#include "tables/suspect_row.h"
 #include "tables/unacknowledged_completion.h"
 
 namespace quetzalline {
@@ -30,6 +33,8 @@
   std::vector<MemberName> lost_workers_;
   /// Workers that no longer count as confirmed lost once the commit is stored.
   std::vector<MemberName> recovered_workers_;
+  /// Suspects whose evidence the commit contains.
+  std::vector<std::pair<TaskKey, SuspectRow>> suspects_;
   /// Callers that are answered once the commit is stored.
   std::vector<CallerWaiting> callers_;
   Instant since_;
--- a/src/tables/runner_tables.h
+++ b/src/tables/runner_tables.h
@@ -14,6 +14,7 @@
 #include "messages/interference_sample.h"
 #include "messages/run_refused.h"
 #include "tables/holder_session.h"
+#include "tables/lost_incarnation.h"
 #include "tables/registration.h"
 #include "tables/runner_policy.h"
 #include "tables/tracked_run.h"
@@ -58,6 +59,16 @@
   /// Time at which the incarnation of facts_ last answered a call, registered,
   /// or was given new time because this process had been stalled.
   Instant worker_answered_at_;
+  /// Time of the last answer that was certainly given by the incarnation of
+  /// facts_; unset before.
+  Instant worker_heard_at_;
+  /// Time of the first call without an answer since then.
+  std::optional<Instant> worker_lost_at_;
+  /// Incarnations that crashed, until the holder has acknowledged it.
+  std::vector<LostIncarnation> crashes_;
+  /// The incarnation that was given up as unresponsive. It has crashed if
+  /// another one is announced after it.
+  std::optional<LostIncarnation> unresponsive_;
   /// True if the last report described the worker as unresponsive.
   bool reported_unresponsive_ = false;
   /// End of the worker's lease in milliseconds of the worker's clock, when
--- a/src/tables/scheduler_tables.h
+++ b/src/tables/scheduler_tables.h
@@ -16,6 +16,7 @@
 #include "messages/kvs_item.h"
 #include "tables/caller_waiting.h"
 #include "tables/commit_batch.h"
+#include "tables/crash_row.h"
 #include "tables/dirty_jobs.h"
 #include "tables/holder_stage.h"
 #include "tables/holder_term.h"
@@ -28,6 +29,7 @@
 #include "tables/scheduler_policy.h"
 #include "tables/serving_tail.h"
 #include "tables/step_row.h"
+#include "tables/suspect_row.h"
 #include "tables/tail_key.h"
 #include "tables/unacknowledged_completion.h"
 #include "tables/worker_row.h"
@@ -82,6 +84,11 @@
   Table<std::uint64_t, JobRow> jobs_;
   Table<StepKey, StepRow> steps_;
   JobTaskTable tasks_;
+  /// Tasks under which workers have crashed.
+  Table<TaskKey, SuspectRow> suspects_;
+  /// Crashes that were reported in this term, by runner and start of the lost
+  /// incarnation.
+  Table<std::pair<MemberName, std::int64_t>, CrashRow> crashes_;
   /// Runs that a worker lists or may still run without being assigned to it.
   /// The resources that they take are unknown.
   std::map<MemberName, std::set<RunKey>> orphaned_runs_;
--- a/src/tables/tracked_run.h
+++ b/src/tables/tracked_run.h
@@ -51,6 +51,9 @@
   std::int32_t pace_limit() const { return pace_limit_; }
   /// Time at which the run started or its CPU rate last changed.
   Instant steady_since() const { return steady_since_; }
+  /// Time at which the worker was last called to start the run; unset for a run
+  /// that is only known from the worker's list.
+  Instant started_at() const { return started_at_; }
 
   friend auto operator<=>(const TrackedRun&, const TrackedRun&) = default;
 
@@ -58,7 +61,7 @@
   QUETZALLINE_VALUE(TrackedRun, run_, stage_, order_, known_, fence_,
                     confirmed_at_, called_at_, checkpoint_, percent_,
                     told_percent_, told_checkpoint_, figure_, pace_,
-                    pace_limit_, steady_since_)
+                    pace_limit_, steady_since_, started_at_)
 
   std::int64_t run_ = 0;
   TrackedRunStage stage_ = TrackedRunStage{};
@@ -75,6 +78,7 @@
   std::int32_t pace_ = 100;
   std::int32_t pace_limit_ = 100;
   Instant steady_since_ = Instant{};
+  Instant started_at_ = Instant{};
 };
 
 /// Builds a TrackedRun; fields that are not set keep their defaults.
@@ -111,6 +115,7 @@
   Builder& steady_since(Instant value) {
     return Set(value_.steady_since_, value);
   }
+  Builder& started_at(Instant value) { return Set(value_.started_at_, value); }
 };
 
 }  // namespace quetzalline
