See whether a suspect survives its start, and whether its worker was there

What callers saw: nothing; in virtual time, innocent jobs were reported as failed with the reason of tasks that crash their workers.

Cause: an idle worker answers no call for up to 700 ms, since its poll waits for an end, so that a crash long after the start of a suspect looked like one at its start. And a start that was sent to a worker that had crashed, but had not been missed yet, counted as a crash in isolation.

Change: the runner polls the worker 100 and 600 ms after the start of a suspect, beside the poll in flight. A run that the worker has not answered after is a suspect, but its crash is not one in isolation. Conviction by two crashes needs a run that was isolated; without, it takes four crashes instead of three.

--- a/src/messages/lost_run.h
+++ b/src/messages/lost_run.h
@@ -20,7 +20,8 @@
 
   /// The run.
   const RunKey& run() const { return run_; }
-  /// Time from its start to the last answer of the worker, in milliseconds.
+  /// Time from its start to the last answer of the worker, in milliseconds;
+  /// negative if there was none after the start.
   std::int64_t age_ms() const { return age_ms_; }
 
   friend auto operator<=>(const LostRun&, const LostRun&) = default;
--- a/src/messages/start_run.h
+++ b/src/messages/start_run.h
@@ -47,12 +47,15 @@
   /// tail latency of the services on the worker has stayed below target with
   /// it.
   std::int32_t first_pace() const { return first_pace_; }
+  /// True for a suspect, which has to be seen to survive its start.
+  bool isolated() const { return isolated_; }
 
   friend auto operator<=>(const StartRun&, const StartRun&) = default;
 
  private:
   QUETZALLINE_VALUE(StartRun, run_, spec_, checkpoint_, target_, fills_,
-                    born_ms_, image_, cpu_, memory_mb_, gpu_, first_pace_)
+                    born_ms_, image_, cpu_, memory_mb_, gpu_, first_pace_,
+                    isolated_)
 
   RunKey run_;
   Shared<std::string> spec_;
@@ -65,6 +68,7 @@
   std::int64_t memory_mb_ = 0;
   std::int64_t gpu_ = 0;
   std::int32_t first_pace_ = 100;
+  bool isolated_ = false;
 };
 
 /// Builds a StartRun; fields that are not set keep their defaults.
@@ -93,6 +97,7 @@
   Builder& first_pace(std::int32_t value) {
     return Set(value_.first_pace_, value);
   }
+  Builder& isolated(bool value) { return Set(value_.isolated_, value); }
 };
 
 }  // namespace quetzalline
--- a/src/systems/runner/execute_run_commands.cc
+++ b/src/systems/runner/execute_run_commands.cc
@@ -1,6 +1,7 @@
 #include "systems/runner/execute_run_commands.h"
 
 #include "systems/cell/log_fields.h"
+#include "systems/runner/record_crash.h"
 
 namespace quetzalline {
 namespace {
@@ -152,6 +153,7 @@
                             .Build());
   tick.counters().Add(Counter::kTasksStarted);
   SendStart(key, tables, tick);
+  if (command.isolated()) ScheduleSurvivalChecks(tables, tick.now());
 }
 
 void HandleStopRun(const StopRun& command, RunnerTables& tables,
--- a/src/systems/runner/record_crash.cc
+++ b/src/systems/runner/record_crash.cc
@@ -12,6 +12,11 @@
 // causes runs, so there are few without one.
 constexpr std::size_t kMaxCrashes = 16;
 
+// Delays of the polls after the start of a suspect: beyond the age of a prime
+// suspect, and beyond the age that clears it.
+constexpr Duration kSurvivalCheckDelays[] = {std::chrono::milliseconds(100),
+                                             std::chrono::milliseconds(600)};
+
 std::int64_t ToMilliseconds(Duration time) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
 }
@@ -23,8 +28,9 @@
   std::vector<LostRun> runs;
   for (const auto& [key, run] : tables.runs_) {
     if (run.started_at() == Instant() || run.started_at() > lost_at) continue;
-    const Duration age =
-        std::max(tables.worker_heard_at_ - run.started_at(), Duration());
+    // Negative for a run that was started after the last answer, perhaps on a
+    // worker that was gone already.
+    const Duration age = tables.worker_heard_at_ - run.started_at();
     runs.push_back(LostRun::Builder()
                        .run(RunKey::Builder().task(key).run(run.run()).Build())
                        .age_ms(ToMilliseconds(age))
@@ -76,6 +82,12 @@
   }
 }
 
+void ScheduleSurvivalChecks(RunnerTables& tables, Instant now) {
+  for (const Duration delay : kSurvivalCheckDelays) {
+    tables.survival_checks_.insert(now + delay);
+  }
+}
+
 std::vector<WorkerCrash> CollectCrashes(const RunnerTables& tables,
                                         Instant now) {
   std::vector<WorkerCrash> crashes;
--- a/src/systems/runner/record_crash.h
+++ b/src/systems/runner/record_crash.h
@@ -27,6 +27,10 @@
 /// Updates what is known of the end of the incarnation after a call.
 void RecordAnswer(bool answered, RunnerTables& tables, Instant now);
 
+/// Plans additional polls after the start of a suspect. They tell whether it
+/// has survived its start, even if the worker has nothing else to answer.
+void ScheduleSurvivalChecks(RunnerTables& tables, Instant now);
+
 /// Returns the crashes that the holder has not acknowledged.
 std::vector<WorkerCrash> CollectCrashes(const RunnerTables& tables,
                                         Instant now);
--- a/src/systems/runner/watch_worker.cc
+++ b/src/systems/runner/watch_worker.cc
@@ -30,6 +30,7 @@
   tables.incarnation_confirmed_ = false;
   tables.worker_heard_at_ = Instant();
   tables.worker_lost_at_.reset();
+  tables.survival_checks_.clear();
   tables.fill_pace_ = 100;
   // Voids the commands without an answer, which may still reach the next
   // incarnation.
@@ -62,21 +63,38 @@
                                : tables.policy_.hold_wait();
 }
 
-void SendPoll(bool raises_fence, RunnerTables& tables, RunnerTick& tick) {
-  (raises_fence ? tables.fence_poll_in_flight_ : tables.poll_in_flight_) = true;
+void EmitPoll(const StatusPollCall& poll, Duration wait, RunnerTables& tables,
+              RunnerTick& tick) {
   tick.Emit(
       WorkerPoll::Builder()
-          .call(RegisterWorkerCall(
-              StatusPollCall::Builder().raises_fence(raises_fence).Build(),
-              tables, tick.now()))
+          .call(RegisterWorkerCall(poll, tables, tick.now()))
           .worker(tables.facts_->worker())
           .lease_end_ms(tables.lease_end_ms_)
           .last_seen(tables.incarnation_confirmed_ ? tables.ends_noted_ : 0)
           .fence(CurrentFencingToken(tables))
-          .wait(raises_fence ? Duration() : PollTimeout(tables))
+          .wait(wait)
           .Build());
 }
 
+void SendPoll(bool raises_fence, RunnerTables& tables, RunnerTick& tick) {
+  (raises_fence ? tables.fence_poll_in_flight_ : tables.poll_in_flight_) = true;
+  EmitPoll(StatusPollCall::Builder().raises_fence(raises_fence).Build(),
+           raises_fence ? Duration() : PollTimeout(tables), tables, tick);
+}
+
+// Polls the worker beside the poll in flight, which may wait for an end.
+void SendSurvivalCheck(RunnerTables& tables, RunnerTick& tick) {
+  auto& checks = tables.survival_checks_;
+  if (checks.empty() || tick.now() < *checks.begin()) {
+    if (!checks.empty()) tick.WakeAt(*checks.begin());
+    return;
+  }
+  checks.erase(checks.begin(), checks.upper_bound(tick.now()));
+  EmitPoll(StatusPollCall::Builder().checks_survival(true).Build(), Duration(),
+           tables, tick);
+  if (!checks.empty()) tick.WakeAt(*checks.begin());
+}
+
 bool HasUnresolvedRuns(const RunnerTables& tables) {
   for (const auto& [key, run] : tables.runs_) {
     if (run.stage() == TrackedRunStage::kUnresolved) return true;
@@ -245,6 +263,7 @@
 
 void SendWorkerPolls(RunnerTables& tables, RunnerTick& tick) {
   if (!tables.facts_ || tables.session_.epoch() == 0) return;
+  SendSurvivalCheck(tables, tick);
   if (tick.now() < tables.next_poll_) return tick.WakeAt(tables.next_poll_);
   if (!tables.session_.synced()) {
     if (!tables.fence_poll_in_flight_) SendPoll(true, tables, tick);
@@ -260,6 +279,11 @@
 void HandlePollAnswer(const StatusPollCall& poll, const WorkerCall& call,
                       const WorkerAnswer& answer, RunnerTables& tables,
                       RunnerTick& tick) {
+  // The time of the answer is all that matters here.
+  if (poll.checks_survival()) {
+    tables.report_due_ = true;
+    return;
+  }
   (poll.raises_fence() ? tables.fence_poll_in_flight_
                        : tables.poll_in_flight_) = false;
   if (answer.verdict() != WorkerCallOutcome::kDone) {
--- a/src/systems/scheduler/send_start.cc
+++ b/src/systems/scheduler/send_start.cc
@@ -42,6 +42,7 @@
           .memory_mb(task->step()->memory_mb())
           .gpu(task->step()->gpu())
           .first_pace(InitialRateLimit(worker, *task->step(), tables))
+          .isolated(tables.suspects_.Find(key) != nullptr)
           .Build();
   tick.Emit(SendToRunner::Builder()
                 .connection(*member->connection())
--- a/src/systems/scheduler/track_crashes.cc
+++ b/src/systems/scheduler/track_crashes.cc
@@ -21,10 +21,10 @@
 // A run that its worker survives for this long did not crash it at its start.
 // Longer than kPrimeSuspectAgeMs by the delays of a command and a report.
 constexpr Duration kSurvivalTime = std::chrono::milliseconds(500);
-// Number of crashes after which a task is given up if the last one left no
-// other prime suspect, and after which it is given up in any case.
+// Number of crashes after which a task is given up if the last one was in
+// isolation, and after which it is given up in any case.
 constexpr std::size_t kCrashesInIsolation = 2;
-constexpr std::size_t kMaxCrashes = 3;
+constexpr std::size_t kMaxCrashes = 4;
 // Delay of the run after the second crash, which is twice as long after each
 // further one.
 constexpr Duration kRetryDelay = std::chrono::milliseconds(500);
@@ -36,7 +36,8 @@
   Duration age_;
   // True if the run had just started.
   bool prime_ = false;
-  // True if no other task had just started.
+  // True if no other task had just started, and the worker was certainly alive
+  // at the start.
   bool alone_ = false;
 };
 
@@ -106,7 +107,11 @@
   tables.dirty_jobs_.Add(
       key.job(), row.suspect() ? DirtyKind::kAwaited : DirtyKind::kProgress,
       tick.now());
-  const bool certain = count >= kCrashesInIsolation && evidence.alone_;
+  const bool in_isolation =
+      task->step()->gang() ||
+      (row.isolated() && row.isolated()->run() == evidence.run_.run());
+  const bool certain =
+      count >= kCrashesInIsolation && evidence.alone_ && in_isolation;
   if (certain || count >= kMaxCrashes) Convict(key, row, tables, tick);
 }
 
@@ -157,7 +162,10 @@
   tables.crashes_.Put(key, row.Build());
   if (WithdrawCorrelated(key, tables, tick) || blamed.empty()) return;
   const bool prime = blamed.front().age_ms() <= kPrimeSuspectAgeMs;
-  const bool alone = prime && IsOneSuspect(blamed, tables);
+  const bool alive_at_start =
+      std::all_of(blamed.begin(), blamed.end(),
+                  [](const LostRun& lost) { return lost.age_ms() >= 0; });
+  const bool alone = prime && alive_at_start && IsOneSuspect(blamed, tables);
   for (const LostRun& lost : blamed) {
     AddEvidence({name, lost.run(), std::chrono::milliseconds(lost.age_ms()),
                  prime, alone},
--- a/src/tables/runner_tables.h
+++ b/src/tables/runner_tables.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "core/counters.h"
@@ -64,6 +65,8 @@
   Instant worker_heard_at_;
   /// Time of the first call without an answer since then.
   std::optional<Instant> worker_lost_at_;
+  /// Times of the additional polls after the starts of suspects.
+  std::set<Instant> survival_checks_;
   /// Incarnations that crashed, until the holder has acknowledged it.
   std::vector<LostIncarnation> crashes_;
   /// The incarnation that was given up as unresponsive. It has crashed if
--- a/src/tables/status_poll_call.h
+++ b/src/tables/status_poll_call.h
@@ -17,14 +17,18 @@
 
   /// Returns true for the first call under a new fencing token.
   bool raises_fence() const { return raises_fence_; }
+  /// Returns true for an additional call that shows whether the worker has
+  /// survived the start of a suspect.
+  bool checks_survival() const { return checks_survival_; }
 
   friend auto operator<=>(const StatusPollCall&,
                           const StatusPollCall&) = default;
 
  private:
-  QUETZALLINE_VALUE(StatusPollCall, raises_fence_)
+  QUETZALLINE_VALUE(StatusPollCall, raises_fence_, checks_survival_)
 
   bool raises_fence_ = false;
+  bool checks_survival_ = false;
 };
 
 /// Builds a StatusPollCall; fields that are not set keep their defaults.
@@ -33,6 +37,9 @@
   using ValueBuilder::ValueBuilder;
 
   Builder& raises_fence(bool value) { return Set(value_.raises_fence_, value); }
+  Builder& checks_survival(bool value) {
+    return Set(value_.checks_survival_, value);
+  }
 };
 
 }  // namespace quetzalline
