Three late crashes in isolation are enough to give up a task

What callers saw: nothing; in virtual time, a task that crashes its worker some time after its start crashed more workers than the limit allows.

Cause: only crashes at the start counted as crashes in isolation, so that a late one needed four crashes, besides those for which other tasks were blamed.

Change: a third crash counts as one in isolation if no other task is blamed.

--- a/src/systems/scheduler/track_crashes.cc
+++ b/src/systems/scheduler/track_crashes.cc
@@ -24,6 +24,8 @@
 // Number of crashes after which a task is given up if the last one was in
 // isolation, and after which it is given up in any case.
 constexpr std::size_t kCrashesInIsolation = 2;
+// The same for a crash some time after the start, which may be a coincidence.
+constexpr std::size_t kLateCrashesInIsolation = 3;
 constexpr std::size_t kMaxCrashes = 4;
 // Delay of the run after the second crash, which is twice as long after each
 // further one.
@@ -36,8 +38,8 @@
   Duration age_;
   // True if the run had just started.
   bool prime_ = false;
-  // True if no other task had just started, and the worker was certainly alive
-  // at the start.
+  // True if no other task is blamed, and the worker was certainly alive at the
+  // start.
   bool alone_ = false;
 };
 
@@ -110,8 +112,9 @@
   const bool in_isolation =
       task->step()->gang() ||
       (row.isolated() && row.isolated()->run() == evidence.run_.run());
-  const bool certain =
-      count >= kCrashesInIsolation && evidence.alone_ && in_isolation;
+  const std::size_t needed =
+      evidence.prime_ ? kCrashesInIsolation : kLateCrashesInIsolation;
+  const bool certain = count >= needed && evidence.alone_ && in_isolation;
   if (certain || count >= kMaxCrashes) Convict(key, row, tables, tick);
 }
 
@@ -165,7 +168,7 @@
   const bool alive_at_start =
       std::all_of(blamed.begin(), blamed.end(),
                   [](const LostRun& lost) { return lost.age_ms() >= 0; });
-  const bool alone = prime && alive_at_start && IsOneSuspect(blamed, tables);
+  const bool alone = alive_at_start && IsOneSuspect(blamed, tables);
   for (const LostRun& lost : blamed) {
     AddEvidence({name, lost.run(), std::chrono::milliseconds(lost.age_ms()),
                  prime, alone},
--- a/test/cell/crashing_task_test.cc
+++ b/test/cell/crashing_task_test.cc
@@ -503,6 +503,15 @@
     fleet.Crash(run - 1, {Lost(RunOf(job, 0, run), 1500)});
   }
   BOOST_TEST((fleet.State(job) == JobState::kFailed));
+  // In isolation, three crashes are enough.
+  const std::uint64_t other = fleet.fleet_.AddJob(Step(1));
+  for (int run = 1; run <= 3; ++run) {
+    BOOST_TEST((fleet.State(other) != JobState::kFailed));
+    fleet.Assign(other, 0, run - 1, run);
+    if (run == 3) fleet.Isolate(other, run - 1, run);
+    fleet.Crash(run - 1, {Lost(RunOf(other, 0, run), 1500)});
+  }
+  BOOST_TEST((fleet.State(other) == JobState::kFailed));
 }
 
 // Guards against convictions by a rack that loses power: the runs of all its
