A restored suspect is cleared only after it has survived a late crash

What callers saw: nothing; in virtual time, a task that crashes its worker some time after its start crashed more workers than the limit allows after takeovers.

Cause: the ages of the runs under which workers crashed are not stored, so a new holder cleared such a suspect 0.5 s after its start, before its crash.

--- a/src/systems/scheduler/track_crashes.cc
+++ b/src/systems/scheduler/track_crashes.cc
@@ -27,6 +27,10 @@
 // The same for a crash some time after the start, which may be a coincidence.
 constexpr std::size_t kLateCrashesInIsolation = 3;
 constexpr std::size_t kMaxCrashes = 4;
+// The ages at which workers crashed are not stored. A restored suspect is
+// cleared once it has survived a late crash as well, which takes twice as long.
+constexpr Duration kRestoredAge =
+    std::chrono::milliseconds(kMaxSuspectAgeMs / 2);
 // Delay of the run after the second crash, which is twice as long after each
 // further one.
 constexpr Duration kRetryDelay = std::chrono::milliseconds(500);
@@ -315,6 +319,7 @@
   tables.suspects_.Put(key, SuspectRow::Builder()
                                 .crashed_runs(known.crashed_runs())
                                 .prime(true)
+                                .longest_age(kRestoredAge)
                                 .isolated(known.isolated())
                                 .started_at(Instant())
                                 .stored(true)
--- a/test/cell/crashing_task_test.cc
+++ b/test/cell/crashing_task_test.cc
@@ -577,6 +577,29 @@
   BOOST_TEST((fleet.State(job) != JobState::kFailed));
 }
 
+// Guards against a late crash that is forgotten after a takeover, since the
+// task survives its start.
+BOOST_AUTO_TEST_CASE(a_restored_suspect_is_cleared_late) {
+  CrashingFleet fleet(3);
+  const std::uint64_t job = fleet.fleet_.AddJob(Step(1));
+  RestoreSuspect(TaskOf(job),
+                 TaskProgress::Builder()
+                     .crashed_runs({CrashedRun::Builder().run(1).Build()})
+                     .Build(),
+                 fleet.tables());
+  fleet.Assign(job, 0, 1, 2);
+  const MemberName name = PlacementFleet::Name(1);
+  const WorkerReport report = WorkerReport::Builder().heard_ms(0).Build();
+  fleet.Pass(seconds(2));
+  SchedulerTick tick = fleet.Tick();
+  ClearSurvivors(name, report, fleet.tables(), tick);
+  BOOST_TEST((fleet.Suspect(job) != nullptr));
+  fleet.Pass(seconds(3));
+  SchedulerTick later = fleet.Tick();
+  ClearSurvivors(name, report, fleet.tables(), later);
+  BOOST_TEST((fleet.Suspect(job) == nullptr));
+}
+
 // Guards against a run number that is used twice after a plan was stored and
 // never carried out.
 BOOST_AUTO_TEST_CASE(the_number_of_a_planned_run_is_not_used_again) {
