--- a/src/systems/runner/execute_run_commands.cc
+++ b/src/systems/runner/execute_run_commands.cc
@@ -1,6 +1,7 @@
 #include "systems/runner/execute_run_commands.h"
 
 #include "systems/cell/log_fields.h"
+#include "systems/runner/record_crash.h"
 
 namespace quetzalline {
 namespace {
@@ -18,6 +19,7 @@
                             .stage(TrackedRunStage::kStarting)
                             .fence(fence)
                             .called_at(tick.now())
+                            .started_at(tick.now())
                             .Build());
   tick.Emit(WorkerStart::Builder()
                 .call(RegisterWorkerCall(StartCall::Builder().run(run).Build(),
@@ -151,6 +153,7 @@
                             .Build());
   tick.counters().Add(Counter::kTasksStarted);
   SendStart(key, tables, tick);
+  if (command.isolated()) ScheduleSurvivalChecks(tables, tick.now());
 }
 
 void HandleStopRun(const StopRun& command, RunnerTables& tables,
--- a/src/systems/runner/watch_worker.cc
+++ b/src/systems/runner/watch_worker.cc
@@ -4,6 +4,7 @@
 
 #include "systems/cell/log_fields.h"
 #include "systems/runner/execute_run_commands.h"
+#include "systems/runner/record_crash.h"
 #include "systems/runner/throttle_best_effort_tasks.h"
 
 namespace quetzalline {
@@ -27,6 +28,9 @@
   tables.next_poll_ = Instant();
   tables.facts_sequence_ = 0;
   tables.incarnation_confirmed_ = false;
+  tables.worker_heard_at_ = Instant();
+  tables.worker_lost_at_.reset();
+  tables.survival_checks_.clear();
   tables.fill_pace_ = 100;
   // Voids the commands without an answer, which may still reach the next
   // incarnation.
@@ -48,6 +52,7 @@
           {Field("worker", tables.facts_->worker()),
            Field("born_ms", tables.facts_->born_ms())});
   tables.replaced_ = tables.facts_;
+  RecordCrash(tables, tick);
   ResetWorkerState(tables);
   tables.facts_.reset();
   tables.full_report_due_ = true;
@@ -58,21 +63,38 @@
                                : tables.policy_.hold_wait();
 }
 
-void SendPoll(bool raises_fence, RunnerTables& tables, RunnerTick& tick) {
-  (raises_fence ? tables.fence_poll_in_flight_ : tables.poll_in_flight_) = true;
+void EmitPoll(const StatusPollCall& poll, Duration wait, RunnerTables& tables,
+              RunnerTick& tick) {
   tick.Emit(
       WorkerPoll::Builder()
-          .call(RegisterWorkerCall(
-              StatusPollCall::Builder().raises_fence(raises_fence).Build(),
-              tables, tick.now()))
+          .call(RegisterWorkerCall(poll, tables, tick.now()))
           .worker(tables.facts_->worker())
           .lease_end_ms(tables.lease_end_ms_)
           .last_seen(tables.incarnation_confirmed_ ? tables.ends_noted_ : 0)
           .fence(CurrentFencingToken(tables))
-          .wait(raises_fence ? Duration() : PollTimeout(tables))
+          .wait(wait)
           .Build());
 }
 
+void SendPoll(bool raises_fence, RunnerTables& tables, RunnerTick& tick) {
+  (raises_fence ? tables.fence_poll_in_flight_ : tables.poll_in_flight_) = true;
+  EmitPoll(StatusPollCall::Builder().raises_fence(raises_fence).Build(),
+           raises_fence ? Duration() : PollTimeout(tables), tables, tick);
+}
+
+// Polls the worker beside the poll in flight, which may wait for an end.
+void SendSurvivalCheck(RunnerTables& tables, RunnerTick& tick) {
+  auto& checks = tables.survival_checks_;
+  if (checks.empty() || tick.now() < *checks.begin()) {
+    if (!checks.empty()) tick.WakeAt(*checks.begin());
+    return;
+  }
+  checks.erase(checks.begin(), checks.upper_bound(tick.now()));
+  EmitPoll(StatusPollCall::Builder().checks_survival(true).Build(), Duration(),
+           tables, tick);
+  if (!checks.empty()) tick.WakeAt(*checks.begin());
+}
+
 bool HasUnresolvedRuns(const RunnerTables& tables) {
   for (const auto& [key, run] : tables.runs_) {
     if (run.stage() == TrackedRunStage::kUnresolved) return true;
@@ -169,12 +191,16 @@
   if (tables.facts_) {
     if (!same && facts.born_ms() <= tables.facts_->born_ms()) return;
     if (same && seen.sequence() <= tables.facts_sequence_) return;
-    if (!same) ResetWorkerState(tables);
+    if (!same) {
+      RecordCrash(tables, tick);
+      ResetWorkerState(tables);
+    }
     if (same && facts == *tables.facts_) {
       tables.facts_sequence_ = seen.sequence();
       return;
     }
   }
+  if (!tables.facts_) ResolveUnresponsive(facts, tables, tick);
   LogLine(tick, "worker-seen", 0,
           {Field("worker", facts.worker()), Field("born_ms", facts.born_ms()),
            Field("draining", facts.draining() ? 1 : 0)});
@@ -199,6 +225,7 @@
                             RunnerTick& tick) {
   if (answer.verdict() == WorkerCallOutcome::kLost) {
     tables.incarnation_confirmed_ = false;
+    RecordAnswer(false, tables, tick.now());
     return true;
   }
   if (!tables.facts_) return true;
@@ -213,7 +240,10 @@
   if (same) tables.incarnation_confirmed_ = true;
   // An answer that names no incarnation is one of the known incarnation only
   // while that is confirmed.
-  if (tables.incarnation_confirmed_) tables.worker_answered_at_ = tick.now();
+  if (tables.incarnation_confirmed_) {
+    tables.worker_answered_at_ = tick.now();
+    if (same || answer.born_ms() == 0) RecordAnswer(true, tables, tick.now());
+  }
   if (same || answer.born_ms() == 0) return true;
   LogLine(tick, "worker-restarted", 0,
           {Field("worker", tables.facts_->worker()),
@@ -227,6 +257,7 @@
                                       .gpu(0)
                                       .Build();
   tables.replaced_ = tables.facts_;
+  RecordCrash(tables, tick);
   ResetWorkerState(tables);
   tables.facts_ = facts;
   tables.worker_answered_at_ = tick.now();
@@ -237,6 +268,7 @@
 
 void SendWorkerPolls(RunnerTables& tables, RunnerTick& tick) {
   if (!tables.facts_ || tables.session_.epoch() == 0) return;
+  SendSurvivalCheck(tables, tick);
   if (tick.now() < tables.next_poll_) return tick.WakeAt(tables.next_poll_);
   if (!tables.session_.synced()) {
     if (!tables.fence_poll_in_flight_) SendPoll(true, tables, tick);
@@ -252,6 +284,11 @@
 void HandlePollAnswer(const StatusPollCall& poll, const WorkerCall& call,
                       const WorkerAnswer& answer, RunnerTables& tables,
                       RunnerTick& tick) {
+  // The time of the answer is all that matters here.
+  if (poll.checks_survival()) {
+    tables.report_due_ = true;
+    return;
+  }
   (poll.raises_fence() ? tables.fence_poll_in_flight_
                        : tables.poll_in_flight_) = false;
   if (answer.verdict() != WorkerCallOutcome::kDone) {
--- a/src/systems/scheduler/place_runs.cc
+++ b/src/systems/scheduler/place_runs.cc
@@ -7,6 +7,7 @@
 #include "systems/scheduler/choose_worker.h"
 #include "systems/scheduler/confirm_epoch.h"
 #include "systems/scheduler/finish_job.h"
+#include "systems/scheduler/isolate_suspects.h"
 #include "systems/scheduler/leader_election.h"
 #include "systems/scheduler/run_numbers.h"
 #include "systems/scheduler/send_start.h"
@@ -342,6 +343,13 @@
   return now - job.accepted_at() > kUnmeetableDeadlineFactor * allowed;
 }
 
+void StartIsolatedRun(const TaskKey& key, const IsolatedRun& run,
+                      SchedulerTables& tables, SchedulerTick& tick) {
+  const std::string checkpoint = tables.tasks_.Find(key)->checkpoint();
+  Assign(key, run.worker(), run.run(), checkpoint, tables, tick.now());
+  SendAssigned(key, tables, tick);
+}
+
 void PlaceRuns(SchedulerTables& tables, SchedulerTick& tick) {
   if (!IsActing(tables)) return;
   if (tables.tasks_.ready().empty()) {
@@ -354,8 +362,11 @@
   if (tick.now() < next) return tick.WakeAt(next);
   tables.placement_due_ = false;
   tables.next_placement_ = tick.now() + kPlacementInterval;
-  const std::vector<MemberName> schedulable =
-      SchedulableWorkers(tables, tick.now());
+  std::vector<MemberName> schedulable = SchedulableWorkers(tables, tick.now());
+  const std::set<MemberName> isolated = IsolatedWorkers(tables, tick.now());
+  std::erase_if(schedulable, [&](const MemberName& name) {
+    return isolated.count(name) > 0;
+  });
   const std::vector<MemberName> sound = SoundWorkers(tables, tick.now());
   UpdateIdleJobs(sound, tables, tick.now());
   bool placed_all = true;
--- a/src/systems/scheduler/scheduler_node.cc
+++ b/src/systems/scheduler/scheduler_node.cc
@@ -4,6 +4,7 @@
 #include "systems/scheduler/confirm_epoch.h"
 #include "systems/scheduler/dispatch_inputs.h"
 #include "systems/scheduler/hand_over_workers.h"
+#include "systems/scheduler/isolate_suspects.h"
 #include "systems/scheduler/leader_election.h"
 #include "systems/scheduler/load_stored_state.h"
 #include "systems/scheduler/observe_handovers.h"
@@ -36,6 +37,7 @@
   EvictFromDrainingWorkers(tables_, tick);
   GrantLeases(tables_, tick);
   ReleaseDueOccurrences(tables_, tick);
+  IsolateSuspects(tables_, tick);
   PlaceRuns(tables_, tick);
   PreemptLongRunning(tables_, tick);
   ConsolidateServices(tables_, tick);
