Keep a quarantine when the worker refuses a start

What callers would see: a worker that fails every task and refuses one, which an overdue task made it do, gets new work after 0.25 s instead of up to 16 s.

Cause: a refusal replaced the end of the rest by that of its back-off.

Change: the later of the two counts.

Evidence: a_refusal_does_not_shorten_a_quarantine failed before.

--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -261,9 +261,12 @@
     if (task->worker() != name || task->run() != refused.run().run()) continue;
     tick.counters().Add(Counter::kTasksRefused, refused.reason());
     ReturnRefusedTask(key, refused.reason(), tables, tick);
-    tables.workers_.Put(name, WorkerRow::Builder(*tables.workers_.Find(name))
-                                  .rests_until(tick.now() + kRefusalBackoff)
-                                  .Build());
+    const WorkerRow worker = *tables.workers_.Find(name);
+    tables.workers_.Put(name,
+                        WorkerRow::Builder(worker)
+                            .rests_until(std::max(worker.rests_until(),
+                                                  tick.now() + kRefusalBackoff))
+                            .Build());
   }
 }
 
--- a/test/cell/waiting_reason_test.cc
+++ b/test/cell/waiting_reason_test.cc
@@ -280,6 +280,21 @@
   BOOST_TEST((waiting.TimeUntilRunning(job, seconds(20)) < kMaxWait));
 }
 
+// A worker in quarantine refuses an overdue task. That ended its quarantine
+// after the back-off of a refusal.
+BOOST_AUTO_TEST_CASE(a_refusal_does_not_shorten_a_quarantine) {
+  WaitingFleet waiting(1);
+  waiting.Refuse(0);
+  Apply(Condition::kQuarantined, 0, waiting);
+  const std::uint64_t job = waiting.fleet().AddJob(Urgent(1, 1000));
+  waiting.TimeUntilRunning(job, seconds(3));
+  const SchedulerTables& tables = waiting.fleet().tables();
+  BOOST_TEST(
+      (tables.tasks_.Find(TaskKey::Builder().job(job).Build())->run() > 0));
+  BOOST_TEST((tables.workers_.Find(PlacementFleet::Name(0))->rests_until() ==
+              kFleetNow + seconds(16)));
+}
+
 // Any mix of the reasons above has to end within the same time.
 BOOST_AUTO_TEST_CASE(drawn_mixes_of_reasons) {
   constexpr unsigned kDefaultSeeds = 300;
