--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -298,9 +298,12 @@
     ReturnRefusedTask(key, refused.reason(), tables, tick);
     StopIncompleteGang(key, refused.run().run(), refused.reason(), tables,
                        tick);
-    tables.workers_.Put(name, WorkerRow::Builder(*tables.workers_.Find(name))
-                                  .rests_until(tick.now() + kRefusalBackoff)
-                                  .Build());
+    const WorkerRow worker = *tables.workers_.Find(name);
+    tables.workers_.Put(name,
+                        WorkerRow::Builder(worker)
+                            .rests_until(std::max(worker.rests_until(),
+                                                  tick.now() + kRefusalBackoff))
+                            .Build());
   }
 }
 
