--- a/src/tables/suspect_row.h
+++ b/src/tables/suspect_row.h
@@ -50,8 +50,9 @@
   /// Returns the number of the last run under which a worker has crashed.
   std::int64_t last_crashed() const {
     std::int64_t last = 0;
-    for (const CrashedRun& run : crashed_runs_)
+    for (const CrashedRun& run : crashed_runs_) {
       last = std::max(last, run.run());
+    }
     return last;
   }
 
