Give up a claim that succeeded unnoticed when the process stops

What callers saw: nothing reported; found in review by reading. A process that is stopped while it reads whether an earlier claim succeeded took the cell, did not renew its lease and was killed: no work started until the lease had expired.

Cause: the answer to that read began a term whether or not the process stops.

Change: it ends the lease of the claim instead.

Evidence: holder_changes/a_process_that_stops_gives_up_a_claim_that_succeeded failed before. cell_test 185 cases pass.

--- a/src/systems/scheduler/leader_election.cc
+++ b/src/systems/scheduler/leader_election.cc
@@ -237,6 +237,9 @@
   // applied it. The stored holder record then carries the identity of this
   // process.
   if (holder->instance() == HolderIdentity(tables.policy_)) {
+    if (tables.stopping_) {
+      return EndHolderLease(tables.term_.lease(), tables, tick);
+    }
     return BeginTerm(holder->epoch(), item.revision(), tables.term_.lease(),
                      tables, tick);
   }
--- a/test/cell/holder_changes_test.cc
+++ b/test/cell/holder_changes_test.cc
@@ -9,6 +9,7 @@
 #include "systems/cell/validate_record.h"
 #include "systems/scheduler/choose_worker.h"
 #include "systems/scheduler/hand_over_workers.h"
+#include "systems/scheduler/leader_election.h"
 #include "systems/scheduler/track_members.h"
 #include "wire/kvs_record_codec.h"
 
@@ -388,6 +389,35 @@
   BOOST_TEST(*cell.Holder() != *claiming);
 }
 
+// A process learned while it stopped that an earlier claim without an answer
+// had succeeded, held the cell without renewing its lease, and was killed.
+BOOST_AUTO_TEST_CASE(a_process_that_stops_gives_up_a_claim_that_succeeded) {
+  PlacementFleet fleet(1);
+  SchedulerTables& tables = fleet.tables();
+  tables.stage_ = HolderFollowing();
+  tables.stopping_ = true;
+  tables.term_ = HolderTerm::Builder().epoch(2).lease(7).Build();
+  const HolderRecord own = HolderRecord::Builder()
+                               .epoch(2)
+                               .instance(HolderIdentity(tables.policy_))
+                               .Build();
+  const KvsItem item = KvsItem::Builder()
+                           .key(std::string(kHolderKey))
+                           .record(KvsRecord(own))
+                           .revision(10)
+                           .Build();
+  Random random(1);
+  SchedulerTick tick(kFleetNow, random, tables.counters_);
+  HandleHolderRead(KvsItems::Builder().items({item}).revision(10).Build(),
+                   Duration(), tables, tick);
+  BOOST_TEST(!IsHolder(tables));
+  const std::vector<SchedulerEffect> effects = tick.TakeEffects();
+  BOOST_REQUIRE(effects.size() == 1U);
+  const auto* ended = std::get_if<KvsEndLease>(&effects.front());
+  BOOST_REQUIRE(ended != nullptr);
+  BOOST_TEST(ended->lease() == 7U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace quetzalline
