Convict no task by a start on a worker that may have been gone

What callers saw: nothing reported. In virtual time, jobs were shown as failed although only one worker had crashed under their task (LOST).

Cause: a run whose start was never answered may never have been carried out. It counted like any other crash, so that one crash in isolation, which may be a coincidence, convicted its task.

Change: the record of a crashed run says whether its worker was certainly alive at its start; only such runs count towards a conviction in isolation.

--- a/src/records/crashed_run.h
+++ b/src/records/crashed_run.h
@@ -22,14 +22,18 @@
   std::int64_t run() const { return run_; }
   /// Runner of the worker that crashed.
   const MemberName& worker() const { return worker_; }
+  /// Returns true if the worker has answered since the start of the run was
+  /// sent, so that it was certainly alive then.
+  bool alive_at_start() const { return alive_at_start_; }
 
   friend auto operator<=>(const CrashedRun&, const CrashedRun&) = default;
 
  private:
-  QUETZALLINE_VALUE(CrashedRun, run_, worker_)
+  QUETZALLINE_VALUE(CrashedRun, run_, worker_, alive_at_start_)
 
   std::int64_t run_ = 0;
   MemberName worker_;
+  bool alive_at_start_ = false;
 };
 
 /// Builds a CrashedRun; fields that are not set keep their defaults.
@@ -41,6 +45,9 @@
   Builder& worker(MemberName value) {
     return Set(value_.worker_, std::move(value));
   }
+  Builder& alive_at_start(bool value) {
+    return Set(value_.alive_at_start_, value);
+  }
 };
 
 }  // namespace quetzalline
--- a/src/systems/scheduler/track_crashes.cc
+++ b/src/systems/scheduler/track_crashes.cc
@@ -22,7 +22,8 @@
 // Longer than kPrimeSuspectAgeMs by the delays of a command and a report.
 constexpr Duration kSurvivalTime = std::chrono::milliseconds(500);
 // Number of crashes after which a task is given up if the last one was in
-// isolation, and after which it is given up in any case.
+// isolation, and after which it is given up in any case. Only runs whose worker
+// was certainly alive at their start count towards the former.
 constexpr std::size_t kCrashesInIsolation = 2;
 // The same for a crash some time after the start, which may be a coincidence.
 constexpr std::size_t kLateCrashesInIsolation = 3;
@@ -90,8 +91,12 @@
   crashed.push_back(CrashedRun::Builder()
                         .run(evidence.run_.run())
                         .worker(evidence.worker_)
+                        .alive_at_start(evidence.age_ >= Duration())
                         .Build());
   const std::size_t count = crashed.size();
+  const auto strong = static_cast<std::size_t>(std::count_if(
+      crashed.begin(), crashed.end(),
+      [](const CrashedRun& run) { return run.alive_at_start(); }));
   const Duration delay =
       count < kCrashesInIsolation
           ? Duration()
@@ -118,7 +123,7 @@
       (row.isolated() && row.isolated()->run() == evidence.run_.run());
   const std::size_t needed =
       evidence.prime_ ? kCrashesInIsolation : kLateCrashesInIsolation;
-  const bool certain = count >= needed && evidence.alone_ && in_isolation;
+  const bool certain = strong >= needed && evidence.alone_ && in_isolation;
   if (certain || count >= kMaxCrashes) Convict(key, row, tables, tick);
 }
 
--- a/test/cell/crashing_task_test.cc
+++ b/test/cell/crashing_task_test.cc
@@ -461,6 +461,21 @@
   BOOST_TEST((fleet.State(job) == JobState::kFailed));
 }
 
+// Guards against a conviction by one crash in isolation, which may be a
+// coincidence, after a start on a worker that was gone already.
+BOOST_AUTO_TEST_CASE(a_start_on_a_lost_worker_and_one_crash_do_not_convict) {
+  CrashingFleet fleet(3);
+  const std::uint64_t job = fleet.fleet_.AddJob(Step(1));
+  fleet.Assign(job, 0, 0, 1);
+  fleet.Crash(0, {Lost(RunOf(job, 0, 1), -300)});
+  fleet.Isolate(job, 1, 2);
+  fleet.Crash(1, {Lost(RunOf(job, 0, 2), 5)});
+  BOOST_TEST((fleet.State(job) != JobState::kFailed));
+  fleet.Isolate(job, 2, 3);
+  fleet.Crash(2, {Lost(RunOf(job, 0, 3), 5)});
+  BOOST_TEST((fleet.State(job) == JobState::kFailed));
+}
+
 // Guards against work that is given up although it ran well elsewhere.
 BOOST_AUTO_TEST_CASE(a_suspect_that_ends_or_survives_is_cleared) {
   CrashingFleet fleet(4);
