Keep tasks suspected when several workers of a zone crash together

What callers saw: nothing reported; found in review.

Cause: three crashes within a second that share a zone or a label were taken for the loss of a rack, and withdrew all evidence. The tasks were ready again in the same tick, started together, and crashed together again.

Change: such crashes are inconclusive. They do not count towards a conviction in isolation, so that the loss of a rack still convicts nobody, but the tasks stay suspects, start again one at a time, and are given up after four crashes in any case.

--- a/src/records/crashed_run.h
+++ b/src/records/crashed_run.h
@@ -22,18 +22,19 @@
   std::int64_t run() const { return run_; }
   /// Runner of the worker that crashed.
   const MemberName& worker() const { return worker_; }
-  /// Returns true if the worker has answered since the start of the run was
-  /// sent, so that it was certainly alive then.
-  bool alive_at_start() const { return alive_at_start_; }
+  /// Returns true if the crash speaks against the task: the worker has answered
+  /// since the start of the run was sent, so that it was certainly alive then,
+  /// and was not lost together with others of its zone or rack.
+  bool conclusive() const { return conclusive_; }
 
   friend auto operator<=>(const CrashedRun&, const CrashedRun&) = default;
 
  private:
-  QUETZALLINE_VALUE(CrashedRun, run_, worker_, alive_at_start_)
+  QUETZALLINE_VALUE(CrashedRun, run_, worker_, conclusive_)
 
   std::int64_t run_ = 0;
   MemberName worker_;
-  bool alive_at_start_ = false;
+  bool conclusive_ = false;
 };
 
 /// Builds a CrashedRun; fields that are not set keep their defaults.
@@ -45,9 +46,7 @@
   Builder& worker(MemberName value) {
     return Set(value_.worker_, std::move(value));
   }
-  Builder& alive_at_start(bool value) {
-    return Set(value_.alive_at_start_, value);
-  }
+  Builder& conclusive(bool value) { return Set(value_.conclusive_, value); }
 };
 
 }  // namespace quetzalline
--- a/src/systems/scheduler/correlate_crashes.cc
+++ b/src/systems/scheduler/correlate_crashes.cc
@@ -71,17 +71,19 @@
   return lost;
 }
 
-// Removes one run from the evidence against its task.
-void Withdraw(const RunKey& run, SchedulerTables& tables, SchedulerTick& tick) {
+// Lets the crash under one run speak against its task no longer.
+void Excuse(const RunKey& run, SchedulerTables& tables, SchedulerTick& tick) {
   const SuspectRow* known = tables.suspects_.Find(run.task());
   if (known == nullptr) return;
-  std::vector<CrashedRun> left = known->crashed_runs();
-  const auto withdrawn = std::erase_if(
-      left, [&](const CrashedRun& r) { return r.run() == run.run(); });
-  if (withdrawn == 0) return;
-  if (left.empty()) return ClearSuspect(run.task(), tables, tick);
+  std::vector<CrashedRun> crashed = known->crashed_runs();
+  const auto excused =
+      std::find_if(crashed.begin(), crashed.end(), [&](const CrashedRun& r) {
+        return r.run() == run.run() && r.conclusive();
+      });
+  if (excused == crashed.end()) return;
+  *excused = CrashedRun::Builder(*excused).conclusive(false).Build();
   tables.suspects_.Put(run.task(), SuspectRow::Builder(*known)
-                                       .crashed_runs(std::move(left))
+                                       .crashed_runs(std::move(crashed))
                                        .stored(false)
                                        .Build());
   tables.dirty_jobs_.Add(run.task().job(), DirtyKind::kAwaited, tick.now());
@@ -89,8 +91,8 @@
 
 }  // namespace
 
-bool WithdrawCorrelated(const CrashKey& key, SchedulerTables& tables,
-                        SchedulerTick& tick) {
+bool ExcuseCorrelated(const CrashKey& key, SchedulerTables& tables,
+                      SchedulerTick& tick) {
   const std::vector<CrashKey> lost =
       FindCorrelated(*tables.crashes_.Find(key), tables);
   if (lost.empty()) return false;
@@ -98,7 +100,7 @@
           {Field("member", key.first.value()), Field("workers", lost.size())});
   for (const CrashKey& other : lost) {
     const std::vector<RunKey> blamed = tables.crashes_.Find(other)->blamed();
-    for (const RunKey& run : blamed) Withdraw(run, tables, tick);
+    for (const RunKey& run : blamed) Excuse(run, tables, tick);
   }
   return true;
 }
--- a/src/systems/scheduler/correlate_crashes.h
+++ b/src/systems/scheduler/correlate_crashes.h
@@ -13,10 +13,11 @@
 using CrashKey = std::pair<MemberName, std::int64_t>;
 
 /// Returns true if the crash is part of a loss of several workers that share a
-/// zone or a label, such as their rack. No task is at fault then: the evidence
-/// of all crashes of the loss is withdrawn.
-bool WithdrawCorrelated(const CrashKey& key, SchedulerTables& tables,
-                        SchedulerTick& tick);
+/// zone or a label, such as their rack. No task may be at fault then: none of
+/// these crashes is conclusive. The tasks stay suspects, since several tasks
+/// that crash their workers may cause such a loss, too.
+bool ExcuseCorrelated(const CrashKey& key, SchedulerTables& tables,
+                      SchedulerTick& tick);
 
 /// Forgets what was held against the task, which may start anywhere again.
 void ClearSuspect(const TaskKey& key, SchedulerTables& tables,
--- a/src/systems/scheduler/track_crashes.cc
+++ b/src/systems/scheduler/track_crashes.cc
@@ -22,8 +22,8 @@
 // Longer than kPrimeSuspectAgeMs by the delays of a command and a report.
 constexpr Duration kSurvivalTime = std::chrono::milliseconds(500);
 // Number of crashes after which a task is given up if the last one was in
-// isolation, and after which it is given up in any case. Only runs whose worker
-// was certainly alive at their start count towards the former.
+// isolation, and after which it is given up in any case. Only conclusive
+// crashes count towards the former.
 constexpr std::size_t kCrashesInIsolation = 2;
 // The same for a crash some time after the start, which may be a coincidence.
 constexpr std::size_t kLateCrashesInIsolation = 3;
@@ -46,6 +46,7 @@
   // True if no other task is blamed, and the worker was certainly alive at the
   // start.
   bool alone_ = false;
+  bool conclusive_ = false;
 };
 
 std::string FormatTask(const TaskKey& key) {
@@ -91,12 +92,12 @@
   crashed.push_back(CrashedRun::Builder()
                         .run(evidence.run_.run())
                         .worker(evidence.worker_)
-                        .alive_at_start(evidence.age_ >= Duration())
+                        .conclusive(evidence.conclusive_)
                         .Build());
   const std::size_t count = crashed.size();
-  const auto strong = static_cast<std::size_t>(std::count_if(
-      crashed.begin(), crashed.end(),
-      [](const CrashedRun& run) { return run.alive_at_start(); }));
+  const auto strong = static_cast<std::size_t>(
+      std::count_if(crashed.begin(), crashed.end(),
+                    [](const CrashedRun& run) { return run.conclusive(); }));
   const Duration delay =
       count < kCrashesInIsolation
           ? Duration()
@@ -172,7 +173,8 @@
   if (facts) row.zone(facts->zone()).labels(facts->labels());
   const CrashKey key{name, crash.born_ms()};
   tables.crashes_.Put(key, row.Build());
-  if (WithdrawCorrelated(key, tables, tick) || blamed.empty()) return;
+  const bool correlated = ExcuseCorrelated(key, tables, tick);
+  if (blamed.empty()) return;
   const bool prime = blamed.front().age_ms() <= kPrimeSuspectAgeMs;
   const bool alive_at_start =
       std::all_of(blamed.begin(), blamed.end(),
@@ -180,7 +182,7 @@
   const bool alone = alive_at_start && IsOneSuspect(blamed, tables);
   for (const LostRun& lost : blamed) {
     AddEvidence({name, lost.run(), std::chrono::milliseconds(lost.age_ms()),
-                 prime, alone},
+                 prime, alone, !correlated && lost.age_ms() >= 0},
                 tables, tick);
   }
 }
@@ -227,7 +229,7 @@
     if (!left && !IsListed(run, report)) lost.push_back(run);
   }
   for (const RunKey& run : lost) {
-    AddEvidence({name, run, Duration(), false, false}, tables, tick);
+    AddEvidence({name, run, Duration(), false, false, true}, tables, tick);
   }
 }
 
--- a/test/support/virtual_worker.cc
+++ b/test/support/virtual_worker.cc
@@ -331,6 +331,7 @@
                  .cpu(room_.cpu())
                  .memory_mb(room_.memory_mb())
                  .draining(draining_)
+                 .zone(zone_)
                  .Build())
       .sequence(++sequence_)
       .Build();
--- a/test/support/virtual_worker.h
+++ b/test/support/virtual_worker.h
@@ -60,6 +60,7 @@
   /// shows the new capacity.
   void SetRoom(const WorkerRoom& room);
   void SetDraining(bool draining) { draining_ = draining; }
+  void SetZone(const AvailabilityZone& zone) { zone_ = zone; }
   /// Sets the percentage of commands that time out and are executed late.
   void SetLatePercent(int percent) { late_percent_ = percent; }
   /// Loses the answers to all calls, which are executed, or sends them again.
@@ -127,6 +128,7 @@
   std::map<std::uint64_t, PendingPoll> pending_polls_;
   bool alive_ = true;
   bool draining_ = false;
+  AvailabilityZone zone_;
   bool mute_ = false;
   int late_percent_ = 0;
   int fail_percent_ = 0;
