Isolate at most half of the workers of a service

What callers saw: nothing reported; found in review by reading. With two of two, three of four or six of eleven workers isolated for suspects, other work had less than half of the service left.

Cause: the limit was checked before one more worker was added.

Change: it includes the worker that is to be added; one worker may always be isolated.

--- a/src/systems/scheduler/isolate_suspects.cc
+++ b/src/systems/scheduler/isolate_suspects.cc
@@ -244,7 +244,9 @@
     ++workers;
     if (open.reserved_.count(name) == 0) plannable.push_back(name);
   }
-  if (2 * isolated.size() < workers + 1) return plannable;
+  if (isolated.empty() || 2 * (isolated.size() + 1) <= workers) {
+    return plannable;
+  }
   std::erase_if(plannable, [&](const MemberName& name) {
     return isolated.count(name) == 0;
   });
--- a/test/cell/crashing_task_test.cc
+++ b/test/cell/crashing_task_test.cc
@@ -382,6 +382,23 @@
   BOOST_TEST((fleet.Stage(other) == TaskStage::kReady));
 }
 
+// Guards against suspects that keep other work from most of the workers.
+BOOST_AUTO_TEST_CASE(at_most_half_of_the_workers_are_isolated) {
+  for (const int workers : {1, 2, 4, 5}) {
+    CrashingFleet fleet(workers);
+    std::vector<LostRun> lost;
+    for (int i = 0; i < 6; ++i) {
+      const std::uint64_t job = fleet.fleet_.AddJob(Step(1));
+      fleet.Assign(job, 0, 0, 1);
+      lost.push_back(Lost(RunOf(job, 0, 1), 5));
+    }
+    fleet.Crash(0, lost);
+    fleet.Pass(seconds(1));
+    const auto started = static_cast<int>(fleet.StoreAndPlace().size());
+    BOOST_TEST(started == std::max(workers / 2, 1));
+  }
+}
+
 // Guards against several suspects of one job at a time: each of them crashes a
 // worker, although one is enough to end the job.
 BOOST_AUTO_TEST_CASE(one_suspect_of_a_job_starts_at_a_time) {
