--- a/test/cell/holder_changes_test.cc
+++ b/test/cell/holder_changes_test.cc
@@ -418,6 +418,43 @@
   BOOST_TEST(ended->lease() == 7U);
 }
 
+// Holders that are killed soon after they have begun to act must not cost a
+// lease each.
+BOOST_AUTO_TEST_CASE(short_lived_holders_in_a_row_wait_for_one_lease_in_all) {
+  for (const int acting_ms : {0, 50, 100, 150, 200, 250}) {
+    for (const int changes : {2, 10}) {
+      const Duration waited =
+          WaitAfter(Change::kUnplanned, changes, milliseconds(acting_ms));
+      BOOST_TEST((waited <= kOneLease + changes * kGap),
+                 acting_ms << " ms, " << changes
+                           << " changes: " << waited.count() / 1000 << " ms");
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// Listed in KNOWN-RED.txt; CI does not run them.
+BOOST_AUTO_TEST_SUITE(known_red_holder_changes)
+
+// A short absence before an outage of the store must not cost the runs of a
+// worker that is back while a majority still follows the holder.
+BOOST_AUTO_TEST_CASE(a_store_outage_after_a_short_absence_ends_no_run) {
+  for (const int absence_ms : {2000, 2500, 3000, 3500, 4000}) {
+    HolderChanges run;
+    VirtualCell& cell = run.cell_;
+    const std::size_t agent = run.BusyFollower();
+    const std::size_t held = cell.worker(agent).running();
+    cell.SetAgentPartitioned(agent, true, false);
+    cell.RunFor(milliseconds(absence_ms));
+    cell.kv().SetUnavailable(true);
+    cell.SetAgentPartitioned(agent, false, false);
+    cell.RunFor(seconds(8));
+    BOOST_TEST(cell.worker(agent).running() == held,
+               "absent for " << absence_ms << " ms");
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace quetzalline
