Show a job as pending until a worker has started one of its tasks

Cause: a job counted as begun when a start was sent.

Change: a job has begun, and is shown as running, once a worker lists a run of it, lists an end of one, or has certainly crashed under one. The time in job-began is that of the first run, no longer that of the first message.

Test: waiting_reasons/a_job_is_pending_until_a_worker_has_started_a_task.

--- a/src/systems/scheduler/finish_job.cc
+++ b/src/systems/scheduler/finish_job.cc
@@ -283,6 +283,7 @@
            Field("worker", worker.value()), Field("outcome", end.outcome()),
            Field("current", current ? 1 : 0)});
   tables.placement_due_ = true;
+  MarkBegan(key.job(), tables, tick);
   ClearEndedSuspect(end, tables, tick);
   if (IsFinalState(job->state())) {
     if (!current) return;
--- a/src/systems/scheduler/place_runs.cc
+++ b/src/systems/scheduler/place_runs.cc
@@ -85,16 +85,6 @@
   return ranked;
 }
 
-void MarkStarted(std::uint64_t job, SchedulerTables& tables,
-                 SchedulerTick& tick) {
-  const JobRow* row = tables.jobs_.Find(job);
-  if (row->began()) return;
-  LogLine(tick, "job-began", job,
-          {FieldMs("wait_ms", tick.now() - row->accepted_at())});
-  tables.jobs_.Put(
-      job, JobRow::Builder(*row).began(true).state(JobState::kRunning).Build());
-}
-
 // Assigns the task to the worker. The command to start it is sent by
 // SendAssigned().
 void Assign(const TaskKey& key, const MemberName& worker, std::int64_t run,
@@ -124,7 +114,6 @@
   const JobTask started = *tables.tasks_.Find(key);
   const MemberName& worker = started.worker();
   tick.counters().Add(Counter::kTasksAssigned);
-  MarkStarted(key.job(), tables, tick);
   MarkTried(key.job(), tables, tick.now());
   const WorkerUse& use = tables.tasks_.UseOf(worker);
   LogLine(tick, "task-placed", key.job(),
--- a/src/systems/scheduler/track_crashes.cc
+++ b/src/systems/scheduler/track_crashes.cc
@@ -180,6 +180,9 @@
       std::all_of(blamed.begin(), blamed.end(),
                   [](const LostRun& lost) { return lost.age_ms() >= 0; });
   const bool alone = alive_at_start && IsOneSuspect(blamed, tables);
+  for (const LostRun& lost : crash.runs()) {
+    if (lost.age_ms() >= 0) MarkBegan(lost.run().task().job(), tables, tick);
+  }
   for (const LostRun& lost : blamed) {
     AddEvidence({name, lost.run(), std::chrono::milliseconds(lost.age_ms()),
                  prime, alone, !correlated && lost.age_ms() >= 0},
--- a/src/systems/scheduler/track_jobs.cc
+++ b/src/systems/scheduler/track_jobs.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/limits.h"
+#include "systems/cell/log_fields.h"
 #include "systems/scheduler/track_crashes.h"
 
 namespace quetzalline {
@@ -171,6 +172,16 @@
          state == JobState::kCancelled;
 }
 
+void MarkBegan(std::uint64_t job, SchedulerTables& tables,
+               SchedulerTick& tick) {
+  const JobRow* row = tables.jobs_.Find(job);
+  if (row == nullptr || row->began() || IsFinalState(row->state())) return;
+  LogLine(tick, "job-began", job,
+          {FieldMs("wait_ms", tick.now() - row->accepted_at())});
+  tables.jobs_.Put(
+      job, JobRow::Builder(*row).began(true).state(JobState::kRunning).Build());
+}
+
 void AddSubmittedJob(std::uint64_t job, const JobRecord& record, Instant now,
                      SchedulerTables& tables) {
   // The holder may know a newer configuration than the entry.
--- a/src/systems/scheduler/track_jobs.h
+++ b/src/systems/scheduler/track_jobs.h
@@ -13,6 +13,10 @@
 /// Returns true if the state is final.
 bool IsFinalState(JobState state);
 
+/// Marks the job as begun: a worker is known to have started one of its tasks.
+/// A start that was only sent may be refused or lost with its worker.
+void MarkBegan(std::uint64_t job, SchedulerTables& tables, SchedulerTick& tick);
+
 /// Adds a newly submitted job. Its tasks stay blocked until the job is stored.
 void AddSubmittedJob(std::uint64_t job, const JobRecord& record, Instant now,
                      SchedulerTables& tables);
--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -177,11 +177,7 @@
           .Build();
   tables.tasks_.Put(key, changed);
   if (changed.stopping()) return SendStopRun(name, listed.run(), tables, tick);
-  if (job->state() == JobState::kQueued) {
-    tables.jobs_.Put(
-        key.job(),
-        JobRow::Builder(*job).state(JobState::kRunning).began(true).Build());
-  }
+  MarkBegan(key.job(), tables, tick);
   SendStart(name, key, tables, tick);
 }
 
@@ -213,7 +209,7 @@
 }
 
 void UpdateProgress(const MemberName& name, const WorkerReport& report,
-                    SchedulerTables& tables) {
+                    SchedulerTables& tables, SchedulerTick& tick) {
   for (const RunProgress& run : report.running()) {
     const TaskKey& key = run.run().task();
     const JobTask* task = tables.tasks_.Find(key);
@@ -225,6 +221,7 @@
     tables.tasks_.Put(key, builder.Build());
   }
 }
+    MarkBegan(key.job(), tables, tick);
 
 void HandleCompletions(const MemberName& name, const WorkerReport& report,
                        SchedulerTables& tables, SchedulerTick& tick) {
@@ -318,10 +315,8 @@
   std::vector<ConnectionId> unresponsive;
   for (const auto& [name, row] : tables.members_) {
     if (!row.connection()) continue;
-    const Instant unresponsive_at = row.heard_at() + tables.policy_.silence();
-    if (tick.now() < unresponsive_at) {
-      tick.WakeAt(unresponsive_at);
-    } else {
+    const Duration silence = tables.attention_ - row.heard_attention();
+    if (silence >= tables.policy_.silence()) {
       unresponsive.push_back(*row.connection());
     }
   }
@@ -415,7 +410,7 @@
   if (report.whole() && !report.more_ends()) {
     HandleRunList(name, report, first_list, tables, tick);
   } else {
-    UpdateProgress(name, report, tables);
+    UpdateProgress(name, report, tables, tick);
   }
   HandleRefusals(name, report, tables, tick);
   ClearSurvivors(name, report, tables, tick);
@@ -469,5 +464,6 @@
     CloseMember(*member->connection(), tables, tick);
   }
 }
+            .leased(alive || worker->leased())
 
 }  // namespace quetzalline
--- a/test/cell/waiting_reason_test.cc
+++ b/test/cell/waiting_reason_test.cc
@@ -5,7 +5,9 @@
 #include <string>
 #include <vector>
 
+#include "messages/pending_count_reply.h"
 #include "support/placement_fleet.h"
+#include "systems/scheduler/admit_jobs.h"
 
 namespace quetzalline {
 namespace {
@@ -334,6 +336,46 @@
   BOOST_TEST(waits(Urgent(1, kFleetMillicores + 1), false));
 }
 
+// Returns the number of jobs that callers are told have not begun.
+std::int64_t PendingJobs(PlacementFleet& fleet) {
+  Random random(1);
+  SchedulerTick tick(kFleetNow, random, fleet.tables().counters_);
+  ReplyPendingCount(ConnectionId(99), ReadPendingCount(), fleet.tables(), tick);
+  const std::vector<SchedulerEffect> effects = tick.TakeEffects();
+  const auto& sent = std::get<SendToGateway>(effects.front());
+  return std::get<PendingCountReply>(sent.message()).count();
+}
+
+// A job counted as begun once a start had been sent, although the worker
+// refused it or was gone; jobs that waited for seconds were not shown as
+// pending.
+BOOST_AUTO_TEST_CASE(a_job_is_pending_until_a_worker_has_started_a_task) {
+  WaitingFleet run(1);
+  PlacementFleet& fleet = run.fleet();
+  const std::uint64_t job = fleet.AddJob(Urgent(2, 1000));
+  BOOST_TEST(PendingJobs(fleet) == 1);
+  run.Refuse(0);
+  BOOST_TEST((run.TimeUntilRunning(job, seconds(1)) >= seconds(1)));
+  BOOST_TEST(PendingJobs(fleet) == 1);
+  BOOST_CHECK(fleet.tables().jobs_.Find(job)->state() == JobState::kQueued);
+  fleet.Advance(seconds(1));
+  fleet.Place();
+  const TaskKey first = TaskKey::Builder().job(job).Build();
+  const JobTask& task = *fleet.tables().tasks_.Find(first);
+  BOOST_REQUIRE(task.stage() == TaskStage::kAssigned);
+  BOOST_TEST(PendingJobs(fleet) == 1);
+  fleet.Report(
+      0,
+      WorkerReport::Builder()
+          .running(
+              {RunProgress::Builder()
+                   .run(RunKey::Builder().task(first).run(task.run()).Build())
+                   .Build()})
+          .Build());
+  BOOST_TEST(PendingJobs(fleet) == 0);
+  BOOST_CHECK(fleet.tables().jobs_.Find(job)->state() == JobState::kRunning);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace quetzalline
