Convict no task by a start that the worker did not confirm

Cause: a run counted as alive on its worker if any answer came after the start was sent.

Change: the age of a run is negative, which is weak evidence, unless the worker has confirmed its start or listed it.

The tests of the runner confirm the starts that a worker is meant to have confirmed; their checks are as before.

--- a/src/systems/runner/record_crash.cc
+++ b/src/systems/runner/record_crash.cc
@@ -21,6 +21,16 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
 }
 
+// Returns the age of the run at the worker's last answer. Negative for a run
+// that the worker has neither confirmed nor listed: it may have been gone
+// already, since an answer that comes after a start may be that of an earlier
+// call.
+Duration AgeOf(const TrackedRun& run, const RunnerTables& tables) {
+  const Duration age = tables.worker_heard_at_ - run.started_at();
+  if (run.confirmed_at() != Instant()) return age;
+  return std::min<Duration>(age, -std::chrono::milliseconds(1));
+}
+
 // Returns the runs that the known incarnation may have started. One whose call
 // was sent after the incarnation had stopped answering is not among them.
 LostIncarnation LostIncarnationOf(const RunnerTables& tables, Instant now) {
@@ -28,12 +38,9 @@
   std::vector<LostRun> runs;
   for (const auto& [key, run] : tables.runs_) {
     if (run.started_at() == Instant() || run.started_at() > lost_at) continue;
-    // Negative for a run that was started after the last answer, perhaps on a
-    // worker that was gone already.
-    const Duration age = tables.worker_heard_at_ - run.started_at();
     runs.push_back(LostRun::Builder()
                        .run(RunKey::Builder().task(key).run(run.run()).Build())
-                       .age_ms(ToMilliseconds(age))
+                       .age_ms(ToMilliseconds(AgeOf(run, tables)))
                        .Build());
   }
   return LostIncarnation::Builder()
--- a/test/cell/crashing_task_test.cc
+++ b/test/cell/crashing_task_test.cc
@@ -226,6 +226,17 @@
   void Answer(bool answered) {
     RunnerTick tick = Tick();
     CheckWorkerIncarnation(WorkerAnswer::Builder()
+  // Starts a run, which the worker confirms.
+  void StartConfirmed(std::uint64_t job, bool isolated = false) {
+    Start(job, isolated);
+    Answer(true);
+    RunnerTick tick = Tick();
+    HandleStartAnswer(
+        RunOf(job, 0, 1), CurrentFencingToken(tables_),
+        WorkerAnswer::Builder().verdict(WorkerCallOutcome::kDone).Build(),
+        tables_, tick);
+  }
+  // Answers a call, which need not be that of a start.
                                .verdict(answered ? WorkerCallOutcome::kDone
                                                  : WorkerCallOutcome::kLost)
                                .born_ms(tables_.facts_->born_ms())
@@ -696,11 +707,9 @@
 // reports a crash until the holder has stored it.
 BOOST_AUTO_TEST_CASE(a_runner_reports_a_crash_until_it_is_acknowledged) {
   CrashingRunner runner;
-  runner.Start(1);
-  runner.Answer(true);
+  runner.StartConfirmed(1);
   runner.now_ += milliseconds(300);
-  runner.Start(2);
-  runner.Answer(true);
+  runner.StartConfirmed(2);
   runner.now_ += milliseconds(10);
   runner.Answer(false);
   runner.now_ += milliseconds(100);
@@ -728,7 +737,7 @@
 BOOST_AUTO_TEST_CASE(a_runner_checks_that_a_suspect_survives_its_start) {
   CrashingRunner runner;
   runner.ImmediatePolls();
-  runner.Start(1, true);
+  runner.StartConfirmed(1, true);
   BOOST_TEST(runner.tables_.poll_in_flight_);
   runner.now_ += milliseconds(99);
   BOOST_TEST(runner.ImmediatePolls() == 0U);
@@ -743,6 +752,27 @@
 
 // Guards against planned departures and silent workers that count as crashes.
 BOOST_AUTO_TEST_CASE(only_an_unannounced_end_of_an_incarnation_is_a_crash) {
+// Guards against a conviction by a start that never arrived: the answer to an
+// earlier call may come after a start that found the worker gone.
+BOOST_AUTO_TEST_CASE(a_start_without_an_answer_is_no_sign_of_life) {
+  CrashingRunner runner;
+  runner.StartConfirmed(1);
+  runner.now_ += milliseconds(300);
+  runner.Start(2);
+  runner.now_ += milliseconds(1);
+  // The answer to a poll that was sent before the start.
+  runner.Answer(true);
+  runner.now_ += milliseconds(10);
+  runner.Answer(false);
+  runner.now_ += seconds(3);
+  runner.Announce(2, false);
+  BOOST_REQUIRE(runner.Crashes().size() == 1U);
+  const WorkerCrash crash = runner.Crashes().front();
+  BOOST_REQUIRE(crash.runs().size() == 2U);
+  BOOST_TEST(crash.runs()[0].age_ms() == 301);
+  BOOST_TEST(crash.runs()[1].age_ms() < 0);
+}
+
   CrashingRunner drained;
   drained.Start(1);
   drained.Announce(1, true);
