Grant a worker its lease before it gets work

Cause: a worker that had been absent for a moment is recorded for the next holder, and gets no lease until that record is removed. It was open for work at once after the removal, but its next grant came up to 300 ms later.

Change: a worker is open once it was granted a lease in its session, and the grant goes out with the removal of the record, for the last report.

Test: holder_changes/a_worker_that_is_back_gets_a_lease_before_work. The test fleet of crashes grants leases before it places work, as the node does.

--- a/src/systems/scheduler/choose_worker.cc
+++ b/src/systems/scheduler/choose_worker.cc
@@ -139,6 +139,7 @@
 
 }  // namespace
 
+  if (!worker.leased()) return ClosedCause::kUnleased;
 ClosedCause FindClosedCause(const MemberName& name, const WorkerRow& worker,
                             const SchedulerTables& tables, Instant now) {
   if (!worker.reported() || !worker.facts()) return ClosedCause::kUnlisted;
@@ -166,33 +167,10 @@
   return schedulable;
 }
 
-std::vector<MemberName> SoundWorkers(const SchedulerTables& tables,
-                                     Instant now) {
-  std::vector<MemberName> sound;
-  for (const auto& [name, worker] : tables.workers_) {
-    const ClosedCause cause = FindClosedCause(name, worker, tables, now);
-    if (cause == ClosedCause::kOpen || cause == ClosedCause::kOrphanedRuns ||
-        cause == ClosedCause::kRecordedLost ||
-        cause == ClosedCause::kHandedOver) {
-      sound.push_back(name);
-    }
-  }
-  return sound;
-}
-
-bool IsHalfFree(const ServiceName& service,
-                const std::vector<MemberName>& sound,
-                const SchedulerTables& tables) {
-  std::int64_t reserved = 0;
-  std::int64_t capacity = 0;
-  for (const MemberName& name : sound) {
-    const WorkerDescription& facts = *tables.workers_.Find(name)->facts();
-    if (facts.service() != service) continue;
-    // A capacity that has shrunk may be exceeded.
-    reserved += std::min(tables.tasks_.UseOf(name).cpu(), facts.cpu());
-    capacity += facts.cpu();
-  }
-  return 2 * reserved < capacity;
+bool IsSound(ClosedCause cause) {
+  return cause == ClosedCause::kOpen || cause == ClosedCause::kOrphanedRuns ||
+         cause == ClosedCause::kRecordedLost ||
+         cause == ClosedCause::kHandedOver || cause == ClosedCause::kUnleased;
 }
 
 bool IsStarved(std::uint64_t job, const SchedulerTables& tables) {
--- a/src/systems/scheduler/choose_worker.h
+++ b/src/systems/scheduler/choose_worker.h
@@ -28,10 +28,13 @@
   /// The next holder may find a record by which nothing starts there.
   kHandedOver,
   /// No recent message of its runner, or no recent lease grant.
+  /// It has not been granted a lease in the session yet.
+  kUnleased,
   kOutOfTouch
 };
 BOOST_DESCRIBE_ENUM(ClosedCause, kOpen, kUnlisted, kDraining, kUnresponsive,
-                    kOrphanedRuns, kRecordedLost, kHandedOver, kOutOfTouch)
+                    kOrphanedRuns, kRecordedLost, kHandedOver, kUnleased,
+                    kOutOfTouch)
 
 /// Returns why the worker gets no new tasks at `now`, or kOpen if it may.
 ClosedCause FindClosedCause(const MemberName& name, const WorkerRow& worker,
--- a/src/systems/scheduler/hand_over_workers.cc
+++ b/src/systems/scheduler/hand_over_workers.cc
@@ -9,6 +9,7 @@
 #include "systems/scheduler/call_kvs.h"
 #include "systems/scheduler/confirm_epoch.h"
 #include "systems/scheduler/leader_election.h"
+#include "systems/scheduler/track_workers.h"
 
 namespace quetzalline {
 namespace {
@@ -233,6 +234,7 @@
         HandoverRow::Builder(RowOf(name, tables)).recorded(false).Build());
   }
   if (!batch.returned_workers_.empty()) tables.placement_due_ = true;
+    GrantOverdueLease(name, tables);
 }
 
 }  // namespace quetzalline
--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -413,9 +413,11 @@
     UpdateProgress(name, report, tables, tick);
   }
   HandleRefusals(name, report, tables, tick);
+                  .leased(false)
   ClearSurvivors(name, report, tables, tick);
 }
 
+                                .last_report(report.number())
 void GrantLeases(SchedulerTables& tables, SchedulerTick& tick) {
   if (!IsActing(tables) || tables.grants_due_.empty()) return;
   const std::map<ConnectionId, std::int64_t> due =
@@ -432,6 +434,16 @@
     const bool alive = worker->alive() && !worker->silent() &&
                        !IsHandedOver(found->second, tables);
     tables.workers_.Put(
+void GrantOverdueLease(const MemberName& name, SchedulerTables& tables) {
+  const MemberRow* member = tables.members_.Find(name);
+  const WorkerRow* worker = tables.workers_.Find(name);
+  if (member == nullptr || !member->connection()) return;
+  if (worker == nullptr || !worker->alive()) return;
+  tables.grants_due_[*member->connection()] = worker->last_report();
+  tables.workers_.Put(
+      name, WorkerRow::Builder(*worker).grant_sent_at(Instant()).Build());
+}
+
         found->second,
         WorkerRow::Builder(*worker)
             .granted_at(alive ? tick.now() : worker->granted_at())
@@ -452,6 +464,7 @@
     LogLine(tick, "worker-lost", 0,
             {Field("member", name.value()),
              Field("tasks", tables.tasks_.TasksOnWorker(name).size())});
+            .leased(alive || worker->leased())
     ReturnAllTasks(name, Reason::kLeaseLapsed, tables, tick);
     MarkConfirmedLost(name, tables, tick);
     const WorkerRow worker = *tables.workers_.Find(name);
@@ -464,6 +477,5 @@
     CloseMember(*member->connection(), tables, tick);
   }
 }
-            .leased(alive || worker->leased())
 
 }  // namespace quetzalline
--- a/src/systems/scheduler/track_workers.h
+++ b/src/systems/scheduler/track_workers.h
@@ -16,6 +16,18 @@
 void RecordMemberContact(ConnectionId connection, SchedulerTables& tables,
                          Instant now);
 
+/// Returns true if the worker's agent may still say what became of the runs
+/// whose lease has expired: which of them ended before, and which have lapsed.
+/// An agent that reports tells it. One that has just connected, or that has
+/// just lost its connection, is given the time to, measured by the attention of
+/// this holder: what it has said may lie unread.
+bool MayStillAnswer(const MemberName& name, const WorkerRow& worker,
+                    const SchedulerTables& tables);
+
+/// Lets the worker's lease be granted in this tick, although it has not just
+/// reported, because what held the grant back is over.
+void GrantOverdueLease(const MemberName& name, SchedulerTables& tables);
+
 /// Renews the leases of the workers that reported in this tick if MayAct()
 /// permits it; otherwise asks the store to confirm the epoch.
 void GrantLeases(SchedulerTables& tables, SchedulerTick& tick);
--- a/src/tables/worker_row.h
+++ b/src/tables/worker_row.h
@@ -38,6 +38,11 @@
   Instant granted_at() const { return granted_at_; }
   /// Time at which a lease was last sent to the runner.
   Instant grant_sent_at() const { return grant_sent_at_; }
+  /// Number of the last report in this session, to which a lease grant refers.
+  std::int64_t last_report() const { return last_report_; }
+  /// Returns true once a lease was granted in this session, so that a start
+  /// finds one.
+  bool leased() const { return leased_; }
   /// Highest number of an end that was processed.
   std::int64_t ends_seen() const { return ends_seen_; }
   /// Highest number of an end that was acknowledged, so that the runner may
@@ -60,7 +65,8 @@
  private:
   QUETZALLINE_VALUE(WorkerRow, facts_, listing_, granted_at_, grant_sent_at_,
                     ends_seen_, ends_noted_, failures_, rests_until_, silent_,
-                    clear_until_, fill_pace_, reconciled_)
+                    clear_until_, fill_pace_, reconciled_, last_report_,
+                    leased_)
 
   std::optional<WorkerDescription> facts_;
   RunListing listing_ = RunListing::kNone;
@@ -74,6 +80,8 @@
   Instant clear_until_ = Instant{};
   std::int32_t fill_pace_ = 100;
   bool reconciled_ = false;
+  std::int64_t last_report_ = 0;
+  bool leased_ = false;
 };
 
 /// Builds a WorkerRow; fields that are not set keep their defaults.
@@ -90,6 +98,10 @@
   Builder& grant_sent_at(Instant value) {
     return Set(value_.grant_sent_at_, value);
   }
+  Builder& last_report(std::int64_t value) {
+    return Set(value_.last_report_, value);
+  }
+  Builder& leased(bool value) { return Set(value_.leased_, value); }
   Builder& ends_seen(std::int64_t value) {
     return Set(value_.ends_seen_, value);
   }
--- a/test/cell/crashing_task_test.cc
+++ b/test/cell/crashing_task_test.cc
@@ -132,6 +132,7 @@
     tables().placement_due_ = true;
     IsolateSuspects(tables(), tick);
     PlaceRuns(tables(), tick);
+    GrantLeases(tables(), tick);
     std::vector<RunKey> started;
     for (const SchedulerEffect& effect : tick.TakeEffects()) {
       const auto* sent = std::get_if<SendToRunner>(&effect);
--- a/test/cell/holder_changes_test.cc
+++ b/test/cell/holder_changes_test.cc
@@ -171,6 +171,17 @@
   // lease was granted. The store has just confirmed the epoch.
   std::int64_t GrantAfterReport(Duration after) {
     SchedulerTick tick(kFleetNow + after, random_, tables().counters_);
+    return GrantAfterReport(after, WorkerReport::Builder().number(1).Build());
+  }
+  std::int64_t GrantAfterReport(Duration after, const WorkerReport& report) {
+    SchedulerTick tick(kFleetNow + after, random_, tables().counters_);
+    HandleReport(ConnectionId(1), report, tables(), tick);
+    return Grant(after);
+  }
+
+  // Grants the leases that are due and returns the number of the report for
+  // which that of the first worker was granted.
+  std::int64_t Grant(Duration after) {
     tables().term_ = HolderTerm::Builder(tables().term_)
                          .confirmed_at(kFleetNow + after)
                          .Build();
@@ -344,6 +355,34 @@
   HandOverAllWorkers(tables);
   BOOST_TEST(!fleet.Commit(Duration()).has_value());
 }
+// A worker is closed while it may be recorded for the next holder. Once it is
+// not, it must have a lease before it gets work, since it refuses what would
+// start without one.
+BOOST_AUTO_TEST_CASE(a_worker_that_is_back_gets_a_lease_before_work) {
+  HandoverFleet fleet;
+  SchedulerTables& tables = fleet.tables();
+  const auto cause = [&] {
+    return FindClosedCause(fleet.kName, *tables.workers_.Find(fleet.kName),
+                           tables, kFleetNow);
+  };
+  fleet.Track(Duration());
+  tables.handovers_.Put(fleet.kName,
+                        HandoverRow::Builder().recorded(true).Build());
+  const WorkerReport report =
+      WorkerReport::Builder()
+          .whole(true)
+          .number(5)
+          .facts(tables.workers_.Find(fleet.kName)->facts())
+          .Build();
+  BOOST_TEST(fleet.GrantAfterReport(Duration(), report) == 0);
+  BOOST_CHECK(cause() == ClosedCause::kHandedOver);
+  tables.handover_changes_[fleet.kName] = false;
+  fleet.Commit(milliseconds(10));
+  BOOST_CHECK(cause() == ClosedCause::kUnleased);
+  BOOST_TEST(fleet.Grant(milliseconds(10)) == 5);
+  BOOST_CHECK(cause() == ClosedCause::kOpen);
+}
+
 
 // A value that another writer left, or one under another kind of key, must not
 // end the wait for a lease.
--- a/test/support/placement_fleet.h
+++ b/test/support/placement_fleet.h
@@ -194,6 +194,7 @@
   Random random_;
   Instant now_ = kFleetNow;
   SchedulerTables tables_;
+                                   .leased(true)
   std::uint64_t last_job_ = 0;
 };
 
