Take the loss of half the fleet for one loss

Cause: crashes were held to share a cause only within a zone or under a label.

Change: three crashes and half of all workers within a second are inconclusive, too, unless one task is blamed for two of them.

Test: crashing_tasks/a_fleet_that_is_lost_convicts_nobody.

--- a/src/systems/scheduler/correlate_crashes.cc
+++ b/src/systems/scheduler/correlate_crashes.cc
@@ -48,6 +48,23 @@
   return correlated ? lost : std::vector<CrashKey>();
 }
 
+// Returns true if a task is blamed for two of the crashes, and may thereby be
+// what they have in common.
+bool BlamesOneTaskTwice(const std::vector<CrashKey>& crashes,
+                        const SchedulerTables& tables) {
+  std::set<TaskKey> blamed;
+  for (const CrashKey& key : crashes) {
+    std::set<TaskKey> tasks;
+    for (const RunKey& run : tables.crashes_.Find(key)->blamed()) {
+      tasks.insert(run.task());
+    }
+    for (const TaskKey& task : tasks) {
+      if (!blamed.insert(task).second) return true;
+    }
+  }
+  return false;
+}
+
 std::vector<CrashKey> FindCorrelated(const CrashRow& crash,
                                      const SchedulerTables& tables) {
   std::vector<CrashKey> lost;
@@ -59,6 +76,16 @@
         },
         tables);
   }
+  // The whole fleet may share a cause that no zone or label names.
+  if (lost.empty()) {
+    lost = FindLoss(
+        crash,
+        [](const AvailabilityZone&, const std::vector<std::string>&) {
+          return true;
+        },
+        tables);
+    if (BlamesOneTaskTwice(lost, tables)) lost.clear();
+  }
   for (const std::string& label : crash.labels()) {
     if (!lost.empty()) break;
     lost = FindLoss(
--- a/test/cell/crashing_task_test.cc
+++ b/test/cell/crashing_task_test.cc
@@ -608,6 +608,23 @@
 
 // Guards against tasks that crash several workers of a zone at about the same
 // time and are taken for the victims of a lost rack again and again.
+// Half of the fleet is lost at once, and no zone or label says that its workers
+// have anything in common.
+BOOST_AUTO_TEST_CASE(a_fleet_that_is_lost_convicts_nobody) {
+  CrashingFleet fleet(6);
+  const std::uint64_t job = fleet.fleet_.AddJob(Step(4));
+  for (int worker = 0; worker < 4; ++worker) {
+    fleet.Assign(job, worker, worker, 1);
+    fleet.Crash(worker, {Lost(RunOf(job, worker, 1), 5)}, 3000 + 100 * worker);
+  }
+  for (std::int32_t index = 0; index < 4; ++index) {
+    BOOST_TEST(Conclusive(*fleet.Suspect(job, index)) == 0);
+  }
+  fleet.Assign(job, 0, 4, 2);
+  fleet.Crash(4, {Lost(RunOf(job, 0, 2), 5)}, 0);
+  BOOST_TEST((fleet.State(job) != JobState::kFailed));
+}
+
 BOOST_AUTO_TEST_CASE(tasks_that_crash_a_zone_are_given_up) {
   VirtualCell cell(6, 1, 1);
   for (std::size_t i = 0; i < cell.agents(); ++i) {
