Let a holder without the store act only on an unbroken majority

A confirmation by the store counted from when the answer was handled, not from when the call was sent, so that an answer which lay unread confirmed a time after a successor's claim.

Change: a majority permits acting only if there was one at each check since the store last confirmed the epoch; the scheduler passes the epoch that the store shows to the runner of its process, which leaves an earlier holder; a confirmation counts from its call.

Tests: three in takeovers.

--- a/src/messages/runner_input.h
+++ b/src/messages/runner_input.h
@@ -5,6 +5,7 @@
 
 #include "messages/connection_closed.h"
 #include "messages/connection_opened.h"
+#include "messages/holder_epoch_seen.h"
 #include "messages/kvs_answer.h"
 #include "messages/runner_message_received.h"
 #include "messages/stop_requested.h"
@@ -18,7 +19,7 @@
 using RunnerInput =
     std::variant<ConnectionOpened, ConnectionClosed, RunnerMessageReceived,
                  WorkerAnnounced, WorkerLeft, WorkerAnswer, KvsAnswer,
-                 StopRequested>;
+                 HolderEpochSeen, StopRequested>;
 
 }  // namespace quetzalline
 
--- a/src/messages/scheduler_effect.h
+++ b/src/messages/scheduler_effect.h
@@ -6,6 +6,7 @@
 #include "messages/close_connection.h"
 #include "messages/dial_peer.h"
 #include "messages/drop_peer.h"
+#include "messages/holder_epoch_seen.h"
 #include "messages/kvs_commit.h"
 #include "messages/kvs_end_lease.h"
 #include "messages/kvs_get.h"
@@ -24,7 +25,8 @@
 using SchedulerEffect =
     std::variant<KvsGet, KvsList, KvsWatch, KvsCommit, KvsOpenLease,
                  KvsRenewLease, KvsEndLease, DialPeer, DropPeer, SendToRunner,
-                 SendToGateway, CloseConnection, ReadWallClock, LogDecision>;
+                 SendToGateway, CloseConnection, ReadWallClock, HolderEpochSeen,
+                 LogDecision>;
 
 }  // namespace quetzalline
 
--- a/src/systems/runner/manage_holder_session.cc
+++ b/src/systems/runner/manage_holder_session.cc
@@ -109,6 +109,16 @@
   for (auto& [key, run] : unresolved) tables.runs_.Put(key, std::move(run));
 }
 
+// Tells a holder that another one has replaced it, and closes its connection.
+void RejectHolder(ConnectionId connection, std::int64_t epoch,
+                  RunnerTick& tick) {
+  tick.Emit(SendToHolder::Builder()
+                .connection(connection)
+                .message(HolderSuperseded::Builder().epoch(epoch).Build())
+                .Build());
+  tick.Emit(CloseConnection::Builder().connection(connection).Build());
+}
+
 }  // namespace
 
 void HandleAttach(ConnectionId connection, const AttachRunner& attach,
@@ -118,23 +128,12 @@
                                     .epoch(current.epoch())
                                     .session(current.session())
                                     .Build();
-  if (attach <= followed) {
-    tick.Emit(
-        SendToHolder::Builder()
-            .connection(connection)
-            .message(HolderSuperseded::Builder().epoch(current.epoch()).Build())
-            .Build());
-    tick.Emit(CloseConnection::Builder().connection(connection).Build());
-    return;
+  if (attach <= followed || attach.epoch() < tables.stored_epoch_) {
+    return RejectHolder(connection,
+                        std::max(current.epoch(), tables.stored_epoch_), tick);
   }
   if (current.connection()) {
-    tick.Emit(
-        SendToHolder::Builder()
-            .connection(*current.connection())
-            .message(HolderSuperseded::Builder().epoch(attach.epoch()).Build())
-            .Build());
-    tick.Emit(
-        CloseConnection::Builder().connection(*current.connection()).Build());
+    RejectHolder(*current.connection(), attach.epoch(), tick);
   }
   LogLine(tick, "holder-followed", 0,
           {Field("epoch", attach.epoch()), Field("session", attach.session()),
@@ -153,6 +152,21 @@
   tables.full_report_due_ = !tables.facts_.has_value();
 }
 
+void HandleHolderEpochSeen(const HolderEpochSeen& seen, RunnerTables& tables,
+                           RunnerTick& tick) {
+  // Not the highest one: what another writer left may be replaced by less.
+  tables.stored_epoch_ = seen.epoch();
+  const HolderSession& session = tables.session_;
+  if (!session.connection() || session.epoch() >= seen.epoch()) return;
+  LogLine(
+      tick, "holder-superseded", 0,
+      {Field("epoch", session.epoch()), Field("stored_epoch", seen.epoch())});
+  const ConnectionId connection = *session.connection();
+  RejectHolder(connection, seen.epoch(), tick);
+  HandleHolderDisconnected(
+      ConnectionClosed::Builder().connection(connection).Build(), tables);
+}
+
 void HandleLeaseGrant(const GrantLease& grant, RunnerTables& tables,
                       RunnerTick& tick) {
   tables.holder_heard_at_ = tick.now();
--- a/src/systems/runner/manage_holder_session.h
+++ b/src/systems/runner/manage_holder_session.h
@@ -5,6 +5,7 @@
 #include "messages/attach_runner.h"
 #include "messages/connection_closed.h"
 #include "messages/grant_lease.h"
+#include "messages/holder_epoch_seen.h"
 #include "systems/runner/runner_tick.h"
 #include "tables/runner_tables.h"
 
@@ -16,6 +17,11 @@
 void HandleAttach(ConnectionId connection, const AttachRunner& attach,
                   RunnerTables& tables, RunnerTick& tick);
 
+/// Handles the epoch of the holder that the store shows to this process. A
+/// holder of an earlier epoch is told that it was superseded.
+void HandleHolderEpochSeen(const HolderEpochSeen& seen, RunnerTables& tables,
+                           RunnerTick& tick);
+
 /// Extends the worker's lease, counted from the time at which the report that
 /// the grant refers to was sent. Ignores grants for unknown reports and while
 /// the worker is unresponsive.
--- a/src/systems/runner/runner_node.cc
+++ b/src/systems/runner/runner_node.cc
@@ -129,6 +129,9 @@
               HandleRegistrationAnswer(i.ticket(), i.result(),
                                        tables_.registration_, tick);
             },
+            [&](const HolderEpochSeen& i) {
+              HandleHolderEpochSeen(i, tables_, tick);
+            },
             [](const StopRequested&) {},
         },
         input);
--- a/src/systems/scheduler/commit_progress.cc
+++ b/src/systems/scheduler/commit_progress.cc
@@ -6,6 +6,7 @@
 #include "systems/cell/log_fields.h"
 #include "systems/scheduler/admit_jobs.h"
 #include "systems/scheduler/call_kvs.h"
+#include "systems/scheduler/confirm_epoch.h"
 #include "systems/scheduler/hand_over_workers.h"
 #include "systems/scheduler/leader_election.h"
 #include "systems/scheduler/track_crashes.h"
@@ -203,8 +204,8 @@
   tables.term_ = HolderTerm::Builder(tables.term_)
                      .revision(revision)
                      .restore_holder(false)
-                     .confirmed_at(tick.now())
                      .Build();
+  ConfirmEpochAt(batch.since_, tables);
   for (const std::uint64_t job : batch.jobs_) {
     MarkJobStored(job, tick.now(), tables);
   }
--- a/src/systems/scheduler/confirm_epoch.cc
+++ b/src/systems/scheduler/confirm_epoch.cc
@@ -1,5 +1,7 @@
 #include "systems/scheduler/confirm_epoch.h"
 
+#include <algorithm>
+
 #include "systems/cell/cell_keys.h"
 #include "systems/cell/log_fields.h"
 #include "systems/scheduler/call_kvs.h"
@@ -28,7 +30,18 @@
 
 bool MayAct(const SchedulerTables& tables, Instant now) {
   if (now - tables.term_.confirmed_at() <= kContactWindow) return true;
-  return now >= tables.contact_untrusted_until_ && HasMajority(tables, now);
+  // Without a majority at any moment since the store last confirmed the epoch,
+  // a later holder may have acted, and runners may have followed it.
+  const bool unbroken =
+      tables.majority_missed_at_ <= tables.term_.confirmed_at();
+  return unbroken && now >= tables.contact_untrusted_until_ &&
+         HasMajority(tables, now);
+}
+
+void TrackMajority(SchedulerTables& tables, SchedulerTick& tick) {
+  if (!HasMajority(tables, tick.now())) {
+    tables.majority_missed_at_ = tick.now();
+  }
 }
 
 void DetectStall(SchedulerTables& tables, SchedulerTick& tick) {
@@ -37,6 +50,7 @@
   if (!stalled || !IsHolder(tables)) return;
   LogLine(tick, "stall-detected", 0, {Field("epoch", tables.term_.epoch())});
   tables.contact_untrusted_until_ = tick.now() + kContactWindow;
+  tables.majority_missed_at_ = tick.now();
   tables.term_ =
       HolderTerm::Builder(tables.term_).confirmed_at(Instant()).Build();
 }
@@ -47,8 +61,8 @@
   GetKey(kEpochKey, ConfirmingEpoch(), tables, tick);
 }
 
-void HandleEpochCheck(const KvsResult& result, SchedulerTables& tables,
-                      SchedulerTick& tick) {
+void HandleEpochCheck(const KvsResult& result, Instant asked_at,
+                      SchedulerTables& tables, SchedulerTick& tick) {
   if (!IsActing(tables)) return;
   const auto* read = std::get_if<KvsItems>(&result);
   if (read == nullptr) return;
@@ -56,8 +70,14 @@
   if (stored == nullptr || stored->epoch() != tables.term_.epoch()) {
     return StepDown("the store shows another epoch", tables, tick);
   }
+  ConfirmEpochAt(asked_at, tables);
+}
+
+void ConfirmEpochAt(Instant asked_at, SchedulerTables& tables) {
   tables.term_ =
-      HolderTerm::Builder(tables.term_).confirmed_at(tick.now()).Build();
+      HolderTerm::Builder(tables.term_)
+          .confirmed_at(std::max(tables.term_.confirmed_at(), asked_at))
+          .Build();
 }
 
 }  // namespace quetzalline
--- a/src/systems/scheduler/confirm_epoch.h
+++ b/src/systems/scheduler/confirm_epoch.h
@@ -17,6 +17,10 @@
 /// kContactWindow. Otherwise another process may be the holder already.
 bool MayAct(const SchedulerTables& tables, Instant now);
 
+/// Records when no majority of the runners is in contact. What a majority
+/// permits then needs a confirmation by the store first.
+void TrackMajority(SchedulerTables& tables, SchedulerTick& tick);
+
 /// Detects that this process was stalled. Messages that were queued during the
 /// stall do not prove that their senders still follow this holder, so contact
 /// counts again only after kContactWindow.
@@ -26,10 +30,15 @@
 /// confirmation interval.
 void ConfirmEpoch(SchedulerTables& tables, SchedulerTick& tick);
 
-/// Handles the read of the epoch's key: records the confirmation, or steps down
-/// if the store shows another epoch.
-void HandleEpochCheck(const KvsResult& result, SchedulerTables& tables,
-                      SchedulerTick& tick);
+/// Handles the read of the epoch's key that was sent at `asked_at`: records the
+/// confirmation, or steps down if the store shows another epoch.
+void HandleEpochCheck(const KvsResult& result, Instant asked_at,
+                      SchedulerTables& tables, SchedulerTick& tick);
+
+/// Records that the store has confirmed the epoch by the answer to a call that
+/// was sent at `asked_at`. The answer may have waited to be read, so it proves
+/// nothing about a later time.
+void ConfirmEpochAt(Instant asked_at, SchedulerTables& tables);
 
 }  // namespace quetzalline
 
--- a/src/systems/scheduler/dispatch_inputs.cc
+++ b/src/systems/scheduler/dispatch_inputs.cc
@@ -39,7 +39,9 @@
           [&](const OpeningHolderLease&) {
             HandleHolderLease(result, tables, tick);
           },
-          [&](const ClaimingCell&) { HandleClaimResult(result, tables, tick); },
+          [&](const ClaimingCell&) {
+            HandleClaimResult(result, pending.sent_at(), tables, tick);
+          },
           [&](const RenewingHolderLease&) {
             HandleRenewalResult(result, tables, tick);
           },
@@ -64,7 +66,7 @@
             HandleCommitCheck(result, tables, tick);
           },
           [&](const ConfirmingEpoch&) {
-            HandleEpochCheck(result, tables, tick);
+            HandleEpochCheck(result, pending.sent_at(), tables, tick);
           },
           [&](const ProbingJob& p) {
             HandleJobProbe(p.caller(), result, tables, tick);
--- a/src/systems/scheduler/leader_election.cc
+++ b/src/systems/scheduler/leader_election.cc
@@ -126,14 +126,17 @@
   tick.Emit(KvsEndLease::Builder().ticket(ticket).lease(lease).Build());
 }
 
+// `claimed_at` is a time at which the claim may have been applied at the
+// earliest.
 void BeginTerm(std::int64_t epoch, std::int64_t revision, std::uint64_t lease,
-               SchedulerTables& tables, SchedulerTick& tick) {
+               Instant claimed_at, SchedulerTables& tables,
+               SchedulerTick& tick) {
   tables.term_ = HolderTerm::Builder()
                      .epoch(epoch)
                      .revision(revision)
                      .lease(lease)
                      .renew_at(tick.now() + tables.policy_.holder_renewal())
-                     .confirmed_at(tick.now())
+                     .confirmed_at(claimed_at)
                      .Build();
   LogLine(tick, "cell-taken", 0,
           {Field("epoch", epoch), Field("revision", revision)});
@@ -241,8 +244,9 @@
       return EndHolderLease(tables.term_.lease(), tables, tick);
     }
     return BeginTerm(holder->epoch(), item.revision(), tables.term_.lease(),
-                     tables, tick);
+                     tick.now() - round_trip, tables, tick);
   }
+  tick.Emit(HolderEpochSeen::Builder().epoch(holder->epoch()).Build());
   ObserveHolder(read->revision(), tables, tick);
 }
 
@@ -312,13 +316,13 @@
              {}, ClaimingCell(), tables, tick);
 }
 
-void HandleClaimResult(const KvsResult& result, SchedulerTables& tables,
-                       SchedulerTick& tick) {
+void HandleClaimResult(const KvsResult& result, Instant asked_at,
+                       SchedulerTables& tables, SchedulerTick& tick) {
   if (!std::holds_alternative<HolderClaiming>(tables.stage_)) return;
   const auto* committed = std::get_if<KvsCommitted>(&result);
   if (committed == nullptr) return ResumeFollowing(tables, tick);
   BeginTerm(tables.term_.epoch(), committed->revision(), tables.term_.lease(),
-            tables, tick);
+            asked_at, tables, tick);
 }
 
 void HandleRenewalResult(const KvsResult& result, SchedulerTables& tables,
--- a/src/systems/scheduler/leader_election.h
+++ b/src/systems/scheduler/leader_election.h
@@ -44,8 +44,8 @@
 void HandleHolderLease(const KvsResult& result, SchedulerTables& tables,
                        SchedulerTick& tick);
 /// Handles the result of a claim; on success the term begins.
-void HandleClaimResult(const KvsResult& result, SchedulerTables& tables,
-                       SchedulerTick& tick);
+void HandleClaimResult(const KvsResult& result, Instant asked_at,
+                       SchedulerTables& tables, SchedulerTick& tick);
 /// Handles a lease renewal. A new lease is opened if the store no longer knows
 /// the old one.
 void HandleRenewalResult(const KvsResult& result, SchedulerTables& tables,
--- a/src/tables/runner_tables.h
+++ b/src/tables/runner_tables.h
@@ -36,6 +36,8 @@
   /// while the process was stalled.
   Instant commands_stale_until_;
   HolderSession session_;
+  /// Epoch of the latest holder that the store has shown to this process.
+  std::int64_t stored_epoch_ = 0;
   /// Time of the last message from the holder.
   Instant holder_heard_at_;
   /// Times at which the latest reports were sent, by report number.
--- a/src/tables/scheduler_tables.h
+++ b/src/tables/scheduler_tables.h
@@ -135,6 +135,22 @@
   /// may have waited while the process was stalled.
   Instant contact_untrusted_until_;
   Instant last_tick_;
+  /// Last time at which no majority of the runners was in contact.
+  Instant majority_missed_at_;
+  /// The time for which this process has attended to its inputs, as an instant:
+  /// the time of its first tick, and what it has attended since.
+  Instant attention_;
+  /// Time of the last tick that counted for it.
+  Instant attended_at_;
+  /// Longest time between two ticks in this term.
+  Duration longest_pause_{};
+  Instant next_pause_log_;
+  /// Number of tasks that a tick may start; fewer while ticks take long.
+  std::int32_t starts_per_tick_ = 1;
+  /// True if the last placement left tasks to the next tick.
+  bool starts_limited_ = false;
+  /// Time of the next walk over all members and workers.
+  Instant next_walk_;
   /// Time of the next heartbeat to the entries.
   Instant next_entry_heartbeat_;
   /// True if a change may allow waiting work to be placed.
--- a/test/cell/takeover_test.cc
+++ b/test/cell/takeover_test.cc
@@ -1,7 +1,10 @@
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 #include "support/placement_fleet.h"
 #include "support/virtual_cell.h"
+#include "systems/cell/cell_keys.h"
+#include "systems/runner/manage_holder_session.h"
 #include "systems/scheduler/confirm_epoch.h"
 #include "systems/scheduler/reconcile_tasks.h"
 #include "systems/scheduler/track_members.h"
@@ -308,3 +311,76 @@
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace quetzalline
+// A holder without the store lost its majority and regained it from runners
+// that had been away or had started again. A later holder had the store in
+// between: it had cancelled jobs that the earlier one then started.
+BOOST_AUTO_TEST_CASE(a_majority_that_was_missed_needs_the_store) {
+  PlacementFleet fleet(3);
+  SchedulerTables& tables = fleet.tables();
+  tables.term_ = HolderTerm::Builder(tables.term_)
+                     .confirmed_at(kFleetNow - seconds(10))
+                     .Build();
+  BOOST_TEST(MayAct(tables, kFleetNow));
+  const Instant later = kFleetNow + seconds(2);
+  Random random(1);
+  SchedulerTick tick(later, random, tables.counters_);
+  TrackMajority(tables, tick);
+  for (const auto& [name, row] : tables.members_.Sorted()) {
+    tables.members_.Put(name, MemberRow::Builder(row).heard_at(later).Build());
+  }
+  BOOST_TEST(!MayAct(tables, later));
+  ConfirmEpochAt(later, tables);
+  BOOST_TEST(MayAct(tables, later + seconds(1)));
+}
+
+// The answer to a read of the epoch lay unread while the process was busy, and
+// a later holder had taken the cell in the meantime.
+BOOST_AUTO_TEST_CASE(an_answer_that_waited_confirms_the_time_of_its_call) {
+  PlacementFleet fleet(3);
+  SchedulerTables& tables = fleet.tables();
+  tables.term_ =
+      HolderTerm::Builder(tables.term_).confirmed_at(Instant()).Build();
+  Random random(1);
+  SchedulerTick tick(kFleetNow, random, tables.counters_);
+  const KvsItems epoch =
+      KvsItems::Builder()
+          .items({KvsItem::Builder()
+                      .key(std::string(kEpochKey))
+                      .revision(5)
+                      .record(HolderRecord::Builder().epoch(1).Build())
+                      .Build()})
+          .revision(5)
+          .Build();
+  HandleEpochCheck(epoch, kFleetNow - seconds(3), tables, tick);
+  BOOST_CHECK(tables.term_.confirmed_at() == kFleetNow - seconds(3));
+}
+
+// A runner followed a holder without the store although its own process had
+// read in the store that another one holds the cell.
+BOOST_AUTO_TEST_CASE(a_runner_leaves_a_holder_that_the_store_shows_replaced) {
+  RunnerTables tables;
+  Random random(1);
+  const auto attach = [&](std::uint64_t connection, std::int64_t epoch) {
+    RunnerTick tick(kFleetNow, random, tables.counters_);
+    HandleAttach(ConnectionId(connection),
+                 AttachRunner::Builder().epoch(epoch).session(1).Build(),
+                 tables, tick);
+    return tables.session_.connection() == ConnectionId(connection);
+  };
+  BOOST_TEST(attach(1, 3));
+  RunnerTick tick(kFleetNow, random, tables.counters_);
+  HandleHolderEpochSeen(HolderEpochSeen::Builder().epoch(4).Build(), tables,
+                        tick);
+  const std::vector<RunnerEffect> effects = tick.TakeEffects();
+  const bool told =
+      std::any_of(effects.begin(), effects.end(), [](const RunnerEffect& e) {
+        const auto* sent = std::get_if<SendToHolder>(&e);
+        return sent != nullptr &&
+               std::holds_alternative<HolderSuperseded>(sent->message());
+      });
+  BOOST_TEST(told);
+  BOOST_TEST(!tables.session_.connection().has_value());
+  BOOST_TEST(!attach(2, 3));
+  BOOST_TEST(attach(3, 4));
+}
+
--- a/test/faults/cell_schedule_test.cc
+++ b/test/faults/cell_schedule_test.cc
@@ -35,8 +35,16 @@
     8850,
     // A previous holder restarted the tasks of a worker that had shut down.
     30370,
+    // A holder without the store acted on a majority that it had regained, or
+    // that did not include a process which had read of its successor.
+    30111,
+    83862,
 };
 
+// The same for schedules with lost answers: a holder without the store started
+// tasks of a job that its successor had cancelled.
+constexpr std::uint64_t kLostAnswerRegressionSeeds[] = {81982, 91915, 91949};
+
 // The same for schedules with departures of workers.
 constexpr std::uint64_t kDepartureRegressionSeeds[] = {
     // The lease of a worker that was lost with its agent was renewed.
@@ -84,6 +92,9 @@
 // late.
 BOOST_AUTO_TEST_CASE(random_lost_answers_violate_no_invariant) {
   RunSeeds(ScheduleFaults::kLostAnswers, 150);
+  for (const std::uint64_t seed : kLostAnswerRegressionSeeds) {
+    RunSeed(seed, ScheduleFaults::kLostAnswers);
+  }
 }
 
 // Guards against starts that exceed a capacity which has shrunk, and against
@@ -98,6 +109,12 @@
   RunSeeds(ScheduleFaults::kHolderChanges, 150);
 }
 
+// Guards against conclusions of a process that is late with its own work: that
+// others are silent, or that what they ran has lapsed.
+BOOST_AUTO_TEST_CASE(random_late_processes_violate_no_invariant) {
+  RunSeeds(ScheduleFaults::kLateProcesses, 150);
+}
+
 BOOST_AUTO_TEST_CASE(regression_seeds_violate_no_invariant) {
   for (const std::uint64_t seed : kRegressionSeeds) RunSeed(seed);
 }
--- a/test/support/virtual_cell.cc
+++ b/test/support/virtual_cell.cc
@@ -360,6 +360,7 @@
           [&](const LogDecision& e) { Trace(events_.now(), name, e); },
           [&](const auto& e) { kv_.Perform(name, e, post); },
       },
+          [&](const HolderEpochSeen& e) { agents_[agent].runner_->Post(e); },
       effect);
 }
 
