--- a/src/systems/scheduler/choose_worker.cc
+++ b/src/systems/scheduler/choose_worker.cc
@@ -8,9 +8,11 @@
 namespace quetzalline {
 namespace {
 
-// A worker whose last heartbeat or lease grant is older than this gets no new
-// work.
+// A worker that was last heard this long ago, by the time that this holder has
+// attended, gets no new work.
 constexpr Duration kMaxHeartbeatAge = std::chrono::milliseconds(900);
+// Neither does one whose lease was granted longer ago: half a lease.
+constexpr Duration kMaxGrantAge = std::chrono::milliseconds(2500);
 // Cost that outweighs all others: the worker is chosen only if there is no
 // alternative. Keeps tasks off workers that fail them, and services off cleared
 // workers.
@@ -87,33 +89,17 @@
                            : policy.other_image_cost();
 }
 
-// Returns true if the worker runs a best-effort image whose interference with
-// one of the services there has not been measured yet.
-bool HasUnmeasuredPair(const MemberName& name, const SchedulerTables& tables) {
-  const ImageUse& images = tables.tasks_.ImagesOnWorker(name);
-  for (const auto& [best_effort, millicores] : images.filling_) {
-    for (const auto& [service, tasks] : images.serving_) {
-      const bool known = tables.interference_.Find(ImagePair::Builder()
-                                                       .filling(best_effort)
-                                                       .serving(service)
-                                                       .Build()) != nullptr;
-      if (!known) return true;
-    }
-  }
-  return false;
-}
-
 // Returns true if one more best-effort task keeps the tail latencies on the
 // worker within their limit. No task is added while those on the worker are
 // throttled. Pairs of images without measurements are tried one task at a time.
-bool AllowsBestEffortTask(const MemberName& name,
+bool AllowsBestEffortTask(const WorkerRow& worker,
+                          const WorkerForecast& services,
                           const InterferenceForecast& forecast,
-                          const SchedulerTables& tables) {
+                          const PlacementPolicy& policy) {
   constexpr std::int32_t kFullRate = 100;
-  if (tables.workers_.Find(name)->fill_pace() != kFullRate) return false;
-  const double highest = tables.policy_.placement().highest_tail_percent();
-  if (forecast.tail_percent_ > highest) return false;
-  return !forecast.unmeasured_ || !HasUnmeasuredPair(name, tables);
+  if (worker.fill_pace() != kFullRate) return false;
+  if (forecast.tail_percent_ > policy.highest_tail_percent()) return false;
+  return !forecast.unmeasured_ || !services.unmeasured_;
 }
 
 // Returns true if a worker with this use has the capacity for one more task of
@@ -139,20 +125,21 @@
 
 }  // namespace
 
-  if (!worker.leased()) return ClosedCause::kUnleased;
 ClosedCause FindClosedCause(const MemberName& name, const WorkerRow& worker,
                             const SchedulerTables& tables, Instant now) {
   if (!worker.reported() || !worker.facts()) return ClosedCause::kUnlisted;
   if (worker.facts()->draining()) return ClosedCause::kDraining;
   if (worker.silent()) return ClosedCause::kUnresponsive;
   const MemberRow* member = tables.members_.Find(name);
-  const bool in_touch = member != nullptr && member->connection() &&
-                        now - member->heard_at() <= kMaxHeartbeatAge &&
-                        now - worker.granted_at() <= kMaxHeartbeatAge;
+  const bool in_touch =
+      member != nullptr && member->connection() &&
+      tables.attention_ - member->heard_attention() <= kMaxHeartbeatAge &&
+      now - worker.granted_at() <= kMaxGrantAge;
   if (!in_touch) return ClosedCause::kOutOfTouch;
   if (tables.orphaned_runs_.count(name) > 0) return ClosedCause::kOrphanedRuns;
   if (tables.confirmed_lost_.count(name) > 0) return ClosedCause::kRecordedLost;
   if (IsHandedOver(name, tables)) return ClosedCause::kHandedOver;
+  if (!worker.leased()) return ClosedCause::kUnleased;
   return ClosedCause::kOpen;
 }
 
@@ -196,20 +183,24 @@
   return FitsWithin(kAllCpuPercent, step, facts, use, policy);
 }
 
-std::optional<WorkerCandidate> EvaluateWorker(
+namespace {
+
+// Evaluates a worker for a step whose best-effort tasks may use this percentage
+// of its CPU.
+std::optional<WorkerCandidate> Evaluate(
     const StepKey& key, const JobStep& step, const ServiceName& service,
-    const MemberName& name, const SchedulerTables& tables, WaitCauses& causes) {
+    std::int64_t best_effort_percent, std::size_t row, std::size_t position,
+    const SchedulerTables& tables, PlacementPass& pass, WaitCauses& causes) {
   const PlacementPolicy& policy = tables.policy_.placement();
-  const WorkerRow& worker = *tables.workers_.Find(name);
+  const MemberName& name = pass.workers_[position].name_;
+  const WorkerRow& worker = *pass.workers_[position].row_;
+  const WorkerUse& use = pass.workers_[position].use_;
   const WorkerDescription& facts = *worker.facts();
   if (!IsSuitable(step, service, facts) ||
       !AllowsTask(key, step, name, 0, tables)) {
     ++causes.unsuitable_;
     return std::nullopt;
   }
-  const WorkerUse& use = tables.tasks_.UseOf(name);
-  const std::int64_t best_effort_percent =
-      IsStarved(key.job(), tables) ? kOvercommittedCpuPercent : kAllCpuPercent;
   if (!FitsWithin(best_effort_percent, step, facts, use, policy)) {
     ++causes.no_capacity_;
     return std::nullopt;
@@ -220,16 +211,18 @@
   }
   const bool quarantined = worker.rests_until() > tables.last_tick_;
   WorkerCandidate candidate;
-  candidate.worker_ = name;
+  candidate.worker_ = position;
   // Long-running services have to run somewhere; other tasks wait until the
   // quarantine ends or they are overdue.
   candidate.quarantined_ = quarantined && !step.long_running();
   if (candidate.quarantined_) ++causes.quarantined_;
   bool low_interference = false;
   if (step.fills() && use.serving_cpu() > 0) {
+    const WorkerForecast& services = ForecastOf(position, tables, pass);
     const InterferenceForecast forecast =
-        PredictInterference(name, step, tables);
-    candidate.interferes_ = !AllowsBestEffortTask(name, forecast, tables);
+        PredictInterference(services, row, step.cpu(), pass.interference_);
+    candidate.interferes_ =
+        !AllowsBestEffortTask(worker, services, forecast, policy);
     low_interference = !forecast.unmeasured_ &&
                        forecast.added_percent_ < policy.quiet_percent();
   }
@@ -246,30 +239,51 @@
   return candidate;
 }
 
-std::vector<WorkerCandidate> FindCandidates(
+std::int64_t BestEffortPercent(const StepKey& key,
+                               const SchedulerTables& tables) {
+  return IsStarved(key.job(), tables) ? kOvercommittedCpuPercent
+                                      : kAllCpuPercent;
+}
+
+}  // namespace
+
+std::optional<WorkerCandidate> EvaluateWorker(
     const StepKey& key, const JobStep& step, const ServiceName& service,
-    const std::vector<MemberName>& schedulable, const SchedulerTables& tables,
+    std::size_t position, const SchedulerTables& tables, PlacementPass& pass,
     WaitCauses& causes) {
+  return Evaluate(key, step, service, BestEffortPercent(key, tables),
+                  pass.interference_.RowOf(step.image()), position, tables,
+                  pass, causes);
+}
+
+std::vector<WorkerCandidate> FindCandidates(
+    const StepKey& key, const JobStep& step, const ServiceName& service,
+    const SchedulerTables& tables, PlacementPass& pass, WaitCauses& causes) {
+  const std::int64_t best_effort_percent = BestEffortPercent(key, tables);
+  const std::size_t row = pass.interference_.RowOf(step.image());
   std::vector<WorkerCandidate> candidates;
-  for (const MemberName& name : schedulable) {
-    auto candidate = EvaluateWorker(key, step, service, name, tables, causes);
-    if (candidate) candidates.push_back(std::move(*candidate));
+  for (std::size_t i = 0; i < pass.workers_.size(); ++i) {
+    auto candidate = Evaluate(key, step, service, best_effort_percent, row, i,
+                              tables, pass, causes);
+    if (candidate) candidates.push_back(*candidate);
   }
   return candidates;
 }
 
 std::optional<std::size_t> BestCandidate(
     const std::vector<WorkerCandidate>& candidates, bool overdue,
-    const MemberName& failed_on) {
+    const MemberName& failed_on, const PlacementPass& pass) {
   std::optional<std::size_t> best;
   double least = 0.0;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const WorkerCandidate& candidate = candidates[i];
     const bool avoided = candidate.interferes_ || candidate.quarantined_;
     if (avoided && !overdue) continue;
+    const bool failed_there =
+        !failed_on.empty() &&
+        pass.workers_[candidate.worker_].name_ == failed_on;
     const double cost =
-        candidate.cost_ +
-        (candidate.worker_ == failed_on ? kLastResortCost : 0.0);
+        candidate.cost_ + (failed_there ? kLastResortCost : 0.0);
     if (best && cost >= least) continue;
     best = i;
     least = cost;
--- a/src/systems/scheduler/choose_worker.h
+++ b/src/systems/scheduler/choose_worker.h
@@ -9,6 +9,7 @@
 
 #include "core/job_step.h"
 #include "core/step_key.h"
+#include "systems/scheduler/placement_pass.h"
 #include "tables/scheduler_tables.h"
 
 namespace quetzalline {
@@ -27,9 +28,9 @@
   kRecordedLost,
   /// The next holder may find a record by which nothing starts there.
   kHandedOver,
-  /// No recent message of its runner, or no recent lease grant.
   /// It has not been granted a lease in the session yet.
   kUnleased,
+  /// No recent message of its runner, or no recent lease grant.
   kOutOfTouch
 };
 BOOST_DESCRIBE_ENUM(ClosedCause, kOpen, kUnlisted, kDraining, kUnresponsive,
@@ -40,22 +41,14 @@
 ClosedCause FindClosedCause(const MemberName& name, const WorkerRow& worker,
                             const SchedulerTables& tables, Instant now);
 
+/// Returns true if the CPU of such a worker counts as capacity: it is open, or
+/// in touch but closed for what runs there or is recorded of it.
+bool IsSound(ClosedCause cause);
+
 /// Returns the workers that may receive new tasks of any service at `now`.
 std::vector<MemberName> SchedulableWorkers(const SchedulerTables& tables,
                                            Instant now);
 
-/// Returns the workers whose CPU counts as capacity: the schedulable ones, and
-/// those that are in touch but closed for what runs there or is recorded of
-/// them.
-std::vector<MemberName> SoundWorkers(const SchedulerTables& tables,
-                                     Instant now);
-
-/// Returns true if less than half of the CPU of the service's sound workers is
-/// reserved.
-bool IsHalfFree(const ServiceName& service,
-                const std::vector<MemberName>& sound,
-                const SchedulerTables& tables);
-
 /// Returns true if the job has been idle so long that its next task goes before
 /// those of other jobs and may overcommit the CPU of best-effort tasks.
 bool IsStarved(std::uint64_t job, const SchedulerTables& tables);
@@ -77,7 +70,8 @@
 
 /// A worker that can run a task of a step.
 struct WorkerCandidate {
-  MemberName worker_;
+  /// Its position in the pass.
+  std::size_t worker_ = 0;
   /// The candidate with the lowest cost is chosen.
   double cost_ = 0.0;
   /// True if the task would raise the tail latency of services on the worker
@@ -108,15 +102,15 @@
 /// on workers that run services already.
 std::optional<WorkerCandidate> EvaluateWorker(
     const StepKey& key, const JobStep& step, const ServiceName& service,
-    const MemberName& name, const SchedulerTables& tables, WaitCauses& causes);
+    std::size_t position, const SchedulerTables& tables, PlacementPass& pass,
+    WaitCauses& causes);
 
 /// Returns all workers that can run a task of the step. The list is reused for
 /// all tasks of the step: after a placement only the chosen worker has to be
 /// evaluated again.
 std::vector<WorkerCandidate> FindCandidates(
     const StepKey& key, const JobStep& step, const ServiceName& service,
-    const std::vector<MemberName>& schedulable, const SchedulerTables& tables,
-    WaitCauses& causes);
+    const SchedulerTables& tables, PlacementPass& pass, WaitCauses& causes);
 
 /// Returns the index of the candidate with the lowest cost, or nothing if there
 /// is none. Candidates that would interfere or are quarantined are considered
@@ -125,7 +119,7 @@
 /// there is no other.
 std::optional<std::size_t> BestCandidate(
     const std::vector<WorkerCandidate>& candidates, bool overdue,
-    const MemberName& failed_on);
+    const MemberName& failed_on, const PlacementPass& pass);
 
 }  // namespace quetzalline
 
--- a/src/systems/scheduler/commit_progress.cc
+++ b/src/systems/scheduler/commit_progress.cc
@@ -227,7 +227,11 @@
   MarkSuspectsStored(batch.suspects_, tables);
   AnswerCallers(batch.callers_, tick);
   AnswerLateCallers(tables, tick);
-  AcknowledgeCompletions(tables, tick);
+  std::set<MemberName> workers;
+  for (const UnacknowledgedCompletion& end : batch.completions_) {
+    workers.insert(end.worker());
+  }
+  AcknowledgeCompletions(workers, tables, tick);
 }
 
 void RetryCommit(bool uncertain, SchedulerTables& tables, SchedulerTick& tick) {
@@ -309,35 +313,38 @@
 
 }  // namespace
 
-void AcknowledgeCompletions(SchedulerTables& tables, SchedulerTick& tick) {
+void AcknowledgeCompletions(const std::set<MemberName>& workers,
+                            SchedulerTables& tables, SchedulerTick& tick) {
   std::map<MemberName, std::int64_t> first_unacknowledged;
   for (const UnacknowledgedCompletion& end :
        tables.unacknowledged_completions_) {
+    if (workers.count(end.worker()) == 0) continue;
     const auto [entry, added] =
         first_unacknowledged.try_emplace(end.worker(), end.number());
     if (!added) entry->second = std::min(entry->second, end.number());
   }
-  std::vector<std::pair<MemberName, WorkerRow>> changed;
-  for (const auto& [name, worker] : tables.workers_) {
+  for (const MemberName& name : workers) {
+    const WorkerRow* worker = tables.workers_.Find(name);
+    if (worker == nullptr || !worker->facts()) continue;
     const auto unacknowledged = first_unacknowledged.find(name);
     const std::int64_t up_to =
         unacknowledged == first_unacknowledged.end()
-            ? worker.ends_seen()
-            : std::min(worker.ends_seen(), unacknowledged->second - 1);
-    if (up_to <= worker.ends_noted() || !worker.facts()) continue;
-    changed.emplace_back(name,
-                         WorkerRow::Builder(worker).ends_noted(up_to).Build());
+            ? worker->ends_seen()
+            : std::min(worker->ends_seen(), unacknowledged->second - 1);
+    if (up_to <= worker->ends_noted()) continue;
+    const std::int64_t born_ms = worker->facts()->born_ms();
+    tables.workers_.Put(name,
+                        WorkerRow::Builder(*worker).ends_noted(up_to).Build());
     const MemberRow* member = tables.members_.Find(name);
     if (member == nullptr || !member->connection()) continue;
     tick.Emit(SendToRunner::Builder()
                   .connection(*member->connection())
                   .message(AcknowledgeRunEnds::Builder()
-                               .born_ms(worker.facts()->born_ms())
+                               .born_ms(born_ms)
                                .up_to(up_to)
                                .Build())
                   .Build());
   }
-  for (auto& [name, row] : changed) tables.workers_.Put(name, std::move(row));
 }
 
 void CommitProgress(SchedulerTables& tables, SchedulerTick& tick) {
--- a/src/systems/scheduler/commit_progress.h
+++ b/src/systems/scheduler/commit_progress.h
@@ -13,9 +13,10 @@
 /// holder of the cell's leader lease, changes nothing.
 void CommitProgress(SchedulerTables& tables, SchedulerTick& tick);
 
-/// Acknowledges completions to the runners, up to the first whose effect is not
-/// stored yet. A runner drops acknowledged completions.
-void AcknowledgeCompletions(SchedulerTables& tables, SchedulerTick& tick);
+/// Acknowledges completions to the runners of these workers, up to the first
+/// whose effect is not stored yet. A runner drops acknowledged completions.
+void AcknowledgeCompletions(const std::set<MemberName>& workers,
+                            SchedulerTables& tables, SchedulerTick& tick);
 
 /// Handles the result of a commit. A failed commit is retried; one whose
 /// outcome is unknown is checked against the epoch's key first.
--- a/src/systems/scheduler/estimate_interference.cc
+++ b/src/systems/scheduler/estimate_interference.cc
@@ -129,14 +129,6 @@
   }
 }
 
-CoresByImage BestEffortCores(const ImageUse& images) {
-  CoresByImage cores;
-  for (const auto& [image, millicores] : images.filling_) {
-    cores[image] = static_cast<double>(millicores) / kMillicoresPerCore;
-  }
-  return cores;
-}
-
 }  // namespace
 
 void UpdateInterference(const MemberName& name,
@@ -155,29 +147,79 @@
   }
 }
 
-InterferenceForecast PredictInterference(const MemberName& name,
-                                         const JobStep& step,
-                                         const SchedulerTables& tables) {
-  InterferenceForecast forecast;
+InterferenceMatrix::InterferenceMatrix(const SchedulerTables& tables) {
+  for (const auto& [pair, interference] : tables.interference_) {
+    rows_.try_emplace(pair.filling(), rows_.size() + 1);
+    columns_.try_emplace(pair.serving(), columns_.size() + 1);
+  }
+  const Cell unmeasured{tables.policy_.placement().unknown_press(), false};
+  cells_.assign((rows_.size() + 1) * (columns_.size() + 1), unmeasured);
+  for (const auto& [pair, interference] : tables.interference_) {
+    const std::size_t row = rows_[pair.filling()];
+    const std::size_t column = columns_[pair.serving()];
+    cells_[row * (columns_.size() + 1) + column] = {
+        interference.percent_per_core(), true};
+  }
+}
+
+std::size_t InterferenceMatrix::RowOf(const std::string& best_effort) const {
+  const auto found = rows_.find(best_effort);
+  return found == rows_.end() ? 0 : found->second;
+}
+
+std::size_t InterferenceMatrix::ColumnOf(const std::string& service) const {
+  const auto found = columns_.find(service);
+  return found == columns_.end() ? 0 : found->second;
+}
+
+WorkerForecast ForecastWorker(const MemberName& name,
+                              const InterferenceMatrix& matrix,
+                              const SchedulerTables& tables) {
   const ImageUse& images = tables.tasks_.ImagesOnWorker(name);
-  const CoresByImage cores = BestEffortCores(images);
-  const double count = static_cast<double>(step.cpu()) / kMillicoresPerCore;
+  std::vector<std::pair<std::size_t, double>> cores;
+  cores.reserve(images.filling_.size());
+  for (const auto& [image, millicores] : images.filling_) {
+    cores.emplace_back(matrix.RowOf(image),
+                       static_cast<double>(millicores) / kMillicoresPerCore);
+  }
+  WorkerForecast forecast;
   for (const auto& [service, tasks] : images.serving_) {
+    const std::size_t column = matrix.ColumnOf(service);
     const ServingTail* observed = tables.tails_.Find(
         TailKey::Builder().worker(name).image(service).Build());
     const ServingTail tail = observed == nullptr ? ServingTail() : *observed;
+    double predicted = tail.base();
+    for (const auto& [row, count] : cores) {
+      predicted += count * matrix.PercentPerCore(row, column);
+      if (!matrix.IsMeasured(row, column)) forecast.unmeasured_ = true;
+    }
+    forecast.services_.push_back({column, std::max(predicted, tail.latest())});
+  }
+  return forecast;
+}
+
+InterferenceForecast PredictInterference(const WorkerForecast& worker,
+                                         std::size_t row, std::int64_t cpu,
+                                         const InterferenceMatrix& matrix) {
+  InterferenceForecast forecast;
+  const double count = static_cast<double>(cpu) / kMillicoresPerCore;
+  for (const ServiceForecast& service : worker.services_) {
     const double interference =
-        count * InterferenceOf(step.image(), service, tables);
-    const double expected = std::max(
-        PredictTail(tail.base(), cores, service, tables), tail.latest());
+        count * matrix.PercentPerCore(row, service.column_);
     forecast.tail_percent_ =
-        std::max(forecast.tail_percent_, expected + interference);
+        std::max(forecast.tail_percent_, service.tail_percent_ + interference);
     forecast.added_percent_ = std::max(forecast.added_percent_, interference);
-    if (FindInterference(step.image(), service, tables) == nullptr) {
-      forecast.unmeasured_ = true;
-    }
+    if (!matrix.IsMeasured(row, service.column_)) forecast.unmeasured_ = true;
   }
   return forecast;
 }
 
+bool IsUnmeasured(const MemberName& name, const std::string& best_effort,
+                  const SchedulerTables& tables) {
+  const auto& services = tables.tasks_.ImagesOnWorker(name).serving_;
+  return std::any_of(services.begin(), services.end(), [&](const auto& entry) {
+    return FindInterference(best_effort, entry.first, tables) == nullptr;
+  });
+}
+
 }  // namespace quetzalline
--- a/src/systems/scheduler/hand_over_workers.cc
+++ b/src/systems/scheduler/hand_over_workers.cc
@@ -53,11 +53,11 @@
 
 // Follows whether the worker answers. A worker that does needs no record.
 void UpdateAbsence(const MemberName& name, const WorkerRow& worker,
-                   SchedulerTables& tables, Instant now) {
+                   SchedulerTables& tables) {
   const HandoverRow row = RowOf(name, tables);
   const bool absent = IsAbsent(worker);
   HandoverRow::Builder builder(row);
-  builder.absent_since(absent ? row.absent_since().value_or(now)
+  builder.absent_since(absent ? row.absent_since().value_or(tables.attention_)
                               : std::optional<Instant>());
   if (worker.reconciled()) builder.earlier_tasks(std::nullopt);
   const HandoverRow updated = builder.Build();
@@ -73,10 +73,12 @@
 // Returns the time at which the record of an absent worker is to be written
 // next; empty if there is nothing to write.
 std::optional<Instant> NextRecordAt(const HandoverRow& row, Instant leases_end,
-                                    Instant now) {
+                                    Instant attention, Instant now) {
   if (!row.recorded()) {
-    return *row.absent_since() +
-           (row.earlier_end() ? kMinInheritedAbsence : kMinAbsence);
+    const Instant due_attention =
+        *row.absent_since() +
+        (row.earlier_end() ? kMinInheritedAbsence : kMinAbsence);
+    return now + (due_attention - attention);
   }
   const Instant recorded_end = row.recorded_at() + row.remaining();
   if (leases_end > recorded_end) return now;
@@ -90,7 +92,7 @@
   const std::optional<Instant> leases_end = AllLeasesEnd(name, tables);
   if (!row.absent_since() || !leases_end) return;
   const std::optional<Instant> write_at =
-      NextRecordAt(row, *leases_end, tick.now());
+      NextRecordAt(row, *leases_end, tables.attention_, tick.now());
   if (!write_at) return;
   if (tick.now() < *write_at) return tick.WakeAt(*write_at);
   tables.handover_changes_[name] = true;
@@ -192,7 +194,7 @@
   for (const auto& [name, worker] : tables.workers_) {
     if (IsConfirmedLost(name, tables)) continue;
     if (!IsAbsent(worker) && tables.handovers_.Find(name) == nullptr) continue;
-    UpdateAbsence(name, worker, tables, tick.now());
+    UpdateAbsence(name, worker, tables);
     // While the store fails, a record would only delay a worker's return.
     if (!tables.store_failing_since_) ScheduleRecord(name, tables, tick);
   }
@@ -232,9 +234,9 @@
     tables.handovers_.Put(
         name,
         HandoverRow::Builder(RowOf(name, tables)).recorded(false).Build());
+    GrantOverdueLease(name, tables);
   }
   if (!batch.returned_workers_.empty()) tables.placement_due_ = true;
-    GrantOverdueLease(name, tables);
 }
 
 }  // namespace quetzalline
--- a/src/systems/scheduler/isolate_suspects.cc
+++ b/src/systems/scheduler/isolate_suspects.cc
@@ -83,26 +83,24 @@
 
 // Returns true if the planned place of the run is as it was and has the room.
 bool IsPlaceOpen(const TaskKey& key, const IsolatedRun& run,
-                 const std::vector<MemberName>& schedulable,
-                 const SchedulerTables& tables) {
-  const bool open = std::find(schedulable.begin(), schedulable.end(),
-                              run.worker()) != schedulable.end();
-  if (!open) return false;
-  const WorkerDescription& facts = *tables.workers_.Find(run.worker())->facts();
+                 const SchedulerTables& tables, PlacementPass& pass) {
+  const std::optional<std::size_t> position = FindWorker(run.worker(), pass);
+  if (!position) return false;
+  const WorkerDescription& facts = *pass.workers_[*position].row_->facts();
   const JobRow& job = *tables.jobs_.Find(key.job());
   WaitCauses causes;
   return facts.born_ms() == run.born_ms() &&
          EvaluateWorker(StepOf(key), StepOfRow(key, job),
-                        job.queue()->service(), run.worker(), tables, causes)
+                        job.queue()->service(), *position, tables, pass, causes)
              .has_value();
 }
 
 // Starts the planned run, or drops the plan if its place has changed.
 void StartPlanned(const TaskKey& key, const SuspectRow& row,
-                  const std::vector<MemberName>& schedulable,
-                  SchedulerTables& tables, SchedulerTick& tick) {
+                  PlacementPass& pass, SchedulerTables& tables,
+                  SchedulerTick& tick) {
   const IsolatedRun run = *row.isolated();
-  if (!IsPlaceOpen(key, run, schedulable, tables)) {
+  if (!IsPlaceOpen(key, run, tables, pass)) {
     tables.suspects_.Put(key, SuspectRow::Builder(row)
                                   .started_at(tick.now() - kIsolationTime)
                                   .Build());
@@ -120,6 +118,7 @@
   tables.suspects_.Put(key,
                        SuspectRow::Builder(row).started_at(tick.now()).Build());
   StartIsolatedRun(key, run, tables, tick);
+  RefreshWorker(*FindWorker(run.worker(), pass), tables, pass);
 }
 
 // A worker counts as occupied by the isolated run until its isolation is over.
@@ -142,10 +141,11 @@
 }
 
 // Returns the worker on which a crash would do the least harm.
-std::optional<MemberName> ChooseIsolated(
-    const TaskKey& key, const SuspectRow& row,
-    const std::vector<MemberName>& schedulable, const SchedulerTables& tables,
-    Instant now) {
+std::optional<MemberName> ChooseIsolated(const TaskKey& key,
+                                         const SuspectRow& row,
+                                         const std::set<MemberName>& plannable,
+                                         const SchedulerTables& tables,
+                                         PlacementPass& pass, Instant now) {
   const JobRow& job = *tables.jobs_.Find(key.job());
   WaitCauses causes;
   std::optional<MemberName> best;
@@ -153,8 +153,9 @@
   const bool overdue = now - tables.tasks_.Find(key)->ready_since() > kMaxWait;
   for (const WorkerCandidate& candidate :
        FindCandidates(StepOf(key), StepOfRow(key, job), job.queue()->service(),
-                      schedulable, tables, causes)) {
-    const MemberName& name = candidate.worker_;
+                      tables, pass, causes)) {
+    const MemberName& name = pass.workers_[candidate.worker_].name_;
+    if (plannable.count(name) == 0) continue;
     if ((candidate.interferes_ || candidate.quarantined_) && !overdue) continue;
     std::int64_t cost =
         static_cast<std::int64_t>(tables.tasks_.TasksOnWorker(name).size());
@@ -230,19 +231,19 @@
 
 // Returns the workers on which a run of the service may be planned. At most
 // half of the workers of a service are isolated at a time.
-std::vector<MemberName> PlannableWorkers(
-    const ServiceName& service, const std::vector<MemberName>& schedulable,
-    const OpenRuns& open, const SchedulerTables& tables) {
+std::set<MemberName> PlannableWorkers(const ServiceName& service,
+                                      const OpenRuns& open,
+                                      const PlacementPass& pass) {
   static const std::set<MemberName> kNone;
   const auto found = open.workers_.find(service);
   const std::set<MemberName>& isolated =
       found == open.workers_.end() ? kNone : found->second;
-  std::vector<MemberName> plannable;
+  std::set<MemberName> plannable;
   std::size_t workers = 0;
-  for (const MemberName& name : schedulable) {
-    if (tables.workers_.Find(name)->facts()->service() != service) continue;
+  for (const PassWorker& worker : pass.workers_) {
+    if (worker.row_->facts()->service() != service) continue;
     ++workers;
-    if (open.reserved_.count(name) == 0) plannable.push_back(name);
+    if (open.reserved_.count(worker.name_) == 0) plannable.insert(worker.name_);
   }
   if (isolated.empty() || 2 * (isolated.size() + 1) <= workers) {
     return plannable;
@@ -255,8 +256,7 @@
 
 // Plans isolated runs of those that wait, one of a job at a time, since a task
 // that is at fault ends its whole job.
-void PlanWaiting(const std::vector<MemberName>& schedulable,
-                 SchedulerTables& tables, Instant now) {
+void PlanWaiting(PlacementPass& pass, SchedulerTables& tables, Instant now) {
   OpenRuns open = FindOpen(tables, now);
   for (const TaskKey& key : RankWaiting(tables, now)) {
     if (open.jobs_.count(key.job()) > 0) continue;
@@ -264,8 +264,7 @@
         tables.jobs_.Find(key.job())->queue()->service();
     const SuspectRow row = *tables.suspects_.Find(key);
     const auto worker = ChooseIsolated(
-        key, row, PlannableWorkers(service, schedulable, open, tables), tables,
-        now);
+        key, row, PlannableWorkers(service, open, pass), tables, pass, now);
     if (!worker) continue;
     Plan(key, row, *worker, tables, now);
     open.jobs_.insert(key.job());
@@ -298,15 +297,14 @@
   tick.WakeAt(tick.now() + kCheckInterval);
   tables.placement_due_ = true;
   if (!MayAct(tables, tick.now())) return;
-  const std::vector<MemberName> schedulable =
-      SchedulableWorkers(tables, tick.now());
+  PlacementPass pass = BeginPass(tables, tick.now(), {});
   const auto suspects = tables.suspects_.Sorted();
   for (const auto& [key, row] : suspects) {
     const TaskStage stage = tables.tasks_.Find(key)->stage();
     if (!row.planned() || stage != TaskStage::kQuarantined) continue;
-    StartPlanned(key, row, schedulable, tables, tick);
+    StartPlanned(key, row, pass, tables, tick);
   }
-  PlanWaiting(schedulable, tables, tick.now());
+  PlanWaiting(pass, tables, tick.now());
 }
 
 }  // namespace quetzalline
--- a/src/systems/scheduler/load_stored_state.cc
+++ b/src/systems/scheduler/load_stored_state.cc
@@ -182,6 +182,9 @@
   cleared.observing_since_ = tables.observing_since_;
   cleared.wall_offset_ms_ = tables.wall_offset_ms_;
   cleared.last_tick_ = tables.last_tick_;
+  cleared.attention_ = tables.attention_;
+  cleared.attended_at_ = tables.attended_at_;
+  cleared.starts_per_tick_ = tables.starts_per_tick_;
   cleared.term_number_ = tables.term_number_ + 1;
   tables = std::move(cleared);
 }
--- a/src/systems/scheduler/measure_cell.cc
+++ b/src/systems/scheduler/measure_cell.cc
@@ -48,19 +48,21 @@
   }
   const std::size_t schedulable =
       SchedulableWorkers(tables, tables.last_tick_).size();
-  return {MakeGauge("cell_tasks_in_doubt", tables.tasks_.unreconciled().size()),
-          MakeGauge("cell_tasks_ready", ready),
-          MakeGauge("cell_tasks_assigned", assigned),
-          MakeGauge("cell_tasks_on_unlisted_workers", unlisted),
-          MakeGauge("cell_jobs_idle", CountIdleJobs(tables)),
-          MakeGauge("cell_longest_idle_ms",
-                    ToMilliseconds(LongestIdleTime(tables, tables.last_tick_))),
-          MakeGauge("cell_tasks_suspected", tables.suspects_.size()),
-          MakeGauge("cell_tasks_quarantined", quarantined),
-          MakeGauge("cell_worker_crashes", tables.crashes_.size()),
-          MakeGauge("cell_workers", tables.workers_.size()),
-          MakeGauge("cell_workers_listed", listed_workers),
-          MakeGauge("cell_workers_schedulable", schedulable)};
+  return {
+      MakeGauge("cell_tasks_in_doubt", tables.tasks_.unreconciled().size()),
+      MakeGauge("cell_tasks_ready", ready),
+      MakeGauge("cell_tasks_assigned", assigned),
+      MakeGauge("cell_tasks_on_unlisted_workers", unlisted),
+      MakeGauge("cell_jobs_idle", CountIdleJobs(tables)),
+      MakeGauge("cell_longest_idle_ms",
+                ToMilliseconds(LongestIdleTime(tables, tables.last_tick_))),
+      MakeGauge("cell_tasks_suspected", tables.suspects_.size()),
+      MakeGauge("cell_tasks_quarantined", quarantined),
+      MakeGauge("cell_worker_crashes", tables.crashes_.size()),
+      MakeGauge("cell_longest_pause_ms", ToMilliseconds(tables.longest_pause_)),
+      MakeGauge("cell_workers", tables.workers_.size()),
+      MakeGauge("cell_workers_listed", listed_workers),
+      MakeGauge("cell_workers_schedulable", schedulable)};
 }
 
 }  // namespace quetzalline
--- a/src/systems/scheduler/place_runs.cc
+++ b/src/systems/scheduler/place_runs.cc
@@ -158,7 +158,7 @@
 // Evaluates the worker again that took a task; it may have capacity for
 // another.
 void ReevaluateCandidate(std::size_t position, const SchedulerTables& tables,
-                         StepPlacement& placement) {
+                         PlacementPass& pass, StepPlacement& placement) {
   auto& candidates = placement.candidates_;
   const auto candidate =
       candidates.begin() + static_cast<std::ptrdiff_t>(position);
@@ -167,7 +167,7 @@
   if (candidate->quarantined_) --placement.causes_.quarantined_;
   const auto updated =
       EvaluateWorker(placement.key_, placement.step(), placement.service_,
-                     candidate->worker_, tables, placement.causes_);
+                     candidate->worker_, tables, pass, placement.causes_);
   if (updated) {
     *candidate = *updated;
   } else {
@@ -177,10 +177,10 @@
 
 // Evaluates all candidates again once a starved job has a task: the others may
 // not overcommit.
-void ReevaluateCandidates(const SchedulerTables& tables,
+void ReevaluateCandidates(const SchedulerTables& tables, PlacementPass& pass,
                           StepPlacement& placement) {
   for (std::size_t i = placement.candidates_.size(); i > 0; --i) {
-    ReevaluateCandidate(i - 1, tables, placement);
+    ReevaluateCandidate(i - 1, tables, pass, placement);
   }
 }
 
@@ -211,8 +211,8 @@
 // Places all tasks of a gang as one run, or none of them. Returns false if they
 // wait, either for workers or for the end of earlier runs of other tasks.
 bool PlaceGang(const std::vector<TaskKey>& tasks, bool half_free,
-               StepPlacement& placement, SchedulerTables& tables,
-               SchedulerTick& tick) {
+               PlacementPass& pass, StepPlacement& placement,
+               SchedulerTables& tables, SchedulerTick& tick) {
   const JobStep& step = placement.step();
   if (tasks.size() != static_cast<std::size_t>(step.count())) {
     return FinishEndedGang(tasks.front(), step.count(), tables, tick);
@@ -230,49 +230,59 @@
     }
     run = std::max(run, NextRun(previous.back(), tables));
   }
+  std::vector<std::size_t> used;
   for (std::size_t i = 0; i < tasks.size(); ++i) {
     const auto best =
-        BestCandidate(placement.candidates_, overdue, MemberName());
+        BestCandidate(placement.candidates_, overdue, MemberName(), pass);
     if (!best) {
       for (std::size_t k = 0; k < i; ++k) {
         tables.tasks_.Put(tasks[k], previous[k]);
+        RefreshWorker(used[k], tables, pass);
       }
       return false;
     }
-    Assign(tasks[i], placement.candidates_[*best].worker_, run, checkpoint,
-           tables, tick.now());
-    ReevaluateCandidate(*best, tables, placement);
+    used.push_back(placement.candidates_[*best].worker_);
+    Assign(tasks[i], pass.workers_[used.back()].name_, run, checkpoint, tables,
+           tick.now());
+    RefreshWorker(used.back(), tables, pass);
+    ReevaluateCandidate(*best, tables, pass, placement);
   }
   for (const TaskKey& task : tasks) SendAssigned(task, tables, tick);
+  pass.starts_left_ -= step.count();
   return true;
 }
 
 // Places the tasks independently of each other. Returns true if all of them
 // found a worker.
 bool PlaceTasks(const std::vector<TaskKey>& tasks, bool half_free,
-                StepPlacement& placement, SchedulerTables& tables,
-                SchedulerTick& tick) {
+                PlacementPass& pass, StepPlacement& placement,
+                SchedulerTables& tables, SchedulerTick& tick) {
   bool placed_all = true;
   for (const TaskKey& task : tasks) {
+    if (pass.starts_left_ <= 0) return false;
     const JobTask& row = *tables.tasks_.Find(task);
     const bool starved = IsStarved(task.job(), tables);
     const bool overdue = IsOverdue(task, row, half_free, tables, tick.now());
     if (!placed_all && !overdue) continue;
     const MemberName failed_on =
         row.failed_runs().empty() ? MemberName() : row.worker();
-    const auto best = BestCandidate(placement.candidates_, overdue, failed_on);
+    const auto best =
+        BestCandidate(placement.candidates_, overdue, failed_on, pass);
     if (!best) {
       placed_all = false;
       if (placement.candidates_.empty()) return false;
       continue;
     }
-    Assign(task, placement.candidates_[*best].worker_, NextRun(row, tables),
+    const std::size_t worker = placement.candidates_[*best].worker_;
+    Assign(task, pass.workers_[worker].name_, NextRun(row, tables),
            row.checkpoint(), tables, tick.now());
+    --pass.starts_left_;
     SendAssigned(task, tables, tick);
+    RefreshWorker(worker, tables, pass);
     if (starved) {
-      ReevaluateCandidates(tables, placement);
+      ReevaluateCandidates(tables, pass, placement);
     } else {
-      ReevaluateCandidate(*best, tables, placement);
+      ReevaluateCandidate(*best, tables, pass, placement);
     }
   }
   return placed_all;
@@ -300,8 +310,7 @@
 }
 
 // Places the ready tasks of a step. Returns true if all of them found a worker.
-bool PlaceStep(const StepKey& key, const std::vector<MemberName>& schedulable,
-               const std::vector<MemberName>& sound, SchedulerTables& tables,
+bool PlaceStep(const StepKey& key, PlacementPass& pass, SchedulerTables& tables,
                SchedulerTick& tick) {
   const JobRow* job = tables.jobs_.Find(key.job());
   StepPlacement placement;
@@ -309,22 +318,30 @@
   placement.record_ = job->record();
   placement.service_ = job->queue()->service();
   placement.candidates_ =
-      FindCandidates(key, placement.step(), placement.service_, schedulable,
-                     tables, placement.causes_);
-  const bool half_free = IsHalfFree(placement.service_, sound, tables);
+      FindCandidates(key, placement.step(), placement.service_, tables, pass,
+                     placement.causes_);
+  const bool half_free = IsHalfFree(placement.service_, pass);
   const auto ready = tables.tasks_.ready().find(key);
   const std::vector<TaskKey> tasks = TasksOf(key, ready->second);
   const bool placed =
       placement.step().gang()
-          ? PlaceGang(tasks, half_free, placement, tables, tick)
-          : PlaceTasks(tasks, half_free, placement, tables, tick);
-  if (!placed) {
-    LogWait(placement, schedulable.size(), tables, tick);
+          ? PlaceGang(tasks, half_free, pass, placement, tables, tick)
+          : PlaceTasks(tasks, half_free, pass, placement, tables, tick);
+  if (!placed && pass.starts_left_ > 0) {
+    LogWait(placement, pass.workers_.size(), tables, tick);
     LogIdleJob(key, placement.causes_, tables, tick);
   }
   return placed;
 }
 
+// Lets the rest of the pass follow in the next tick.
+void ContinuePlacement(SchedulerTables& tables, SchedulerTick& tick) {
+  tables.starts_limited_ = true;
+  tables.placement_due_ = true;
+  tables.earliest_placement_ = tick.now();
+  tick.WakeAt(tick.now());
+}
+
 }  // namespace
 
 bool IsUnmeetable(const JobRow& job, Instant now) {
@@ -343,6 +360,7 @@
   if (!IsActing(tables)) return;
   if (tables.tasks_.ready().empty()) {
     tables.idle_jobs_ = {};
+    tables.starts_limited_ = false;
     return;
   }
   if (!MayAct(tables, tick.now())) return;
@@ -350,18 +368,15 @@
                                              : tables.next_placement_;
   if (tick.now() < next) return tick.WakeAt(next);
   tables.placement_due_ = false;
+  tables.starts_limited_ = false;
   tables.next_placement_ = tick.now() + kPlacementInterval;
-  std::vector<MemberName> schedulable = SchedulableWorkers(tables, tick.now());
-  const std::set<MemberName> isolated = IsolatedWorkers(tables, tick.now());
-  std::erase_if(schedulable, [&](const MemberName& name) {
-    return isolated.count(name) > 0;
-  });
-  const std::vector<MemberName> sound = SoundWorkers(tables, tick.now());
-  UpdateIdleJobs(sound, tables, tick.now());
+  PlacementPass pass =
+      BeginPass(tables, tick.now(), IsolatedWorkers(tables, tick.now()));
+  UpdateIdleJobs(pass, tables, tick.now());
   bool placed_all = true;
   for (const ReadyStep& step : RankReadySteps(tables, tick.now())) {
-    placed_all =
-        PlaceStep(step.key_, schedulable, sound, tables, tick) && placed_all;
+    placed_all = PlaceStep(step.key_, pass, tables, tick) && placed_all;
+    if (pass.starts_left_ <= 0) return ContinuePlacement(tables, tick);
   }
   // While ready tasks are left without a worker, passes are long and changes
   // are frequent.
--- a/src/systems/scheduler/reconcile_tasks.cc
+++ b/src/systems/scheduler/reconcile_tasks.cc
@@ -9,6 +9,7 @@
 #include "systems/scheduler/runner_majority.h"
 #include "systems/scheduler/track_jobs.h"
 #include "systems/scheduler/track_lost_workers.h"
+#include "systems/scheduler/track_workers.h"
 
 namespace quetzalline {
 namespace {
@@ -115,7 +116,7 @@
       // A later holder may have renewed the lease.
       ConfirmEpoch(tables, tick);
       tick.WakeAt(tables.next_confirm_);
-    } else {
+    } else if (!MayStillAnswer(name, worker, tables)) {
       continue;
     }
     unresolved.push_back(name);
--- a/src/systems/scheduler/scheduler_node.cc
+++ b/src/systems/scheduler/scheduler_node.cc
@@ -11,6 +11,7 @@
 #include "systems/scheduler/place_runs.h"
 #include "systems/scheduler/reclaim_capacity.h"
 #include "systems/scheduler/reconcile_tasks.h"
+#include "systems/scheduler/track_attention.h"
 #include "systems/scheduler/track_jobs.h"
 #include "systems/scheduler/track_members.h"
 #include "systems/scheduler/track_workers.h"
@@ -26,15 +27,22 @@
     Instant now, std::span<const SchedulerInput> inputs) {
   SchedulerTick tick(now, random_, tables_.counters_);
   DetectStall(tables_, tick);
+  TrackAttention(tables_, tick);
   DispatchInputs(inputs, tables_, tick);
   RunLeaderElection(tables_, tick);
   ObserveHandovers(tables_, tick);
   RetryLoading(tables_, tick);
   RetryReads(tables_, tick);
-  ExpireWorkers(tables_, tick);
+  const bool walk_due = IsWalkDue(tables_, tick);
+  if (walk_due) {
+    TrackMajority(tables_, tick);
+    ExpireWorkers(tables_, tick);
+  }
   ReconcileTasks(tables_, tick);
-  TrackAbsentWorkers(tables_, tick);
-  EvictFromDrainingWorkers(tables_, tick);
+  if (walk_due) {
+    TrackAbsentWorkers(tables_, tick);
+    EvictFromDrainingWorkers(tables_, tick);
+  }
   GrantLeases(tables_, tick);
   ReleaseDueOccurrences(tables_, tick);
   IsolateSuspects(tables_, tick);
--- a/src/systems/scheduler/send_start.cc
+++ b/src/systems/scheduler/send_start.cc
@@ -15,8 +15,9 @@
   if (!step.fills() || tables.tasks_.UseOf(worker).serving_cpu() == 0) {
     return kFullRate;
   }
-  const bool unmeasured = PredictInterference(worker, step, tables).unmeasured_;
-  return unmeasured ? tables.policy_.placement().trial_pace() : kFullRate;
+  return IsUnmeasured(worker, step.image(), tables)
+             ? tables.policy_.placement().trial_pace()
+             : kFullRate;
 }
 
 }  // namespace
--- a/src/systems/scheduler/track_idle_jobs.cc
+++ b/src/systems/scheduler/track_idle_jobs.cc
@@ -72,15 +72,11 @@
 
 // Marks the idle jobs that are starved. Long-running tasks are placed before
 // best-effort ones anyway.
-void MarkStarvedJobs(const std::vector<MemberName>& sound,
-                     SchedulerTables& tables, Instant now) {
-  std::map<ServiceName, bool> half_free;
+void MarkStarvedJobs(const PlacementPass& pass, SchedulerTables& tables,
+                     Instant now) {
   for (const auto& [job, idle] : tables.idle_jobs_.Sorted()) {
     const ServiceName& service = tables.jobs_.Find(job)->queue()->service();
-    if (half_free.count(service) == 0) {
-      half_free[service] = IsHalfFree(service, sound, tables);
-    }
-    const bool starved = IsIdle(idle) && half_free[service] &&
+    const bool starved = IsIdle(idle) && IsHalfFree(service, pass) &&
                          now - idle.since() >= kLongestIdle;
     if (starved == idle.starved()) continue;
     tables.idle_jobs_.Put(job, IdleJob::Builder(idle).starved(starved).Build());
@@ -89,8 +85,8 @@
 
 }  // namespace
 
-void UpdateIdleJobs(const std::vector<MemberName>& sound,
-                    SchedulerTables& tables, Instant now) {
+void UpdateIdleJobs(const PlacementPass& pass, SchedulerTables& tables,
+                    Instant now) {
   const auto unheard = CountUnheardTasks(tables);
   Table<std::uint64_t, IdleJob> idle;
   for (const auto& [key, indexes] : tables.tasks_.ready()) {
@@ -127,7 +123,7 @@
                             .Build());
   }
   tables.idle_jobs_ = std::move(idle);
-  MarkStarvedJobs(sound, tables, now);
+  MarkStarvedJobs(pass, tables, now);
 }
 
 void MarkTried(std::uint64_t job, SchedulerTables& tables, Instant now) {
--- a/src/systems/scheduler/track_idle_jobs.h
+++ b/src/systems/scheduler/track_idle_jobs.h
@@ -5,6 +5,7 @@
 
 #include "core/step_key.h"
 #include "systems/scheduler/choose_worker.h"
+#include "systems/scheduler/placement_pass.h"
 #include "systems/scheduler/scheduler_tick.h"
 #include "tables/scheduler_tables.h"
 
@@ -15,8 +16,8 @@
 /// to a worker that gives no sign of life do not. A job with a ready
 /// long-running task is idle whatever else it runs.
 /// Marks the jobs that are starved, beside the sound workers of their service.
-void UpdateIdleJobs(const std::vector<MemberName>& sound,
-                    SchedulerTables& tables, Instant now);
+void UpdateIdleJobs(const PlacementPass& pass, SchedulerTables& tables,
+                    Instant now);
 
 /// Records that a task of the job was sent to a worker. The job is idle no
 /// longer, unless the worker refuses the task.
--- a/src/systems/scheduler/track_jobs.cc
+++ b/src/systems/scheduler/track_jobs.cc
@@ -299,6 +299,7 @@
   if (tick.now() < tables.next_occurrence_check_) {
     return tick.WakeAt(tables.next_occurrence_check_);
   }
+  tables.next_occurrence_check_ = tick.now() + kOccurrenceCheckInterval;
   std::vector<std::pair<std::uint64_t, std::int32_t>> timed;
   for (const auto& [job, row] : tables.jobs_) {
     const std::int32_t count = row.record()->definition()->repeat_count();
@@ -306,7 +307,6 @@
     for (std::int32_t k = 0; k < count; ++k) timed.emplace_back(job, k);
   }
   if (timed.empty()) return;
-  tables.next_occurrence_check_ = tick.now() + kOccurrenceCheckInterval;
   tick.WakeAt(tables.next_occurrence_check_);
   // The wall clock may jump, so it is read again before each check.
   tick.Emit(ReadWallClock());
--- a/src/systems/scheduler/track_members.cc
+++ b/src/systems/scheduler/track_members.cc
@@ -149,6 +149,8 @@
                             .connection(connected.connection())
                             .session(++tables.last_session_)
                             .heard_at(tick.now())
+                            .heard_attention(tables.attention_)
+                            .changed_attention(tables.attention_)
                             .answered(false)
                             .Build();
   tables.members_.Put(connected.member(), row);
@@ -168,8 +170,10 @@
   const MemberName name = found->second;
   tables.connections_.erase(found);
   if (const MemberRow* row = tables.members_.Find(name)) {
-    tables.members_.Put(
-        name, MemberRow::Builder(*row).connection(std::nullopt).Build());
+    tables.members_.Put(name, MemberRow::Builder(*row)
+                                  .connection(std::nullopt)
+                                  .changed_attention(tables.attention_)
+                                  .Build());
   }
   if (const WorkerRow* worker = tables.workers_.Find(name)) {
     tables.workers_.Put(
--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -25,6 +25,8 @@
 // Minimum time between two lease grants to a worker: a third of the time after
 // which a worker without a grant gets no new work.
 constexpr Duration kGrantInterval = std::chrono::milliseconds(300);
+// Time in which an agent connects again and lists the runs of its worker.
+constexpr Duration kMaxAnswerTime = std::chrono::milliseconds(1500);
 // Back-off after a worker has refused a start.
 constexpr Duration kRefusalBackoff = std::chrono::milliseconds(250);
 
@@ -219,9 +221,9 @@
     builder.percent(run.percent());
     if (!run.checkpoint().empty()) builder.checkpoint(run.checkpoint());
     tables.tasks_.Put(key, builder.Build());
+    MarkBegan(key.job(), tables, tick);
   }
 }
-    MarkBegan(key.job(), tables, tick);
 
 void HandleCompletions(const MemberName& name, const WorkerReport& report,
                        SchedulerTables& tables, SchedulerTick& tick) {
@@ -252,7 +254,7 @@
                                 .ends_seen(seen)
                                 .ends_noted(noted)
                                 .Build());
-  AcknowledgeCompletions(tables, tick);
+  AcknowledgeCompletions({name}, tables, tick);
 }
 
 // Stops the other tasks of a gang's run that lacks a task. They cannot work
@@ -350,7 +352,7 @@
     } else if (tables.term_.confirmed_at() < expires_at) {
       ConfirmEpoch(tables, tick);
       tick.WakeAt(tables.next_confirm_);
-    } else {
+    } else if (!MayStillAnswer(name, worker, tables)) {
       expired.push_back(name);
     }
   }
@@ -359,15 +361,29 @@
 
 }  // namespace
 
+bool MayStillAnswer(const MemberName& name, const WorkerRow& worker,
+                    const SchedulerTables& tables) {
+  const MemberRow* member = tables.members_.Find(name);
+  if (member == nullptr || worker.listing() == RunListing::kNoWorker) {
+    return false;
+  }
+  const bool heard =
+      tables.attention_ - member->heard_attention() < tables.policy_.silence();
+  if (member->connection() && worker.alive() && heard) return !worker.silent();
+  return tables.attention_ - member->changed_attention() < kMaxAnswerTime;
+}
+
 void RecordMemberContact(ConnectionId connection, SchedulerTables& tables,
                          Instant now) {
   const auto found = tables.connections_.find(connection);
   if (found == tables.connections_.end()) return;
   const MemberRow* member = tables.members_.Find(found->second);
   if (member == nullptr) return;
-  tables.members_.Put(
-      found->second,
-      MemberRow::Builder(*member).heard_at(now).answered(true).Build());
+  tables.members_.Put(found->second, MemberRow::Builder(*member)
+                                         .heard_at(now)
+                                         .heard_attention(tables.attention_)
+                                         .answered(true)
+                                         .Build());
 }
 
 void HandleReport(ConnectionId connection, const WorkerReport& report,
@@ -397,9 +413,11 @@
                   .reconciled(worker.reconciled() || !report.more_ends())
                   .granted_at(tick.now())
                   .grant_sent_at(Instant())
+                  .leased(false)
                   .Build());
   }
   tables.workers_.Put(name, WorkerRow::Builder(*tables.workers_.Find(name))
+                                .last_report(report.number())
                                 .silent(report.silent())
                                 .fill_pace(report.fill_pace())
                                 .Build());
@@ -413,11 +431,19 @@
     UpdateProgress(name, report, tables, tick);
   }
   HandleRefusals(name, report, tables, tick);
-                  .leased(false)
   ClearSurvivors(name, report, tables, tick);
 }
 
-                                .last_report(report.number())
+void GrantOverdueLease(const MemberName& name, SchedulerTables& tables) {
+  const MemberRow* member = tables.members_.Find(name);
+  const WorkerRow* worker = tables.workers_.Find(name);
+  if (member == nullptr || !member->connection()) return;
+  if (worker == nullptr || !worker->alive()) return;
+  tables.grants_due_[*member->connection()] = worker->last_report();
+  tables.workers_.Put(
+      name, WorkerRow::Builder(*worker).grant_sent_at(Instant()).Build());
+}
+
 void GrantLeases(SchedulerTables& tables, SchedulerTick& tick) {
   if (!IsActing(tables) || tables.grants_due_.empty()) return;
   const std::map<ConnectionId, std::int64_t> due =
@@ -434,20 +460,11 @@
     const bool alive = worker->alive() && !worker->silent() &&
                        !IsHandedOver(found->second, tables);
     tables.workers_.Put(
-void GrantOverdueLease(const MemberName& name, SchedulerTables& tables) {
-  const MemberRow* member = tables.members_.Find(name);
-  const WorkerRow* worker = tables.workers_.Find(name);
-  if (member == nullptr || !member->connection()) return;
-  if (worker == nullptr || !worker->alive()) return;
-  tables.grants_due_[*member->connection()] = worker->last_report();
-  tables.workers_.Put(
-      name, WorkerRow::Builder(*worker).grant_sent_at(Instant()).Build());
-}
-
         found->second,
         WorkerRow::Builder(*worker)
             .granted_at(alive ? tick.now() : worker->granted_at())
             .grant_sent_at(tick.now())
+            .leased(alive || worker->leased())
             .Build());
     tick.Emit(
         SendToRunner::Builder()
@@ -464,7 +481,6 @@
     LogLine(tick, "worker-lost", 0,
             {Field("member", name.value()),
              Field("tasks", tables.tasks_.TasksOnWorker(name).size())});
-            .leased(alive || worker->leased())
     ReturnAllTasks(name, Reason::kLeaseLapsed, tables, tick);
     MarkConfirmedLost(name, tables, tick);
     const WorkerRow worker = *tables.workers_.Find(name);
--- a/src/tables/member_row.h
+++ b/src/tables/member_row.h
@@ -31,18 +31,24 @@
   bool answered() const { return answered_; }
   /// Time of the last message from the process.
   Instant heard_at() const { return heard_at_; }
+  /// The same by the clock of this holder's attention.
+  Instant heard_attention() const { return heard_attention_; }
+  /// Attention time at which the connection was last opened or lost.
+  Instant changed_attention() const { return changed_attention_; }
 
   friend auto operator<=>(const MemberRow&, const MemberRow&) = default;
 
  private:
   QUETZALLINE_VALUE(MemberRow, record_, connection_, session_, heard_at_,
-                    answered_)
+                    answered_, heard_attention_, changed_attention_)
 
   MemberRecord record_;
   std::optional<ConnectionId> connection_;
   std::int64_t session_ = 0;
   Instant heard_at_ = Instant{};
   bool answered_ = false;
+  Instant heard_attention_ = Instant{};
+  Instant changed_attention_ = Instant{};
 };
 
 /// Builds a MemberRow; fields that are not set keep their defaults.
@@ -58,6 +64,12 @@
   }
   Builder& session(std::int64_t value) { return Set(value_.session_, value); }
   Builder& heard_at(Instant value) { return Set(value_.heard_at_, value); }
+  Builder& heard_attention(Instant value) {
+    return Set(value_.heard_attention_, value);
+  }
+  Builder& changed_attention(Instant value) {
+    return Set(value_.changed_attention_, value);
+  }
   Builder& answered(bool value) { return Set(value_.answered_, value); }
 };
 
--- a/test/cell/crashing_task_test.cc
+++ b/test/cell/crashing_task_test.cc
@@ -78,6 +78,7 @@
   void Pass(Duration time) {
     now_ += time;
     tables().last_tick_ = now_;
+    tables().attention_ = now_;
     tables().term_ =
         HolderTerm::Builder(tables().term_).confirmed_at(now_).Build();
     for (const auto& [name, row] : tables().workers_.Sorted()) {
@@ -86,6 +87,7 @@
       tables().members_.Put(name,
                             MemberRow::Builder(*tables().members_.Find(name))
                                 .heard_at(now_)
+                                .heard_attention(now_)
                                 .Build());
     }
   }
@@ -130,9 +132,9 @@
   std::vector<RunKey> Place() {
     SchedulerTick tick = Tick();
     tables().placement_due_ = true;
+    GrantLeases(tables(), tick);
     IsolateSuspects(tables(), tick);
     PlaceRuns(tables(), tick);
-    GrantLeases(tables(), tick);
     std::vector<RunKey> started;
     for (const SchedulerEffect& effect : tick.TakeEffects()) {
       const auto* sent = std::get_if<SendToRunner>(&effect);
@@ -224,9 +226,6 @@
                        .Build(),
                    tables_, tick);
   }
-  void Answer(bool answered) {
-    RunnerTick tick = Tick();
-    CheckWorkerIncarnation(WorkerAnswer::Builder()
   // Starts a run, which the worker confirms.
   void StartConfirmed(std::uint64_t job, bool isolated = false) {
     Start(job, isolated);
@@ -238,6 +237,9 @@
         tables_, tick);
   }
   // Answers a call, which need not be that of a start.
+  void Answer(bool answered) {
+    RunnerTick tick = Tick();
+    CheckWorkerIncarnation(WorkerAnswer::Builder()
                                .verdict(answered ? WorkerCallOutcome::kDone
                                                  : WorkerCallOutcome::kLost)
                                .born_ms(tables_.facts_->born_ms())
@@ -606,8 +608,6 @@
   BOOST_TEST((fleet.State(other) != JobState::kFailed));
 }
 
-// Guards against tasks that crash several workers of a zone at about the same
-// time and are taken for the victims of a lost rack again and again.
 // Half of the fleet is lost at once, and no zone or label says that its workers
 // have anything in common.
 BOOST_AUTO_TEST_CASE(a_fleet_that_is_lost_convicts_nobody) {
@@ -625,6 +625,8 @@
   BOOST_TEST((fleet.State(job) != JobState::kFailed));
 }
 
+// Guards against tasks that crash several workers of a zone at about the same
+// time and are taken for the victims of a lost rack again and again.
 BOOST_AUTO_TEST_CASE(tasks_that_crash_a_zone_are_given_up) {
   VirtualCell cell(6, 1, 1);
   for (std::size_t i = 0; i < cell.agents(); ++i) {
@@ -750,26 +752,6 @@
   BOOST_TEST(runner.Crashes().empty());
 }
 
-// Guards against a conviction by a crash long after the start: the poll in
-// flight waits for an end, so that an idle worker gives no sign of life.
-BOOST_AUTO_TEST_CASE(a_runner_checks_that_a_suspect_survives_its_start) {
-  CrashingRunner runner;
-  runner.ImmediatePolls();
-  runner.StartConfirmed(1, true);
-  BOOST_TEST(runner.tables_.poll_in_flight_);
-  runner.now_ += milliseconds(99);
-  BOOST_TEST(runner.ImmediatePolls() == 0U);
-  runner.now_ += milliseconds(1);
-  BOOST_TEST(runner.ImmediatePolls() == 1U);
-  runner.Answer(true);
-  runner.now_ += milliseconds(50);
-  runner.Announce(2, false);
-  BOOST_REQUIRE(runner.Crashes().size() == 1U);
-  BOOST_TEST(runner.Crashes().front().runs().front().age_ms() == 100);
-}
-
-// Guards against planned departures and silent workers that count as crashes.
-BOOST_AUTO_TEST_CASE(only_an_unannounced_end_of_an_incarnation_is_a_crash) {
 // Guards against a conviction by a start that never arrived: the answer to an
 // earlier call may come after a start that found the worker gone.
 BOOST_AUTO_TEST_CASE(a_start_without_an_answer_is_no_sign_of_life) {
@@ -791,6 +773,26 @@
   BOOST_TEST(crash.runs()[1].age_ms() < 0);
 }
 
+// Guards against a conviction by a crash long after the start: the poll in
+// flight waits for an end, so that an idle worker gives no sign of life.
+BOOST_AUTO_TEST_CASE(a_runner_checks_that_a_suspect_survives_its_start) {
+  CrashingRunner runner;
+  runner.ImmediatePolls();
+  runner.StartConfirmed(1, true);
+  BOOST_TEST(runner.tables_.poll_in_flight_);
+  runner.now_ += milliseconds(99);
+  BOOST_TEST(runner.ImmediatePolls() == 0U);
+  runner.now_ += milliseconds(1);
+  BOOST_TEST(runner.ImmediatePolls() == 1U);
+  runner.Answer(true);
+  runner.now_ += milliseconds(50);
+  runner.Announce(2, false);
+  BOOST_REQUIRE(runner.Crashes().size() == 1U);
+  BOOST_TEST(runner.Crashes().front().runs().front().age_ms() == 100);
+}
+
+// Guards against planned departures and silent workers that count as crashes.
+BOOST_AUTO_TEST_CASE(only_an_unannounced_end_of_an_incarnation_is_a_crash) {
   CrashingRunner drained;
   drained.Start(1);
   drained.Announce(1, true);
--- a/test/cell/holder_changes_test.cc
+++ b/test/cell/holder_changes_test.cc
@@ -151,6 +151,7 @@
   // Runs the tracking of absent workers at a time after the fleet's.
   void Track(Duration after) {
     SchedulerTick tick(kFleetNow + after, random_, tables().counters_);
+    tables().attention_ = kFleetNow + after;
     TrackAbsentWorkers(tables(), tick);
   }
 
@@ -170,7 +171,6 @@
   // Has the runner report and returns the number of the report for which its
   // lease was granted. The store has just confirmed the epoch.
   std::int64_t GrantAfterReport(Duration after) {
-    SchedulerTick tick(kFleetNow + after, random_, tables().counters_);
     return GrantAfterReport(after, WorkerReport::Builder().number(1).Build());
   }
   std::int64_t GrantAfterReport(Duration after, const WorkerReport& report) {
@@ -182,11 +182,10 @@
   // Grants the leases that are due and returns the number of the report for
   // which that of the first worker was granted.
   std::int64_t Grant(Duration after) {
+    SchedulerTick tick(kFleetNow + after, random_, tables().counters_);
     tables().term_ = HolderTerm::Builder(tables().term_)
                          .confirmed_at(kFleetNow + after)
                          .Build();
-    HandleReport(ConnectionId(1), WorkerReport::Builder().number(1).Build(),
-                 tables(), tick);
     GrantLeases(tables(), tick);
     for (const SchedulerEffect& effect : tick.TakeEffects()) {
       const auto* sent = std::get_if<SendToRunner>(&effect);
@@ -355,6 +354,7 @@
   HandOverAllWorkers(tables);
   BOOST_TEST(!fleet.Commit(Duration()).has_value());
 }
+
 // A worker is closed while it may be recorded for the next holder. Once it is
 // not, it must have a lease before it gets work, since it refuses what would
 // start without one.
@@ -383,7 +383,6 @@
   BOOST_CHECK(cause() == ClosedCause::kOpen);
 }
 
-
 // A value that another writer left, or one under another kind of key, must not
 // end the wait for a lease.
 BOOST_AUTO_TEST_CASE(only_records_that_a_holder_can_have_written_are_read) {
--- a/test/cell/takeover_test.cc
+++ b/test/cell/takeover_test.cc
@@ -46,6 +46,7 @@
   // Handles a complete report of the last runner, whose worker runs the task.
   void ReportRun(Duration since_takeover, bool more_ends) {
     SchedulerTables& tables = fleet_.tables();
+    tables.attention_ = kFleetNow + since_takeover;
     SchedulerTick tick(kFleetNow + since_takeover, random_, tables.counters_);
     HandleReport(ConnectionId(5),
                  WorkerReport::Builder()
@@ -60,6 +61,7 @@
   // Closes the connection to the last runner.
   void Disconnect(Duration since_takeover) {
     SchedulerTables& tables = fleet_.tables();
+    tables.attention_ = kFleetNow + since_takeover;
     SchedulerTick tick(kFleetNow + since_takeover, random_, tables.counters_);
     DisconnectMember(
         ConnectionClosed::Builder().connection(ConnectionId(5)).Build(), tables,
@@ -70,6 +72,7 @@
   void Reconcile(Duration since_takeover) {
     const Instant now = kFleetNow + since_takeover;
     SchedulerTables& tables = fleet_.tables();
+    tables.attention_ = now;
     SchedulerTick tick(now, random_, tables.counters_);
     tables.term_ = HolderTerm::Builder(tables.term_).confirmed_at(now).Build();
     ReconcileTasks(tables, tick);
@@ -308,9 +311,6 @@
   BOOST_TEST(!MayAct(tables, kFleetNow));
 }
 
-BOOST_AUTO_TEST_SUITE_END()
-
-}  // namespace quetzalline
 // A holder without the store lost its majority and regained it from runners
 // that had been away or had started again. A later holder had the store in
 // between: it had cancelled jobs that the earlier one then started.
@@ -384,3 +384,6 @@
   BOOST_TEST(attach(3, 4));
 }
 
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace quetzalline
--- a/test/support/cell_schedule.cc
+++ b/test/support/cell_schedule.cc
@@ -13,6 +13,7 @@
 namespace quetzalline {
 namespace {
 
+using std::chrono::microseconds;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -109,13 +110,7 @@
   }
 
   void IssueCalls() {
-    if (UniformInt(random_, 1) == 0) {
-      const JobDefinition job = RandomJob(random_);
-      const std::uint64_t number = cell_.Submit(job);
-      jobs_.push_back(number);
-      if (job.steps().front().long_running()) long_running_jobs_.insert(number);
-      if (faults_ == ScheduleFaults::kCrashingTasks) DrawTaskCrash(number, job);
-    }
+    if (UniformInt(random_, 1) == 0) SubmitJob(RandomJob(random_));
     if (jobs_.empty()) return;
     const auto last = static_cast<std::int64_t>(jobs_.size()) - 1;
     const std::uint64_t job =
@@ -129,6 +124,17 @@
     if (choice > 1) cell_.QueryJob(job);
   }
 
+  static bool IsLongRunning(const JobDefinition& job) {
+    return job.steps().front().long_running();
+  }
+
+  void SubmitJob(const JobDefinition& job) {
+    const std::uint64_t number = cell_.Submit(job);
+    jobs_.push_back(number);
+    if (IsLongRunning(job)) long_running_jobs_.insert(number);
+    if (faults_ == ScheduleFaults::kCrashingTasks) DrawTaskCrash(number, job);
+  }
+
   // Lets one task of every sixth job crash its workers.
   void DrawTaskCrash(std::uint64_t job, const JobDefinition& definition) {
     if (UniformInt(random_, 5) > 0) return;
@@ -150,7 +156,8 @@
     constexpr std::int64_t kTransientFaults = 16;
     const std::int64_t further_faults =
         faults_ == ScheduleFaults::kChangingRooms ||
-                faults_ == ScheduleFaults::kCrashingTasks
+                faults_ == ScheduleFaults::kCrashingTasks ||
+                faults_ == ScheduleFaults::kLateProcesses
             ? 9
             : 3;
     const std::size_t agent = RandomAgent();
@@ -163,6 +170,9 @@
       }
       return InjectDeparture(agent);
     }
+    if (further && faults_ == ScheduleFaults::kLateProcesses) {
+      return InjectLateness(agent);
+    }
     if (further && faults_ == ScheduleFaults::kLostAnswers) {
       return InjectLostAnswers(agent);
     }
@@ -239,6 +249,40 @@
     }
   }
 
+  // Makes the ticks of the holder, of one agent or of all of them take long,
+  // makes all of them fast again, or submits many jobs at once.
+  void InjectLateness(std::size_t agent) {
+    const ProcessorCost cost =
+        ProcessorCost::Builder()
+            .input(microseconds(UniformInt(random_, 30'000)))
+            .effect(microseconds(UniformInt(random_, 30'000)))
+            .max_inputs(UniformInt(random_, 1) == 0 ? 0 : 4)
+            .Build();
+    switch (UniformInt(random_, 4)) {
+      case 0:
+        return SetProcessorCosts(ProcessorCost());
+      case 1:
+        return SetProcessorCosts(cost);
+      case 2:
+        return cell_.SetProcessorCost(agent, cost);
+      case 3:
+        if (const auto holder = cell_.Holder()) {
+          cell_.SetProcessorCost(*holder, cost);
+        }
+        return;
+      default:
+        for (std::int64_t i = 3 + UniformInt(random_, 12); i > 0; --i) {
+          JobDefinition job = RandomJob(random_);
+          // Long-running ones would fill the cell for good.
+          if (!IsLongRunning(job)) SubmitJob(job);
+        }
+    }
+  }
+
+  void SetProcessorCosts(const ProcessorCost& cost) {
+    for (std::size_t i = 0; i < agents_; ++i) cell_.SetProcessorCost(i, cost);
+  }
+
   // Crashes one worker for a short time, or several at once, as when a rack
   // loses power.
   void InjectCrash(std::size_t agent) {
@@ -353,6 +397,7 @@
   void RepairFaults() {
     cell_.kv().SetUnavailable(false);
     cell_.kv().SetLostResponsePercent(0);
+    SetProcessorCosts(ProcessorCost());
     for (std::size_t i = 0; i < agents_; ++i) {
       cell_.SetAgentPartitioned(i, false, false);
       cell_.kv().RejectCaller(AgentName(i), false);
--- a/test/support/cell_schedule.h
+++ b/test/support/cell_schedule.h
@@ -16,13 +16,16 @@
 /// within one lease. kChangingRooms: transient faults, workers whose capacity
 /// shrinks and grows, lost answers, and crashes of several workers at once.
 /// kCrashingTasks: the same, and tasks that crash their workers.
+/// kLateProcesses: transient faults, processes whose ticks take long, alone or
+/// together, and bursts of jobs.
 enum class ScheduleFaults : std::uint8_t {
   kTransient,
   kDepartures,
   kLostAnswers,
   kHolderChanges,
   kChangingRooms,
-  kCrashingTasks
+  kCrashingTasks,
+  kLateProcesses
 };
 
 /// Runs a cell under random jobs and random faults, all drawn from the seed,
--- a/test/support/placement_fleet.h
+++ b/test/support/placement_fleet.h
@@ -26,6 +26,9 @@
                         .confirmed_at(kFleetNow)
                         .Build();
     tables_.last_tick_ = kFleetNow;
+    tables_.attention_ = kFleetNow;
+    // All that a test places fits into one tick.
+    tables_.starts_per_tick_ = 10'000;
     for (int i = 0; i < workers; ++i) AddWorker(Name(i), i);
   }
 
@@ -90,6 +93,7 @@
   void Advance(Duration time) {
     now_ += time;
     tables_.last_tick_ = now_;
+    tables_.attention_ = now_;
     tables_.term_ =
         HolderTerm::Builder(tables_.term_).confirmed_at(now_).Build();
     for (const auto& [name, worker] : tables_.workers_.Sorted()) {
@@ -98,6 +102,7 @@
       tables_.members_.Put(name,
                            MemberRow::Builder(*tables_.members_.Find(name))
                                .heard_at(now_)
+                               .heard_attention(now_)
                                .Build());
     }
   }
@@ -174,6 +179,7 @@
             .record(MemberRecord::Builder().role(MemberRole::kRunner).Build())
             .connection(connection)
             .heard_at(kFleetNow)
+            .heard_attention(kFleetNow)
             .answered(true)
             .Build());
     tables_.connections_[connection] = name;
@@ -188,13 +194,13 @@
                                    .listing(RunListing::kComplete)
                                    .reconciled(true)
                                    .granted_at(kFleetNow)
+                                   .leased(true)
                                    .Build());
   }
 
   Random random_;
   Instant now_ = kFleetNow;
   SchedulerTables tables_;
-                                   .leased(true)
   std::uint64_t last_job_ = 0;
 };
 
--- a/test/support/virtual_cell.cc
+++ b/test/support/virtual_cell.cc
@@ -69,11 +69,14 @@
           return found->second;
         },
         seed * 31 + i);
+    agent.processor_ = std::make_shared<VirtualProcessor>();
     agent.runner_ = std::make_unique<VirtualNode<RunnerNode>>(
-        events_, [this, i](const RunnerEffect& effect) { Perform(i, effect); });
+        events_, [this, i](const RunnerEffect& effect) { Perform(i, effect); },
+        agent.processor_);
     agent.scheduler_ = std::make_unique<VirtualNode<SchedulerNode>>(
         events_,
-        [this, i](const SchedulerEffect& effect) { Perform(i, effect); });
+        [this, i](const SchedulerEffect& effect) { Perform(i, effect); },
+        agent.processor_);
     StartAgent(i);
     Announce(i);
   }
@@ -357,10 +360,10 @@
                              .count())
                      .Build());
           },
+          [&](const HolderEpochSeen& e) { agents_[agent].runner_->Post(e); },
           [&](const LogDecision& e) { Trace(events_.now(), name, e); },
           [&](const auto& e) { kv_.Perform(name, e, post); },
       },
-          [&](const HolderEpochSeen& e) { agents_[agent].runner_->Post(e); },
       effect);
 }
 
--- a/test/support/virtual_cell.h
+++ b/test/support/virtual_cell.h
@@ -13,6 +13,7 @@
 #include "support/job_invariant_log.h"
 #include "support/virtual_kv.h"
 #include "support/virtual_node.h"
+#include "support/virtual_processor.h"
 #include "support/virtual_worker.h"
 #include "systems/gateway/gateway_node.h"
 #include "systems/runner/runner_node.h"
@@ -72,6 +73,13 @@
   /// runs after the grace.
   void StopAgent(std::size_t agent,
                  Duration grace = std::chrono::milliseconds(700));
+  /// Sets the processor time that the agent's process takes from now on.
+  void SetProcessorCost(std::size_t agent, const ProcessorCost& cost) {
+    agents_[agent].processor_->SetCost(cost);
+  }
+  const VirtualProcessor& processor(std::size_t agent) const {
+    return *agents_[agent].processor_;
+  }
   /// Stalls the agent's process: it handles no input for the given time.
   void StallAgent(std::size_t agent, Duration time);
   void KillEntry(std::size_t entry);
@@ -97,6 +105,8 @@
  private:
   struct Agent {
     std::unique_ptr<VirtualWorker> worker_;
+    /// Shared by the runner and the scheduler.
+    std::shared_ptr<VirtualProcessor> processor_;
     std::unique_ptr<VirtualNode<RunnerNode>> runner_;
     std::unique_ptr<VirtualNode<SchedulerNode>> scheduler_;
     /// The members to connect to, each with the number of its dialling loop.
