Refuse starts that have waited at an agent whose ticks are late

Cause: an agent took itself for stalled after a gap of 1.5 s between two ticks. One that is slow handles messages in ticks of a second, one after the other: in cell schedule 300147 of kLateProcesses it started tasks 4 s after they had been ordered, and after the cancellation of their job had been acknowledged.

Change: what ticks are late by adds up and is made up for by ticks in time; with more than a second of it, starts are refused, as after a stall. A single gap of 1.5 s is as before.

--- a/src/systems/runner/runner_node.cc
+++ b/src/systems/runner/runner_node.cc
@@ -1,5 +1,7 @@
 #include "systems/runner/runner_node.h"
 
+#include <algorithm>
+
 #include "core/overloaded.h"
 #include "systems/cell/log_fields.h"
 #include "systems/cell/registration.h"
@@ -86,16 +88,26 @@
 
 namespace {
 
-// A runner ticks several times a second. A longer gap means that the process
-// was stalled, and that commands which arrived meanwhile are stale.
-constexpr Duration kMaxTickGap = std::chrono::milliseconds(1500);
+// A runner ticks several times a second. What its ticks are late by adds up,
+// and is made up for by ticks in time. With more than a second of it, the
+// process was stalled or is too slow, and commands that have waited are stale.
+constexpr Duration kUsualTickGap = std::chrono::milliseconds(500);
+constexpr Duration kMaxLateness = std::chrono::milliseconds(1000);
 constexpr Duration kStaleCommandTime = std::chrono::milliseconds(100);
+// A longer lateness is forgotten: ticks in time make up for it in half a
+// second.
+constexpr Duration kLongestLateness = std::chrono::milliseconds(3000);
 
 void DetectStall(RunnerTables& tables, RunnerTick& tick) {
-  const bool stalled = tables.session_.connection() &&
-                       tick.now() - tables.last_tick_ > kMaxTickGap;
+  const Duration gap = tick.now() - tables.last_tick_;
   tables.last_tick_ = tick.now();
-  if (!stalled) return;
+  if (!tables.session_.connection()) {
+    tables.lateness_ = Duration();
+    return;
+  }
+  tables.lateness_ = std::clamp<Duration>(
+      tables.lateness_ + gap - kUsualTickGap, Duration(), kLongestLateness);
+  if (tables.lateness_ <= kMaxLateness) return;
   LogLine(tick, "stall-detected", 0, {});
   // The worker was not polled during the stall.
   tables.worker_answered_at_ = tick.now();
--- a/src/tables/runner_tables.h
+++ b/src/tables/runner_tables.h
@@ -32,6 +32,8 @@
   std::uint64_t last_ticket_ = 0;
 
   Instant last_tick_;
+  /// What the latest ticks were late by, less what later ones have made up for.
+  Duration lateness_{};
   /// Start commands are refused before this time, since they may have waited
   /// while the process was stalled.
   Instant commands_stale_until_;
--- a/test/cell/late_holder_test.cc
+++ b/test/cell/late_holder_test.cc
@@ -131,6 +131,34 @@
       (run.cell_.processor(run.holder_).longest_tick() <= milliseconds(1000)));
 }
 
+// An agent whose ticks are late, none of them by as much as a stall, must not
+// start what was ordered seconds ago: its job may have been cancelled.
+BOOST_AUTO_TEST_CASE(an_agent_whose_ticks_are_late_starts_nothing_that_waited) {
+  RunnerNode runner(RunnerPolicy(), 1);
+  Instant now(seconds(100));
+  const RunnerInput attach =
+      RunnerMessageReceived::Builder()
+          .connection(ConnectionId(1))
+          .message(AttachRunner::Builder().epoch(1).session(1).Build())
+          .Build();
+  runner.RunTick(now, std::vector<RunnerInput>{attach});
+  const auto tick = [&](Duration pause) {
+    now += pause;
+    // The holder goes on granting leases.
+    const RunnerInput grant = RunnerMessageReceived::Builder()
+                                  .connection(ConnectionId(1))
+                                  .message(GrantLease())
+                                  .Build();
+    runner.RunTick(now, std::vector<RunnerInput>{grant});
+    return runner.tables().commands_stale_until_ > now;
+  };
+  BOOST_TEST(!tick(milliseconds(1200)));
+  BOOST_TEST(tick(milliseconds(1200)));
+  BOOST_TEST(tick(milliseconds(1200)));
+  for (int i = 0; i < 10; ++i) tick(milliseconds(100));
+  BOOST_TEST(!tick(milliseconds(100)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace quetzalline
--- a/test/faults/cell_schedule_test.cc
+++ b/test/faults/cell_schedule_test.cc
@@ -45,6 +45,10 @@
 // tasks of a job that its successor had cancelled.
 constexpr std::uint64_t kLostAnswerRegressionSeeds[] = {81982, 91915, 91949};
 
+// The same for schedules with late processes: an agent started tasks that had
+// been ordered seconds before, and whose job had been cancelled since.
+constexpr std::uint64_t kLateProcessRegressionSeeds[] = {300147};
+
 // The same for schedules with departures of workers.
 constexpr std::uint64_t kDepartureRegressionSeeds[] = {
     // The lease of a worker that was lost with its agent was renewed.
@@ -113,6 +117,9 @@
 // others are silent, or that what they ran has lapsed.
 BOOST_AUTO_TEST_CASE(random_late_processes_violate_no_invariant) {
   RunSeeds(ScheduleFaults::kLateProcesses, 150);
+  for (const std::uint64_t seed : kLateProcessRegressionSeeds) {
+    RunSeed(seed, ScheduleFaults::kLateProcesses);
+  }
 }
 
 BOOST_AUTO_TEST_CASE(regression_seeds_violate_no_invariant) {
