--- a/test/support/placement_fleet.h
+++ b/test/support/placement_fleet.h
@@ -6,6 +6,7 @@
 
 #include "systems/scheduler/estimate_interference.h"
 #include "systems/scheduler/place_runs.h"
+#include "systems/scheduler/track_jobs.h"
 #include "systems/scheduler/track_workers.h"
 
 namespace quetzalline {
@@ -63,6 +64,43 @@
     return job;
   }
 
+  /// Adds a job of several steps, which waits for its deadline as long as
+  /// allowed. The tasks of the steps after no other are ready. Returns its
+  /// number.
+  std::uint64_t AddJobOfSteps(const std::vector<JobStep>& steps,
+                              std::int32_t priority, Duration allowed) {
+    const std::uint64_t job = ++last_job_;
+    std::int32_t tasks = 0;
+    for (std::size_t number = 0; number < steps.size(); ++number) {
+      const JobStep& step = steps[number];
+      tasks += step.count();
+      const auto position = static_cast<std::int32_t>(number);
+      tables_.steps_.Put(StepKey::Builder().job(job).step(position).Build(),
+                         StepRow::Builder().left(step.count()).Build());
+      for (std::int32_t i = 0; i < step.count(); ++i) {
+        tables_.tasks_.Put(
+            TaskKey::Builder().job(job).step(position).index(i).Build(),
+            JobTask::Builder().stage(TaskStage::kBlocked).step(step).Build());
+      }
+    }
+    const JobDefinition definition =
+        JobDefinition::Builder().spec("spec").steps(steps).Build();
+    tables_.jobs_.Put(
+        job, JobRow::Builder()
+                 .record(JobRecord::Builder().definition(definition).Build())
+                 .queue(JobQueue::Builder()
+                            .service(ServiceName("service"))
+                            .priority(priority)
+                            .Build())
+                 .accepted_at(now_)
+                 .due(now_ + allowed)
+                 .stored(true)
+                 .tasks_left(tasks)
+                 .Build());
+    UnlockSteps(job, 0, now_, tables_);
+    return job;
+  }
+
   /// Adds a job whose tasks were assigned to the worker 60 seconds ago. Returns
   /// its number.
   std::uint64_t AddRunning(const JobStep& step, int worker) {
@@ -119,6 +157,14 @@
     return tick.TakeEffects();
   }
 
+  /// Runs a system for one tick and returns its effects.
+  template <typename System>
+  std::vector<SchedulerEffect> Run(System&& system) {
+    SchedulerTick tick(now_, random_, tables_.counters_);
+    system(tables_, tick);
+    return tick.TakeEffects();
+  }
+
   /// Runs a system for one tick and returns the number of StopRun messages that
   /// it sent.
   template <typename System>
@@ -165,6 +211,7 @@
     return found == tables_.tasks_.ready().end() ? 0 : found->second.size();
   }
   SchedulerTables& tables() { return tables_; }
+  Instant now() const { return now_; }
 
  private:
   static TaskKey Key(std::uint64_t job, std::int32_t index) {
