Find a stopped run missing although its stop is repeated

Cause: a runner refuses a run that its worker no longer lists only if the last command about it was sent before the poll. A stop without effect is repeated every 700 ms, and an idle worker holds a poll for 700 ms, so each poll had a stop within it, and a run that had to stop and whose end was lost was never found missing. Its task stayed assigned and kept its capacity; an orphaned run closed its worker. Nothing ended that.

Change: only the time of the start counts, since a stop starts nothing.

--- a/src/systems/runner/watch_worker.cc
+++ b/src/systems/runner/watch_worker.cc
@@ -166,10 +166,12 @@
     const bool pending = run.stage() == TrackedRunStage::kStarting ||
                          run.stage() == TrackedRunStage::kUnresolved;
     const bool invalidated = pending && fenced && run.fence() < call.fence();
-    // A run whose stop command came before the run was there never appears.
+    // A run whose stop command came before the run was there never appears. A
+    // stop command starts nothing, so the time of the last one is no matter:
+    // there may be one during every poll.
     const bool lost = !pending && (run.confirmed_at() != Instant() || fenced) &&
                       run.confirmed_at() < call.sent_at() &&
-                      run.called_at() < call.sent_at();
+                      run.started_at() < call.sent_at();
     if (!invalidated && !lost) continue;
     missing.push_back(RunKey::Builder().task(key).run(run.run()).Build());
     reasons.push_back(invalidated ? Reason::kNeverArrived
--- a/test/support/virtual_worker.cc
+++ b/test/support/virtual_worker.cc
@@ -276,7 +276,9 @@
                                 incarnation = incarnation_] {
     const auto found = runs_.find(task);
     if (incarnation != incarnation_ || found == runs_.end()) return;
-    if (found->second.run_ == run) FinishRun(task, RunOutcome::kStopped);
+    if (found->second.run_ != run) return;
+    if (forgetful_) return ForgetRun(task);
+    FinishRun(task, RunOutcome::kStopped);
   });
   return WorkerCallOutcome::kDone;
 }
@@ -293,6 +295,13 @@
   AnswerPolls();
 }
 
+void VirtualWorker::ForgetRun(const TaskKey& task) {
+  const std::int64_t run = runs_.at(task).run_;
+  runs_.erase(task);
+  log_.Ended(RunKey::Builder().task(task).run(run).Build(), name_,
+             RunOutcome::kStopped, events_.now());
+}
+
 void VirtualWorker::ExtendLease(std::int64_t lease_end_ms) {
   const std::int64_t max_end_ms = ClockMs() + kMaxLeaseMs;
   lease_end_ms_ = std::max(lease_end_ms_, std::min(lease_end_ms, max_end_ms));
--- a/test/support/virtual_worker.h
+++ b/test/support/virtual_worker.h
@@ -67,6 +67,9 @@
   void SetMute(bool mute) { mute_ = mute; }
   /// Sets the percentage of runs that fail.
   void SetFailPercent(int percent) { fail_percent_ = percent; }
+  /// Loses the ends of runs that are stopped from now on, as a worker that
+  /// forgets a run does: such a run is listed neither as running nor as ended.
+  void SetForgetful(bool forgetful) { forgetful_ = forgetful; }
   bool alive() const { return alive_; }
   std::size_t running() const { return runs_.size(); }
 
@@ -93,6 +96,7 @@
   WorkerCallOutcome ApplyStop(const WorkerStop& call);
   bool IsOverCapacity() const;
   void FinishRun(const TaskKey& task, RunOutcome outcome);
+  void ForgetRun(const TaskKey& task);
   void ScheduleEnd(const RunKey& run);
   void ScheduleCrash(const RunKey& run, const TaskCrash& crash);
   bool IsRunning(const RunKey& run, std::uint64_t incarnation) const;
@@ -132,6 +136,7 @@
   bool mute_ = false;
   int late_percent_ = 0;
   int fail_percent_ = 0;
+  bool forgetful_ = false;
 };
 
 }  // namespace quetzalline
