Show beside an idle job what the others run, and since when its task could run

Cause: job-idle told only the present time without a run.

Change: the line moves into explain_idle_jobs and gets ready_ms, starved, full_of_best_effort, other_jobs_running, other_jobs_tasks and most_of_one_job. They are computed only when a line is written, at most once in 100 ms; no decision changes.

--- a/src/systems/scheduler/place_runs.cc
+++ b/src/systems/scheduler/place_runs.cc
@@ -6,6 +6,7 @@
 #include "systems/cell/log_fields.h"
 #include "systems/scheduler/choose_worker.h"
 #include "systems/scheduler/confirm_epoch.h"
+#include "systems/scheduler/explain_idle_jobs.h"
 #include "systems/scheduler/finish_job.h"
 #include "systems/scheduler/isolate_suspects.h"
 #include "systems/scheduler/leader_election.h"
@@ -329,7 +330,7 @@
           : PlaceTasks(tasks, half_free, pass, placement, tables, tick);
   if (!placed && pass.starts_left_ > 0) {
     LogWait(placement, pass.workers_.size(), tables, tick);
-    LogIdleJob(key, placement.causes_, tables, tick);
+    LogIdleJob(key, placement.causes_, pass, tables, tick);
   }
   return placed;
 }
--- a/src/systems/scheduler/track_idle_jobs.cc
+++ b/src/systems/scheduler/track_idle_jobs.cc
@@ -5,17 +5,11 @@
 #include <set>
 #include <utility>
 
-#include "systems/cell/log_fields.h"
+#include "systems/scheduler/explain_idle_jobs.h"
 
 namespace quetzalline {
 namespace {
 
-// A job is logged once it has been idle for this long, and again whenever that
-// time has doubled.
-constexpr Duration kFirstIdleLine = std::chrono::seconds(1);
-// Minimum time between two log lines on idle jobs.
-constexpr Duration kIdleLogInterval = std::chrono::milliseconds(100);
-
 // A job is starved once it has been idle for this long beside unreserved CPU.
 // The platform calls a job lost after 3 s.
 constexpr Duration kLongestIdle = std::chrono::milliseconds(1500);
@@ -59,17 +53,6 @@
   return job.began() && !long_running ? now : ready_since;
 }
 
-// Counts the workers of the step's service that get no new work, by cause.
-std::map<ClosedCause, std::int32_t> CountClosedWorkers(
-    const ServiceName& service, const SchedulerTables& tables, Instant now) {
-  std::map<ClosedCause, std::int32_t> closed;
-  for (const auto& [name, worker] : tables.workers_) {
-    if (worker.facts() && worker.facts()->service() != service) continue;
-    ++closed[FindClosedCause(name, worker, tables, now)];
-  }
-  return closed;
-}
-
 // Marks the idle jobs that are starved. Long-running tasks are placed before
 // best-effort ones anyway.
 void MarkStarvedJobs(const PlacementPass& pass, SchedulerTables& tables,
@@ -148,33 +131,6 @@
   return idle;
 }
 
-void LogIdleJob(const StepKey& key, const WaitCauses& causes,
-                SchedulerTables& tables, SchedulerTick& tick) {
-  const Instant now = tick.now();
-  const IdleJob* idle = tables.idle_jobs_.Find(key.job());
-  if (idle == nullptr || !IsIdle(*idle) || now < idle->next_line()) return;
-  if (now < tables.next_idle_log_) return;
-  tables.next_idle_log_ = now + kIdleLogInterval;
-  const JobRow& job = *tables.jobs_.Find(key.job());
-  const auto closed = CountClosedWorkers(job.queue()->service(), tables, now);
-  std::vector<LogField> fields = {Field("step", key.step()),
-                                  FieldMs("idle_ms", now - idle->since()),
-                                  Field("jobs_idle", CountIdleJobs(tables)),
-                                  Field("no_room", causes.no_capacity_),
-                                  Field("neighbours", causes.interference_),
-                                  Field("resting", causes.quarantined_),
-                                  Field("unsuited", causes.unsuitable_)};
-  for (const auto& [cause, workers] : closed) {
-    std::string name = ToString(cause);
-    std::replace(name.begin(), name.end(), '-', '_');
-    fields.push_back(Field(name, workers));
-  }
-  LogLine(tick, "job-idle", key.job(), std::move(fields));
-  tables.idle_jobs_.Put(
-      key.job(),
-      IdleJob::Builder(*idle).next_line(now + (now - idle->since())).Build());
-}
-
 Duration LongestIdleTime(const SchedulerTables& tables, Instant now) {
   Duration longest{};
   for (const auto& [job, idle] : tables.idle_jobs_) {
--- a/src/systems/scheduler/track_idle_jobs.h
+++ b/src/systems/scheduler/track_idle_jobs.h
@@ -1,12 +1,10 @@
 #ifndef QUETZALLINE_SYSTEMS_SCHEDULER_TRACK_IDLE_JOBS_H_
 #define QUETZALLINE_SYSTEMS_SCHEDULER_TRACK_IDLE_JOBS_H_
 
-#include <vector>
+#include <cstddef>
+#include <cstdint>
 
-#include "core/step_key.h"
-#include "systems/scheduler/choose_worker.h"
 #include "systems/scheduler/placement_pass.h"
-#include "systems/scheduler/scheduler_tick.h"
 #include "tables/scheduler_tables.h"
 
 namespace quetzalline {
@@ -33,11 +31,6 @@
 /// Returns the number of idle jobs.
 std::size_t CountIdleJobs(const SchedulerTables& tables);
 
-/// Logs why a step of an idle job has no worker. Each job is logged at
-/// intervals that grow with its wait, and all together at a bounded rate.
-void LogIdleJob(const StepKey& key, const WaitCauses& causes,
-                SchedulerTables& tables, SchedulerTick& tick);
-
 /// Returns for how long the longest idle job has been idle; zero without one.
 Duration LongestIdleTime(const SchedulerTables& tables, Instant now);
 
