--- a/test/support/backlog_model.cc
+++ b/test/support/backlog_model.cc
@@ -20,11 +20,42 @@
                                    std::int32_t priority) {
   const std::uint64_t job =
       fleet_.AddJobOfSteps(steps, priority, std::chrono::seconds(10));
-  for (const JobStep& step : steps) tasks_left_[job] += step.count();
+  for (std::size_t number = 0; number < steps.size(); ++number) {
+    tasks_left_[job] += steps[number].count();
+    for (std::int32_t index = 0; index < steps[number].count(); ++index) {
+      const TaskKey task = TaskKey::Builder()
+                               .job(job)
+                               .step(static_cast<std::int32_t>(number))
+                               .index(index)
+                               .Build();
+      work_[task] = milliseconds(1000 + random_() % 1000);
+    }
+  }
   gaps_[job] = JobGaps();
   return job;
 }
 
+void BacklogModel::Reserve(int worker, std::int64_t millicores) {
+  fleet_.AddRunning(JobStep::Builder()
+                        .count(1)
+                        .cpu(millicores)
+                        .memory_mb(1000)
+                        .long_running(true)
+                        .Build(),
+                    worker);
+}
+
+void BacklogModel::SetGpus(int worker, std::int64_t gpus) {
+  const MemberName name = PlacementFleet::Name(worker);
+  Table<MemberName, WorkerRow>& rows = fleet_.tables().workers_;
+  const WorkerRow row = *rows.Find(name);
+  rows.Put(
+      name,
+      WorkerRow::Builder(row)
+          .facts(WorkerDescription::Builder(*row.facts()).gpu(gpus).Build())
+          .Build());
+}
+
 void BacklogModel::RunFor(Duration time) {
   const Instant until = fleet_.now() + time;
   while (fleet_.now() < until && !tasks_left_.empty()) Step();
@@ -102,12 +133,9 @@
     const auto* start = std::get_if<StartRun>(&sent->message());
     if (start == nullptr) continue;
     const TaskKey& task = start->run().task();
-    const Duration work = milliseconds(1000 + random_() % 1000);
-    total_work_ += static_cast<double>(start->cpu()) *
-                   std::chrono::duration<double>(work).count();
     runs_[task] =
         Run{fleet_.tables().tasks_.Find(task)->worker(), start->run().run(),
-            fleet_.now() + kStartTime, work, std::nullopt};
+            fleet_.now() + kStartTime, work_.at(task), std::nullopt};
   }
 }
 
--- a/test/support/backlog_model.h
+++ b/test/support/backlog_model.h
@@ -53,9 +53,15 @@
   std::uint64_t AddJob(const std::vector<JobStep>& steps,
                        std::int32_t priority = 0);
 
+  /// Runs a task on the worker that is no best-effort one and does not end.
+  void Reserve(int worker, std::int64_t millicores);
+  void SetGpus(int worker, std::int64_t gpus);
+
   /// Runs until no job is left, or until the time is over.
   void RunFor(Duration time);
 
+  /// Returns the work of each task at full speed.
+  const std::map<TaskKey, Duration>& work() const { return work_; }
   /// Returns what the jobs have waited, by their number.
   const std::map<std::uint64_t, JobGaps>& gaps() const { return gaps_; }
   /// Returns the times from the beginning to the end of each job that is over.
@@ -69,8 +75,6 @@
   int overcommitted() const { return overcommitted_; }
   /// Returns the highest CPU of best-effort tasks on a worker, in percent.
   std::int64_t highest_percent() const { return highest_percent_; }
-  /// Returns the CPU time of all work, in millicore-seconds.
-  double total_work() const { return total_work_; }
 
  private:
   struct Run {
@@ -97,6 +101,8 @@
 
   PlacementFleet fleet_;
   std::mt19937 random_;
+  /// Work of each task at full speed, the same for each order of placements.
+  std::map<TaskKey, Duration> work_;
   std::map<TaskKey, Run> runs_;
   /// Tasks of each job that have not ended; none of a job that is over.
   std::map<std::uint64_t, std::int32_t> tasks_left_;
@@ -104,7 +110,6 @@
   std::map<std::uint64_t, Duration> completions_;
   int overcommitted_ = 0;
   std::int64_t highest_percent_ = 0;
-  double total_work_ = 0.0;
 };
 
 }  // namespace quetzalline
