Wait for the answer of an agent once, not once a connection

Cause: tasks whose lease has expired stay with their worker while its agent may still answer, for 1.5 s after its connection was opened or lost. An agent whose connections open and break without an answer, or whose process starts again and again, began that wait anew each time, and its tasks, and after a failover all tasks that may be on its worker, waited as long as it did so.

Change: the time counts anew only after an answer, and from the first connection.

--- a/src/systems/scheduler/track_members.cc
+++ b/src/systems/scheduler/track_members.cc
@@ -63,6 +63,14 @@
   }
 }
 
+// Returns the time since which the member's answer is awaited. A connection
+// that follows one without an answer does not begin that wait anew, nor does a
+// process that has started again.
+Instant AwaitedSince(const MemberRow& row, const SchedulerTables& tables) {
+  const bool first = row.changed_attention() == Instant();
+  return first || row.answered() ? tables.attention_ : row.changed_attention();
+}
+
 // Sends the first messages of a session.
 void AttachMember(const MemberRow& row, ConnectionId connection,
                   SchedulerTables& tables, SchedulerTick& tick) {
@@ -96,7 +104,12 @@
   const MemberRow* known = tables.members_.Find(name);
   if (known != nullptr && known->record() == record) return;
   if (known != nullptr) tick.Emit(DropPeer::Builder().member(name).Build());
-  tables.members_.Put(name, MemberRow::Builder().record(record).Build());
+  MemberRow::Builder row;
+  if (known != nullptr) {
+    row.answered(known->answered())
+        .changed_attention(known->changed_attention());
+  }
+  tables.members_.Put(name, row.record(record).Build());
   if (record.role() == MemberRole::kRunner &&
       tables.workers_.Find(name) == nullptr) {
     tables.workers_.Put(name, WorkerRow());
@@ -150,7 +163,7 @@
                             .session(++tables.last_session_)
                             .heard_at(tick.now())
                             .heard_attention(tables.attention_)
-                            .changed_attention(tables.attention_)
+                            .changed_attention(AwaitedSince(*known, tables))
                             .answered(false)
                             .Build();
   tables.members_.Put(connected.member(), row);
@@ -172,7 +185,7 @@
   if (const MemberRow* row = tables.members_.Find(name)) {
     tables.members_.Put(name, MemberRow::Builder(*row)
                                   .connection(std::nullopt)
-                                  .changed_attention(tables.attention_)
+                                  .changed_attention(AwaitedSince(*row, tables))
                                   .Build());
   }
   if (const WorkerRow* worker = tables.workers_.Find(name)) {
--- a/test/cell/absent_worker_test.cc
+++ b/test/cell/absent_worker_test.cc
@@ -4,9 +4,12 @@
 
 #include "support/placement_fleet.h"
 #include "support/virtual_cell.h"
+#include "systems/cell/max_lease_duration.h"
 #include "systems/runner/runner_node.h"
 #include "systems/scheduler/confirm_epoch.h"
 #include "systems/scheduler/measure_cell.h"
+#include "systems/scheduler/track_members.h"
+#include "systems/scheduler/track_workers.h"
 
 namespace quetzalline {
 namespace {
@@ -372,6 +375,47 @@
   BOOST_TEST(fleet.Waiting(job) == 1U);
 }
 
+// Each connection of an agent began the wait for its answer anew, so that one
+// that connects and falls silent again and again kept its tasks for ever.
+BOOST_AUTO_TEST_CASE(connections_without_an_answer_do_not_prolong_the_wait) {
+  PlacementFleet fleet(2);
+  fleet.AddRunning(JobStep::Builder().count(1).cpu(1000).Build(), 0);
+  SchedulerTables& tables = fleet.tables();
+  Random random(1);
+  ConnectionId open(1);
+  std::uint64_t last_connection = 10;
+  // The lease, and the time in which an agent answers, before and after its
+  // first new connection.
+  const Duration limit = MaxLeaseDuration(seconds(5)) + 2 * milliseconds(1500);
+  for (Duration passed{}; passed <= limit; passed += milliseconds(100)) {
+    SchedulerTick tick(kFleetNow + passed, random, tables.counters_);
+    tables.last_tick_ = tick.now();
+    tables.attention_ = tick.now();
+    tables.term_ =
+        HolderTerm::Builder(tables.term_).confirmed_at(tick.now()).Build();
+    if (passed % seconds(1) == Duration()) {
+      DisconnectMember(ConnectionClosed::Builder().connection(open).Build(),
+                       tables, tick);
+    } else if (passed % milliseconds(500) == Duration()) {
+      open = ConnectionId(++last_connection);
+      // The process has started again, every other time.
+      AddMember(PlacementFleet::Name(0),
+                MemberRecord::Builder()
+                    .role(MemberRole::kRunner)
+                    .incarnation(last_connection / 2)
+                    .Build(),
+                tables, tick);
+      ConnectMember(PeerConnected::Builder()
+                        .connection(open)
+                        .member(PlacementFleet::Name(0))
+                        .Build(),
+                    tables, tick);
+    }
+    ExpireWorkers(tables, tick);
+  }
+  BOOST_TEST(fleet.TasksOnWorker(0) == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace quetzalline
