Check in every cell schedule that waits end; schedules with lost ends

At the end of a schedule, when its faults are repaired, each worker that is there has to get work at some time within 3 s, and no run may have to stop all that time.

The check draws nothing, so the other kinds run as before.

--- a/test/faults/cell_schedule_test.cc
+++ b/test/faults/cell_schedule_test.cc
@@ -122,6 +122,12 @@
   }
 }
 
+// Guards against workers that get no work, and capacity that stays taken, for
+// runs whose ends were lost.
+BOOST_AUTO_TEST_CASE(random_lost_ends_violate_no_invariant) {
+  RunSeeds(ScheduleFaults::kLostEnds, 150);
+}
+
 BOOST_AUTO_TEST_CASE(regression_seeds_violate_no_invariant) {
   for (const std::uint64_t seed : kRegressionSeeds) RunSeed(seed);
 }
--- a/test/support/cell_schedule.cc
+++ b/test/support/cell_schedule.cc
@@ -9,6 +9,7 @@
 #include "support/virtual_cell.h"
 #include "systems/cell/cell_keys.h"
 #include "systems/cell/max_lease_duration.h"
+#include "systems/scheduler/choose_worker.h"
 
 namespace quetzalline {
 namespace {
@@ -78,6 +79,9 @@
         faults_(faults),
         agents_(HasDepartures() ? kAgents + kMaxDeparted : kAgents),
         cell_(agents_, kEntries, seed) {
+    for (std::size_t i = 0; i < agents_; ++i) {
+      cell_.worker(i).SetForgetful(faults_ == ScheduleFaults::kLostEnds);
+    }
     if (faults_ != ScheduleFaults::kLostAnswers) return;
     for (std::size_t i = 0; i < agents_; ++i) {
       cell_.SetLatency(i, milliseconds(1 + UniformInt(random_, kMaxLatencyMs)));
@@ -162,6 +166,7 @@
             : 3;
     const std::size_t agent = RandomAgent();
     const bool further = faults_ != ScheduleFaults::kTransient &&
+                         faults_ != ScheduleFaults::kLostEnds &&
                          UniformInt(random_, kTransientFaults + further_faults -
                                                  1) >= kTransientFaults;
     if (further && HasDepartures()) {
@@ -406,13 +411,59 @@
       cell_.worker(i).SetLatePercent(0);
       cell_.worker(i).SetFailPercent(0);
       cell_.worker(i).SetMute(false);
+      cell_.worker(i).SetForgetful(false);
       cell_.worker(i).SetRoom(WorkerRoom());
     }
   }
 
+  // Checks that every worker that is there gets work at some time, and that no
+  // run has to stop all the time: each wait ends by itself.
+  void CheckThatWaitsEnd(Duration time) {
+    constexpr Duration kStep = milliseconds(100);
+    std::map<MemberName, ClosedCause> closed;
+    std::set<TaskKey> stopping;
+    for (Duration passed{}; passed < time; passed += kStep) {
+      cell_.RunFor(kStep);
+      const auto holder = cell_.Holder();
+      if (!holder) continue;
+      const SchedulerTables& tables = cell_.scheduler(*holder);
+      std::map<MemberName, ClosedCause> closed_now;
+      std::set<TaskKey> stopping_now;
+      for (std::size_t i = 0; i < agents_; ++i) {
+        const MemberName name(AgentName(i));
+        const WorkerRow* worker = tables.workers_.Find(name);
+        if (worker == nullptr || departed_.count(i) > 0) continue;
+        const ClosedCause cause =
+            FindClosedCause(name, *worker, tables, cell_.now());
+        if (cause != ClosedCause::kOpen) closed_now[name] = cause;
+        for (const TaskKey& task : tables.tasks_.TasksOnWorker(name)) {
+          if (tables.tasks_.Find(task)->stopping()) stopping_now.insert(task);
+        }
+      }
+      if (passed == Duration()) {
+        closed = closed_now;
+        stopping = stopping_now;
+      }
+      std::erase_if(closed, [&](const auto& entry) {
+        return closed_now.count(entry.first) == 0;
+      });
+      std::erase_if(stopping, [&](const TaskKey& task) {
+        return stopping_now.count(task) == 0;
+      });
+    }
+    for (const auto& [name, cause] : closed) {
+      violations_.push_back("worker gets no work: " + name.value() +
+                            ", cause " +
+                            std::to_string(static_cast<int>(cause)));
+    }
+    for (const TaskKey& task : stopping) {
+      violations_.push_back("run does not stop: " + FormatJobId(task.job()));
+    }
+  }
+
   std::vector<std::string> CheckFinalState() {
     for (const std::uint64_t job : jobs_) cell_.QueryJob(job);
-    cell_.RunFor(seconds(3));
+    CheckThatWaitsEnd(seconds(3));
     cell_.log().CheckRefused();
     std::vector<std::string> violations = cell_.log().violations();
     violations.insert(violations.end(), violations_.begin(), violations_.end());
--- a/test/support/cell_schedule.h
+++ b/test/support/cell_schedule.h
@@ -17,7 +17,8 @@
 /// shrinks and grows, lost answers, and crashes of several workers at once.
 /// kCrashingTasks: the same, and tasks that crash their workers.
 /// kLateProcesses: transient faults, processes whose ticks take long, alone or
-/// together, and bursts of jobs.
+/// together, and bursts of jobs. kLostEnds: transient faults, and workers that
+/// lose the ends of runs that are stopped.
 enum class ScheduleFaults : std::uint8_t {
   kTransient,
   kDepartures,
@@ -25,7 +26,8 @@
   kHolderChanges,
   kChangingRooms,
   kCrashingTasks,
-  kLateProcesses
+  kLateProcesses,
+  kLostEnds
 };
 
 /// Runs a cell under random jobs and random faults, all drawn from the seed,
