--- a/test/cell/backlog_test.cc
+++ b/test/cell/backlog_test.cc
@@ -181,6 +181,21 @@
   return FiguresOf(model, jobs);
 }
 
+// Returns the figures of a backlog during which the holder changes this often.
+Figures FiguresBesideTakeovers(int takeovers) {
+  BacklogModel model(5, 1);
+  std::mt19937 random(1);
+  for (int i = 0; i < 22; ++i) model.AddJob(DrawSteps(random));
+  for (int i = 0; i < takeovers; ++i) {
+    model.RunFor(milliseconds(3100));
+    model.TakeOver(milliseconds(600));
+  }
+  model.RunFor(seconds(120));
+  BOOST_TEST(model.jobs_left() == 0U);
+  BOOST_TEST(model.overcommitted() == 0);
+  return FiguresOf(model);
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(backlogs)
@@ -291,6 +306,19 @@
   BOOST_TEST((figures.most_waited_ <= kLostAfter), figures);
 }
 
+// A new holder knows nothing of what a job has waited before and let it wait
+// anew. The time without a holder does not count.
+BOOST_AUTO_TEST_CASE(a_starved_job_waits_once_beside_a_takeover) {
+  const Figures figures = FiguresBesideTakeovers(1);
+  BOOST_TEST((figures.most_waited_ <= kLostAfter), figures);
+}
+
+// As before, with holders that follow each other. Each let the job wait anew.
+BOOST_AUTO_TEST_CASE(a_starved_job_waits_once_beside_successive_takeovers) {
+  const Figures figures = FiguresBesideTakeovers(4);
+  BOOST_TEST((figures.most_waited_ <= kLostAfter), figures);
+}
+
 // Once the first tasks of starved jobs took twice the CPU, the other jobs
 // waited for their ends, although the platform does not count this CPU.
 BOOST_AUTO_TEST_CASE(more_starved_jobs_than_twice_the_cpu_wait_once) {
--- a/test/support/backlog_model.cc
+++ b/test/support/backlog_model.cc
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "systems/scheduler/finish_job.h"
+#include "systems/scheduler/reconcile_tasks.h"
 
 namespace quetzalline {
 namespace {
@@ -61,6 +62,69 @@
   while (fleet_.now() < until && !tasks_left_.empty()) Step();
 }
 
+void BacklogModel::TakeOver(Duration without_holder) {
+  const Instant until = fleet_.now() + without_holder;
+  while (fleet_.now() < until) {
+    fleet_.Advance(kStep);
+    Work();
+    EndRuns();
+  }
+  PlacementFleet next(workers_);
+  next.Advance(fleet_.now() - kFleetNow);
+  SchedulerTables& tables = next.tables();
+  tables.stage_ = HolderActing::Builder().since(next.now()).Build();
+  tables.term_ = HolderTerm::Builder(tables.term_)
+                     .epoch(fleet_.tables().term_.epoch() + 1)
+                     .settled(false)
+                     .Build();
+  for (int worker = 0; worker < workers_; ++worker) {
+    tables.workers_.Put(PlacementFleet::Name(worker), WorkerRow());
+  }
+  for (const auto& [job, row] : fleet_.tables().jobs_.Sorted()) {
+    if (row.state() == JobState::kCompleted) continue;
+    RestoreJob(job, *row.record(), ProgressOf(job, fleet_.tables()),
+               row.accepted_at(), tables);
+  }
+  std::swap(fleet_, next);
+  for (int worker = 0; worker < workers_; ++worker) {
+    const MemberName name = PlacementFleet::Name(worker);
+    ListRuns(worker, *next.tables().workers_.Find(name)->facts());
+  }
+  fleet_.Run(GrantLeases);
+  fleet_.Run(ReconcileTasks);
+}
+
+void BacklogModel::ListRuns(int worker, const WorkerDescription& facts) {
+  std::vector<RunProgress> running;
+  std::vector<RunEnd> ends;
+  for (auto it = runs_.begin(); it != runs_.end();) {
+    const auto& [task, run] = *it;
+    if (run.worker_ != PlacementFleet::Name(worker)) {
+      ++it;
+      continue;
+    }
+    const RunKey key = RunKey::Builder().task(task).run(run.number_).Build();
+    if (!run.heard_at_) {
+      running.push_back(RunProgress::Builder().run(key).Build());
+      ++it;
+      continue;
+    }
+    ends.push_back(RunEnd::Builder()
+                       .number(static_cast<std::int64_t>(ends.size()) + 1)
+                       .run(key)
+                       .outcome(RunOutcome::kDone)
+                       .Build());
+    it = runs_.erase(it);
+  }
+  fleet_.Report(worker, WorkerReport::Builder()
+                            .number(1)
+                            .whole(true)
+                            .facts(facts)
+                            .running(std::move(running))
+                            .ends(std::move(ends))
+                            .Build());
+}
+
 void BacklogModel::Step() {
   fleet_.Advance(kStep);
   Work();
--- a/test/support/backlog_model.h
+++ b/test/support/backlog_model.h
@@ -45,7 +45,8 @@
 /// and the holder handles the end of a run 60 ms after it.
 class BacklogModel {
  public:
-  BacklogModel(int workers, unsigned seed) : fleet_(workers), random_(seed) {}
+  BacklogModel(int workers, unsigned seed)
+      : workers_(workers), fleet_(workers), random_(seed) {}
 
   PlacementFleet& fleet() { return fleet_; }
 
@@ -60,6 +61,11 @@
   /// Runs until no job is left, or until the time is over.
   void RunFor(Duration time);
 
+  /// Lets another holder take over, which knows only what is stored of the jobs
+  /// and what the workers list. For the given time there is no holder; this
+  /// counts for no gap. No job may be added later.
+  void TakeOver(Duration without_holder);
+
   /// Returns the work of each task at full speed.
   const std::map<TaskKey, Duration>& work() const { return work_; }
   /// Returns what the jobs have waited, by their number.
@@ -99,6 +105,10 @@
   void CheckCapacity();
   bool HasRoom(std::uint64_t job);
 
+  /// Reports all runs and unheard ends of a worker to a new holder.
+  void ListRuns(int worker, const WorkerDescription& facts);
+
+  int workers_;
   PlacementFleet fleet_;
   std::mt19937 random_;
   /// Work of each task at full speed, the same for each order of placements.
--- a/test/support/placement_fleet.h
+++ b/test/support/placement_fleet.h
@@ -85,18 +85,22 @@
     }
     const JobDefinition definition =
         JobDefinition::Builder().spec("spec").steps(steps).Build();
-    tables_.jobs_.Put(
-        job, JobRow::Builder()
-                 .record(JobRecord::Builder().definition(definition).Build())
-                 .queue(JobQueue::Builder()
-                            .service(ServiceName("service"))
-                            .priority(priority)
-                            .Build())
-                 .accepted_at(now_)
-                 .due(now_ + allowed)
-                 .stored(true)
-                 .tasks_left(tasks)
-                 .Build());
+    const JobQueue queue = JobQueue::Builder()
+                               .service(ServiceName("service"))
+                               .priority(priority)
+                               .objective(allowed)
+                               .Build();
+    tables_.jobs_.Put(job, JobRow::Builder()
+                               .record(JobRecord::Builder()
+                                           .definition(definition)
+                                           .queue(queue)
+                                           .Build())
+                               .queue(queue)
+                               .accepted_at(now_)
+                               .due(now_ + allowed)
+                               .stored(true)
+                               .tasks_left(tasks)
+                               .Build());
     UnlockSteps(job, 0, now_, tables_);
     return job;
   }
