--- a/src/systems/runner/execute_run_commands.cc
+++ b/src/systems/runner/execute_run_commands.cc
@@ -159,12 +159,7 @@
 void HandleStopRun(const StopRun& command, RunnerTables& tables,
                    RunnerTick& tick) {
   const TrackedRun* held = tables.runs_.Find(command.run().task());
-  if (held == nullptr || held->run() != command.run().run()) {
-    // The holder learns what is there instead. Before the first list of the
-    // session, a run that is not known may be on the worker.
-    if (tables.session_.synced()) tables.full_report_due_ = true;
-    return;
-  }
+  if (held == nullptr || held->run() != command.run().run()) return;
   tick.counters().Add(Counter::kTasksStopped);
   SendStop(command.run().task(), tables, tick);
 }
--- a/src/systems/scheduler/scheduler_node.cc
+++ b/src/systems/scheduler/scheduler_node.cc
@@ -1,6 +1,5 @@
 #include "systems/scheduler/scheduler_node.h"
 
-#include "systems/scheduler/ask_for_orphaned_runs.h"
 #include "systems/scheduler/commit_progress.h"
 #include "systems/scheduler/confirm_epoch.h"
 #include "systems/scheduler/dispatch_inputs.h"
@@ -46,7 +45,6 @@
     EvictFromDrainingWorkers(tables_, tick);
   }
   GrantLeases(tables_, tick);
-  AskForOrphanedRuns(tables_, tick);
   ReleaseDueOccurrences(tables_, tick);
   IsolateSuspects(tables_, tick);
   PlaceRuns(tables_, tick);
--- a/src/tables/scheduler_tables.h
+++ b/src/tables/scheduler_tables.h
@@ -113,8 +113,6 @@
   /// Runs that a worker lists or may still run without being assigned to it.
   /// The resources that they take are unknown.
   std::map<MemberName, std::set<RunKey>> orphaned_runs_;
-  /// Time at which the runner of such a worker is asked about them next.
-  std::map<MemberName, Instant> next_orphan_ask_;
   /// Jobs whose stored record is outdated.
   DirtyJobs dirty_jobs_;
   /// Completions that are acknowledged once their effect is stored.
