--- a/src/systems/scheduler/place_runs.cc
+++ b/src/systems/scheduler/place_runs.cc
@@ -41,7 +41,7 @@
 
 struct ReadyStep {
   PlacementClass placement_class_;
-  /// Time since which the job is idle if it is starved, otherwise the latest
+  /// Start of the present idle spell of a starved job, otherwise the latest
   /// time.
   Instant starved_since_;
   std::int32_t priority_;
--- a/src/tables/member_row.h
+++ b/src/tables/member_row.h
@@ -33,7 +33,9 @@
   Instant heard_at() const { return heard_at_; }
   /// The same by the clock of this holder's attention.
   Instant heard_attention() const { return heard_attention_; }
-  /// Attention time at which the connection was last opened or lost.
+  /// Attention time since which an answer of the process is awaited: that at
+  /// which the connection was opened or lost for the first time since the last
+  /// answer.
   Instant changed_attention() const { return changed_attention_; }
 
   friend auto operator<=>(const MemberRow&, const MemberRow&) = default;
