--- a/src/systems/scheduler/explain_idle_jobs.cc
+++ b/src/systems/scheduler/explain_idle_jobs.cc
@@ -104,8 +104,8 @@
 }
 
 // Returns the spells of a job that is idle now, with the present one.
-IdleSpells AddIdleTime(std::uint64_t job, const IdleReason& reason,
-                       const SchedulerTables& tables, Instant now) {
+IdleSpells ObserveIdleTime(std::uint64_t job, const IdleReason& reason,
+                           const SchedulerTables& tables, Instant now) {
   const IdleSpells* known = tables.idle_spells_.Find(job);
   const JobRow& row = *tables.jobs_.Find(job);
   const IdleJob* waiting = tables.idle_jobs_.Find(job);
@@ -138,7 +138,7 @@
                 SchedulerTables& tables) {
   if (const auto reason = FindIdleReason(job, row, search, tables)) {
     tables.idle_spells_.Put(job,
-                            AddIdleTime(job, *reason, tables, search.now_));
+                            ObserveIdleTime(job, *reason, tables, search.now_));
     return;
   }
   const IdleSpells* known = tables.idle_spells_.Find(job);
@@ -333,7 +333,7 @@
   const JobStep& step = StepOfJob(key, job);
   const OtherJobs others = CountOtherJobs(key.job(), service, tables);
   const IdleSpells spells =
-      AddIdleTime(key.job(), ReasonOfReady(key, job, tables), tables, now);
+      ObserveIdleTime(key.job(), ReasonOfReady(key, job, tables), tables, now);
   std::vector<LogField> fields =
       SpellFields(spells, idle->since(), tables, now);
   Append(FieldsOf(spells.reason()), fields);
--- a/test/cell/idle_job_test.cc
+++ b/test/cell/idle_job_test.cc
@@ -2,6 +2,7 @@
 #include <string>
 #include <vector>
 
+#include "support/decision_lines.h"
 #include "support/placement_fleet.h"
 #include "systems/scheduler/measure_cell.h"
 
@@ -66,23 +67,6 @@
   return -1;
 }
 
-std::vector<LogDecision> LinesOf(const std::vector<SchedulerEffect>& effects,
-                                 const std::string& event) {
-  std::vector<LogDecision> lines;
-  for (const SchedulerEffect& effect : effects) {
-    const auto* line = std::get_if<LogDecision>(&effect);
-    if (line != nullptr && line->event() == event) lines.push_back(*line);
-  }
-  return lines;
-}
-
-std::string FieldOf(const LogDecision& line, const std::string& name) {
-  for (const LogField& field : line.fields()) {
-    if (field.name() == name) return field.value();
-  }
-  return "";
-}
-
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(idle_jobs)
