--- a/review/standin/cases.cc
+++ b/review/standin/cases.cc
@@ -245,6 +245,26 @@
   co_await Sleep(6000);
 }
 
+// An executor crashes and starts again under the same id. Before its first
+// heartbeat it is given a task, and its answers are lost from then on.
+Task RebornLease(Site& site) {
+  co_await site.Warm();
+  const std::string holder = site.store->Holder();
+  Executor& reborn =
+      *site.executors[holder == site.executors[0]->name() ? 1 : 0];
+  reborn.End("it crashes");
+  co_await Sleep(500);
+  const std::int64_t born = NowMs();
+  reborn.StartLife(reborn.id(), 700);
+  co_await Sleep(400);
+  if (site.trouble) reborn.SetMute(true);
+  co_await Sleep(100);
+  co_await site.Submit("00000000000000f1", 6, 30'000);
+  while (NowMs() < born + 6900) co_await Sleep(10);
+  if (site.trouble) reborn.SetMute(false);
+  co_await Sleep(6000);
+}
+
 // A Deregister call of an executor's earlier life arrives late, after the next
 // life has registered under the same id.
 Task LeaveLate(Site& site) {
@@ -389,6 +409,7 @@
   const std::map<std::string, Task (*)(Site&)> cases{
       {"leave-unanswered", LeaveUnanswered},
       {"leave-late", LeaveLate},
+      {"reborn-lease", RebornLease},
       {"leave-at-stop", LeaveAtStop},
       {"capital-id", CapitalId},
       {"zero-id", ZeroId},
--- a/review/standin/platform.cc
+++ b/review/standin/platform.cc
@@ -401,7 +401,13 @@
   Serve(io, ip, app_port, [this](Request r) { return Handle(std::move(r)); });
 }
 
-void Executor::StartLife(const std::string& id) {
+void Executor::SetMute(bool mute) {
+  mute_ = mute;
+  fleet_.record().Line(name_ + (mute ? ": answers of the executor are lost"
+                                     : ": the executor answers again"));
+}
+
+void Executor::StartLife(const std::string& id, std::int64_t first_beat_ms) {
   id_ = id;
   ++life_;
   up_ = beats_ = true;
@@ -414,7 +420,7 @@
   ended_.clear();
   fleet_.record().Line(name_ + ": executor " + id_ + " starts, born " +
                        std::to_string(born_ms_));
-  net::co_spawn(io_, Beat(life_), net::detached);
+  net::co_spawn(io_, Beat(life_, first_beat_ms), net::detached);
   net::co_spawn(io_, Work(life_), net::detached);
 }
 
@@ -455,7 +461,8 @@
   return json::serialize(body);
 }
 
-Task Executor::Beat(int life) {
+Task Executor::Beat(int life, std::int64_t first_beat_ms) {
+  if (first_beat_ms > 0) co_await Sleep(first_beat_ms);
   while (life == life_ && beats_) {
     ++seq_;
     const bool draining = draining_;
@@ -503,6 +510,14 @@
 }
 
 net::awaitable<Response> Executor::Handle(Request request) {
+  Response response = co_await CarryOut(std::move(request));
+  if (!mute_) co_return response;
+  co_await Sleep(20'000);
+  response.version(kNoAnswer);
+  co_return response;
+}
+
+net::awaitable<Response> Executor::CarryOut(Request request) {
   if (!up_) {
     Response none;
     none.version(kNoAnswer);
--- a/review/standin/platform.h
+++ b/review/standin/platform.h
@@ -120,7 +120,9 @@
   Executor(net::io_context& io, Fleet& fleet, const std::string& name,
            const std::string& ip, int app_port, int control_port);
 
-  void StartLife(const std::string& id);
+  void StartLife(const std::string& id, std::int64_t first_beat_ms = 0);
+  // Calls are carried out, and their answers are lost.
+  void SetMute(bool mute);
   // Ends the life at once; everything that runs on it is gone.
   void End(const std::string& why);
   void StartDraining();
@@ -151,9 +153,10 @@
     std::string how;
   };
   std::int64_t Clock() const { return 100'000 + NowMs() - born_at_; }
-  Task Beat(int life);
+  Task Beat(int life, std::int64_t first_beat_ms);
   Task Work(int life);
   net::awaitable<Response> Handle(Request request);
+  net::awaitable<Response> CarryOut(Request request);
   net::awaitable<Response> Hold(const Request& request, json::object body);
   void Finish(const std::string& task, const std::string& how);
   json::object Base() const;
@@ -164,7 +167,8 @@
   int app_port_, control_port_;
   std::string id_;
   int life_ = 0;
-  bool up_ = false, draining_ = false, drain_noted_ = false, beats_ = false;
+  bool up_ = false, draining_ = false, drain_noted_ = false, beats_ = false,
+       mute_ = false;
   std::int64_t born_ms_ = 0, born_at_ = 0, seq_ = 0, until_ = 0, fence_ = 0;
   std::int64_t last_end_ = 0;
   std::size_t listed_ = 0;
