--- a/review/standin/cases.cc
+++ b/review/standin/cases.cc
@@ -225,7 +225,9 @@
     holder = site.store->Holder();
     site.record.Line(holder + ": SIGTERM to its agent, which holds the cell");
     site.programs.Signal(holder, SIGTERM);
-    co_await Sleep(60);
+    co_await site.Until("the cell is handed over", 2000,
+                        [&] { return site.store->Holder() != holder; });
+    site.record.Line("store: the holder's key is gone");
   }
   leaver->FinishWork();
   co_await site.Until("the ends are listed", 2000,
