--- a/src/core/reason.h
+++ b/src/core/reason.h
@@ -49,6 +49,7 @@
   kMemory,
   kHeartbeatMissed,
   kCrashedWorkers,
+  kRecordRejected,
 };
 
 BOOST_DESCRIBE_ENUM(Reason, kNone, kUnknownService, kBodyTooLarge, kNoEndpoint,
@@ -60,7 +61,8 @@
                     kNotHolder, kStoreFailed, kConflict, kInvalid,
                     kUnauthorized, kUnknownJob, kUnknownEndpoint, kDoesNotFit,
                     kWorkerFailed, kTooManyAttempts, kInstanceLost, kDrain,
-                    kLatency, kMemory, kHeartbeatMissed, kCrashedWorkers)
+                    kLatency, kMemory, kHeartbeatMissed, kCrashedWorkers,
+                    kRecordRejected)
 
 }  // namespace quetzalline
 
--- a/src/messages/kvs_result.h
+++ b/src/messages/kvs_result.h
@@ -12,6 +12,7 @@
 #include "messages/kvs_lease_not_found.h"
 #include "messages/kvs_lease_opened.h"
 #include "messages/kvs_lease_renewed.h"
+#include "messages/kvs_rejected.h"
 
 namespace quetzalline {
 
@@ -19,7 +20,7 @@
 using KvsResult =
     std::variant<KvsItems, KvsCommitted, KvsConflict, KvsLeaseOpened,
                  KvsLeaseRenewed, KvsLeaseEnded, KvsLeaseNotFound,
-                 KvsHistoryCompacted, KvsFailed>;
+                 KvsHistoryCompacted, KvsFailed, KvsRejected>;
 
 }  // namespace quetzalline
 
--- a/src/systems/cell/cell_keys.cc
+++ b/src/systems/cell/cell_keys.cc
@@ -7,6 +7,7 @@
 
 constexpr std::size_t kJobIdDigits = 16;
 constexpr int kHexBase = 16;
+constexpr char kPartSeparator = '/';
 
 }  // namespace
 
@@ -34,8 +35,26 @@
   return std::string(kJobPrefix) + FormatJobId(job);
 }
 
-std::string ProgressKey(std::uint64_t job) {
-  return std::string(kProgressPrefix) + FormatJobId(job);
+std::string ProgressKey(std::uint64_t job, std::size_t part) {
+  const std::string first = std::string(kProgressPrefix) + FormatJobId(job);
+  return part == 0 ? first : first + kPartSeparator + std::to_string(part);
+}
+
+std::optional<ProgressPart> ParseProgressKey(std::string_view key) {
+  const std::string_view name = StripPrefix(key, kProgressPrefix);
+  const auto job = ParseJobId(name.substr(0, kJobIdDigits));
+  if (!job) return std::nullopt;
+  const std::string_view rest = name.substr(kJobIdDigits);
+  if (rest.empty()) return ProgressPart{*job, 0};
+  std::size_t part = 0;
+  const char* end = rest.data() + rest.size();
+  const auto [parsed_end, error] = std::from_chars(rest.data() + 1, end, part);
+  const bool parsed = error == std::errc() && parsed_end == end;
+  // Only the form that ProgressKey() returns is valid.
+  if (!parsed || part == 0 || ProgressKey(*job, part) != key) {
+    return std::nullopt;
+  }
+  return ProgressPart{*job, part};
 }
 
 std::string MemberKey(const MemberName& member) {
--- a/src/systems/cell/cell_keys.h
+++ b/src/systems/cell/cell_keys.h
@@ -18,6 +18,10 @@
 inline constexpr std::string_view kEpochKey = "cell/epoch";
 inline constexpr std::string_view kJobPrefix = "jobs/";
 inline constexpr std::string_view kProgressPrefix = "progress/";
+/// Number of tasks whose progress is stored under one key. A value then has
+/// some 80 KB, a thirteenth of what the store accepts, and the parts of the
+/// largest job fit in one commit.
+inline constexpr std::size_t kTasksPerProgressPart = 1024;
 inline constexpr std::string_view kMemberPrefix = "members/";
 /// Prefix of the keys of workers that are confirmed lost: nothing runs on them.
 /// A key exists as long as nothing may start on its worker.
@@ -34,7 +38,18 @@
 std::optional<std::uint64_t> ParseJobId(std::string_view text);
 
 std::string JobKey(std::uint64_t job);
-std::string ProgressKey(std::uint64_t job);
+/// Returns the key of one part of a job's progress. Part 0 is the only one of a
+/// job of up to kTasksPerProgressPart tasks.
+std::string ProgressKey(std::uint64_t job, std::size_t part = 0);
+/// Names a part of a job's progress.
+struct ProgressPart {
+  std::uint64_t job_ = 0;
+  std::size_t part_ = 0;
+
+  friend auto operator<=>(const ProgressPart&, const ProgressPart&) = default;
+};
+/// Parses the key of a part of a job's progress; empty for any other key.
+std::optional<ProgressPart> ParseProgressKey(std::string_view key);
 std::string MemberKey(const MemberName& member);
 std::string ConfirmedLostKey(const MemberName& member);
 std::string HandoverKey(const MemberName& member);
--- a/src/systems/cell/validate_record.cc
+++ b/src/systems/cell/validate_record.cc
@@ -79,7 +79,7 @@
             return ValidateJobRecord(job);
           },
           [&](const JobProgress& progress) {
-            if (!IsJobKey(key, kProgressPrefix)) return WrongKind();
+            if (!ParseProgressKey(key)) return WrongKind();
             return ValidateProgress(progress);
           },
           [&](const HolderRecord&) -> std::optional<std::string> {
--- a/src/systems/scheduler/admit_jobs.cc
+++ b/src/systems/scheduler/admit_jobs.cc
@@ -94,6 +94,9 @@
       return RefuseStoreUnavailable(connection, message.ticket(), message.job(),
                                     tick);
     }
+    if (tables.unstorable_jobs_.count(message.job()) > 0) {
+      return RefuseInvalid(connection, message, "rejected by the store", tick);
+    }
     if (const auto error = ValidateDefinition(*message.record().definition())) {
       return RefuseInvalid(connection, message, *error, tick);
     }
--- a/src/systems/scheduler/commit_progress.cc
+++ b/src/systems/scheduler/commit_progress.cc
@@ -1,14 +1,19 @@
 #include "systems/scheduler/commit_progress.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
+#include "core/overloaded.h"
 #include "systems/cell/cell_keys.h"
 #include "systems/cell/log_fields.h"
 #include "systems/scheduler/admit_jobs.h"
 #include "systems/scheduler/call_kvs.h"
 #include "systems/scheduler/confirm_epoch.h"
 #include "systems/scheduler/hand_over_workers.h"
+#include "systems/scheduler/isolate_rejected.h"
 #include "systems/scheduler/leader_election.h"
+#include "systems/scheduler/split_progress.h"
 #include "systems/scheduler/track_crashes.h"
 #include "systems/scheduler/track_jobs.h"
 #include "systems/scheduler/track_lost_workers.h"
@@ -19,8 +24,8 @@
 // The store accepts 32 entries in a commit. Three are reserved: the
 // expectation, the epoch's key and the holder's key.
 constexpr std::size_t kMaxCommitEntries = 29;
-// Maximum number of entries of one job.
-constexpr std::size_t kMaxEntriesPerJob = 2;
+// Number of entries of a job whose progress has one part.
+constexpr std::size_t kUsualEntriesPerJob = 2;
 // Maximum number of expired jobs that one commit removes, with one entry each.
 constexpr std::size_t kMaxExpiredPerCommit = 4;
 // Entries that jobs leave to the records of absent workers.
@@ -37,29 +42,88 @@
 // of the longest timeout of a caller, which leaves time for a second request.
 constexpr Duration kCallerTimeout = std::chrono::milliseconds(900);
 
-void AddJobToBatch(std::uint64_t job, SchedulerTables& tables,
-                   CommitBatch& batch) {
-  const JobRow* row = tables.jobs_.Find(job);
-  if (row == nullptr) return;
-  batch.jobs_.push_back(job);
-  const bool job_finished = IsFinalState(row->state());
-  const bool new_job = !row->stored();
+// The entries of one job in a commit.
+struct JobEntries {
+  std::vector<KvsPut> puts_;
+  std::vector<std::string> removals_;
+  /// All parts of the job's progress, if there are several.
+  std::vector<JobProgress> parts_;
+
+  std::size_t size() const { return puts_.size() + removals_.size(); }
+};
+
+// Adds the parts of the job's progress that differ from what is stored.
+void AddProgress(std::uint64_t job, const JobRow& row,
+                 const SchedulerTables& tables, JobEntries& entries) {
+  const bool without = tables.jobs_without_checkpoints_.count(job) > 0;
+  std::vector<JobProgress> parts =
+      SplitProgress(ProgressOf(job, tables), *row.record()->definition(),
+                    without ? CheckpointUse::kNone : CheckpointUse::kUpToLimit);
+  const auto found = tables.stored_progress_.find(job);
+  const bool known = found != tables.stored_progress_.end() &&
+                     found->second.size() == parts.size();
+  for (std::size_t part = 0; part < parts.size(); ++part) {
+    // The first part is always there, the others once they have progress.
+    const bool unchanged = known ? parts[part] == found->second[part]
+                                 : part > 0 && parts[part] == JobProgress();
+    if (unchanged) continue;
+    entries.puts_.push_back(MakePut(ProgressKey(job, part), parts[part]));
+  }
+  if (parts.size() > 1) entries.parts_ = std::move(parts);
+}
+
+JobEntries MakeJobEntries(std::uint64_t job, const JobRow& row,
+                          const SchedulerTables& tables) {
+  JobEntries entries;
+  const bool job_finished = IsFinalState(row.state());
+  const bool new_job = !row.stored();
   if (new_job && !job_finished) {
-    batch.puts_.push_back(MakePut(JobKey(job), *row->record()));
+    entries.puts_.push_back(MakePut(JobKey(job), *row.record()));
   }
-  if (job_finished && !new_job) batch.removals_.push_back(JobKey(job));
-  if (job_finished || !new_job) {
-    batch.puts_.push_back(MakePut(ProgressKey(job), ProgressOf(job, tables)));
-    const auto suspects = SuspectsOf(job, tables);
-    batch.suspects_.insert(batch.suspects_.end(), suspects.begin(),
-                           suspects.end());
+  if (job_finished && !new_job) {
+    entries.removals_.push_back(JobKey(job));
+    const std::size_t parts = CountProgressParts(*row.record()->definition());
+    for (std::size_t part = 1; part < parts; ++part) {
+      entries.removals_.push_back(ProgressKey(job, part));
+    }
   }
+  if (job_finished || !new_job) AddProgress(job, row, tables, entries);
+  return entries;
+}
+
+std::size_t SizeOf(const CommitBatch& batch) {
+  return batch.puts_.size() + batch.removals_.size();
 }
 
 bool IsFull(const CommitBatch& batch,
             std::size_t max_entries = kMaxCommitEntries) {
-  return batch.puts_.size() + batch.removals_.size() + kMaxEntriesPerJob >
-         max_entries;
+  return SizeOf(batch) + kUsualEntriesPerJob > max_entries;
+}
+
+// Adds a job to the batch. Returns false if it does not fit, which a job of
+// several parts may not beside others.
+bool AddJobToBatch(std::uint64_t job, std::size_t max_entries,
+                   SchedulerTables& tables, CommitBatch& batch) {
+  const JobRow* row = tables.jobs_.Find(job);
+  if (row == nullptr) return true;
+  JobEntries entries = MakeJobEntries(job, *row, tables);
+  const std::size_t limit =
+      SizeOf(batch) == 0 ? kMaxCommitEntries : max_entries;
+  if (SizeOf(batch) + entries.size() > limit) return false;
+  batch.jobs_.push_back(job);
+  std::move(entries.puts_.begin(), entries.puts_.end(),
+            std::back_inserter(batch.puts_));
+  std::move(entries.removals_.begin(), entries.removals_.end(),
+            std::back_inserter(batch.removals_));
+  if (!entries.parts_.empty()) {
+    batch.progress_[job] = std::move(entries.parts_);
+  }
+  if (row->stored() || IsFinalState(row->state())) {
+    const auto suspects = SuspectsOf(job, tables);
+    batch.suspects_.insert(batch.suspects_.end(), suspects.begin(),
+                           suspects.end());
+  }
+  return true;
 }
 
 // Adds the jobs with unstored changes to the batch, up to its entry limit, jobs
@@ -79,11 +143,29 @@
   for (const std::uint64_t job : by_priority) {
     if (IsFull(batch, max_entries)) return;
     if (!tables.dirty_jobs_.Contains(job)) continue;
-    tables.dirty_jobs_.Erase(job);
-    AddJobToBatch(job, tables, batch);
+    if (AddJobToBatch(job, max_entries, tables, batch)) {
+      tables.dirty_jobs_.Erase(job);
+    }
   }
 }
 
+// Moves the completions and callers that wait for the batch's jobs to it.
+void AddWaiting(SchedulerTables& tables, CommitBatch& batch) {
+  const auto in_batch = [&](std::uint64_t job) {
+    return std::find(batch.jobs_.begin(), batch.jobs_.end(), job) !=
+           batch.jobs_.end();
+  };
+  for (const UnacknowledgedCompletion& end :
+       tables.unacknowledged_completions_) {
+    if (in_batch(end.job())) batch.completions_.push_back(end);
+  }
+  std::vector<CallerWaiting> others;
+  for (const CallerWaiting& caller : tables.callers_) {
+    (in_batch(caller.job()) ? batch.callers_ : others).push_back(caller);
+  }
+  tables.callers_ = std::move(others);
+}
+
 CommitBatch BuildBatch(SchedulerTables& tables, Instant now) {
   CommitBatch batch;
   batch.since_ = now;
@@ -97,19 +179,52 @@
     batch.expired_.push_back(job);
     batch.removals_.push_back(ProgressKey(job));
   }
-  const auto in_batch = [&](std::uint64_t job) {
-    return std::find(batch.jobs_.begin(), batch.jobs_.end(), job) !=
-           batch.jobs_.end();
-  };
-  for (const UnacknowledgedCompletion& end :
-       tables.unacknowledged_completions_) {
-    if (in_batch(end.job())) batch.completions_.push_back(end);
+  AddWaiting(tables, batch);
+  return batch;
+}
+
+// Adds the changes of one member only; the others stay where they are.
+void AddMemberToBatch(const MemberName& name, const RejectedRecord& record,
+                      Instant now, SchedulerTables& tables,
+                      CommitBatch& batch) {
+  auto lost_changes = std::exchange(tables.confirmed_lost_changes_, {});
+  auto handover_changes = std::exchange(tables.handover_changes_, {});
+  if (record.lost_change()) {
+    tables.confirmed_lost_changes_[name] = *record.lost_change();
   }
-  std::vector<CallerWaiting> others;
-  for (const CallerWaiting& caller : tables.callers_) {
-    (in_batch(caller.job()) ? batch.callers_ : others).push_back(caller);
+  if (record.handover_change()) {
+    tables.handover_changes_[name] = *record.handover_change();
   }
-  tables.callers_ = std::move(others);
+  AddLostWorkerChanges(kMaxCommitEntries, tables, batch);
+  AddHandovers(kMaxCommitEntries, now, tables, batch);
+  tables.confirmed_lost_changes_ = std::move(lost_changes);
+  tables.handover_changes_ = std::move(handover_changes);
+}
+
+// Builds a commit of rejected records that are due, or an empty one if it has
+// to be shown that the store accepts others.
+CommitBatch BuildIsolatedBatch(SchedulerTables& tables, Instant now) {
+  CommitBatch batch;
+  batch.since_ = now;
+  batch.isolated_ = true;
+  for (const RecordUnit& unit : ChooseIsolatedUnits(tables, now)) {
+    const RejectedRecord record = *tables.rejected_records_.Find(unit);
+    const std::size_t size = SizeOf(batch);
+    const bool fits = std::visit(
+        Overloaded{
+            [&](const JobRecordUnit& u) {
+              return AddJobToBatch(u.job(), kMaxCommitEntries, tables, batch);
+            },
+            [&](const MemberRecordUnit& u) {
+              AddMemberToBatch(u.member(), record, now, tables, batch);
+              return true;
+            },
+        },
+        unit);
+    // Nothing of these records is left to be stored.
+    if (fits && SizeOf(batch) == size) tables.rejected_records_.Erase(unit);
+  }
+  AddWaiting(tables, batch);
   return batch;
 }
 
@@ -150,7 +265,11 @@
   tables.jobs_.Put(
       job,
       JobRow::Builder(*row).stored(true).closed(closed).closed_at(now).Build());
-  if (closed) return EraseFinishedTasks(job, tables);
+  if (closed) {
+    tables.stored_progress_.erase(job);
+    tables.jobs_without_checkpoints_.erase(job);
+    return EraseFinishedTasks(job, tables);
+  }
   if (!new_job || job_finished) return;
   const std::int32_t occurrences =
       std::max(row->record()->definition()->repeat_count(), 1);
@@ -206,6 +325,10 @@
                      .restore_holder(false)
                      .Build();
   ConfirmEpochAt(batch.since_, tables);
+  MarkUnitsStored(batch, tables);
+  for (const auto& [job, parts] : batch.progress_) {
+    tables.stored_progress_[job] = parts;
+  }
   for (const std::uint64_t job : batch.jobs_) {
     MarkJobStored(job, tick.now(), tables);
   }
@@ -276,7 +399,9 @@
     const bool may_be_stored =
         row == nullptr || row->stored() ||
         std::find(tables.commit_->jobs_.begin(), tables.commit_->jobs_.end(),
-                  caller.job()) != tables.commit_->jobs_.end();
+                  caller.job()) != tables.commit_->jobs_.end() ||
+        tables.rejected_records_.Find(
+            JobRecordUnit::Builder().job(caller.job()).Build()) != nullptr;
     if (may_be_stored || caller.withdraws() || IsFinalState(row->state())) {
       remaining.push_back(caller);
       continue;
@@ -356,18 +481,29 @@
   // A stopping holder releases the cell now.
   if (tables.release_at_ && tables.handover_changes_.empty()) return;
   CollectExpiredJobs(tables, tick);
+  HoldBackRejected(tables, tick);
   const bool due_now = !tables.expired_jobs_.empty() ||
                        !tables.confirmed_lost_changes_.empty() ||
                        !tables.handover_changes_.empty() ||
                        tables.term_.restore_holder();
   const std::optional<Instant> due =
       due_now ? tick.now() : tables.dirty_jobs_.DueAt(kCompletionBatchDelay);
-  if (!due) return;
-  const Instant commit_at = std::max(*due, tables.next_commit_);
-  if (tick.now() < commit_at && !tables.release_at_) {
-    return tick.WakeAt(commit_at);
+  const auto is_due = [&](const std::optional<Instant>& at) {
+    return at && (tick.now() >= std::max(*at, tables.next_commit_) ||
+                  tables.release_at_);
+  };
+  const std::optional<Instant> isolated_at = NextIsolatedCommit(tables);
+  const bool isolated = is_due(isolated_at) && tick.now() >= *isolated_at &&
+                        (!is_due(due) || !tables.isolated_last_);
+  if (!isolated && !is_due(due)) {
+    for (const std::optional<Instant>& at : {due, isolated_at}) {
+      if (at) tick.WakeAt(std::max(*at, tables.next_commit_));
+    }
+    return;
   }
-  tables.commit_ = BuildBatch(tables, tick.now());
+  tables.isolated_last_ = isolated;
+  tables.commit_ = isolated ? BuildIsolatedBatch(tables, tick.now())
+                            : BuildBatch(tables, tick.now());
   SendBatch(tables, tick);
 }
 
@@ -377,6 +513,11 @@
   if (const auto* done = std::get_if<KvsCommitted>(&result)) {
     return FinishCommit(done->revision(), tables, tick);
   }
+  // No try of this content was accepted, so it does not matter whether earlier
+  // ones were answered.
+  if (std::holds_alternative<KvsRejected>(result)) {
+    return HandleRejectedCommit(tables, tick);
+  }
   const auto* failed = std::get_if<KvsFailed>(&result);
   const bool not_done = failed != nullptr && failed->not_done();
   LogLine(tick, "commit-unanswered", 0,
@@ -408,6 +549,10 @@
   if (done) {
     return FinishCommit(read->items().front().revision(), tables, tick);
   }
+  // A try of an abandoned commit may have been accepted late.
+  tables.term_ = HolderTerm::Builder(tables.term_)
+                     .revision(read->items().front().revision())
+                     .Build();
   SendBatch(tables, tick);
 }
 
--- a/src/systems/scheduler/hand_over_workers.cc
+++ b/src/systems/scheduler/hand_over_workers.cc
@@ -115,6 +115,7 @@
       .complete(tasks.has_value());
   if (tasks) record.tasks({tasks->begin(), tasks->end()});
   batch.puts_.push_back(MakePut(HandoverKey(name), record.Build()));
+  batch.handed_over_workers_.push_back(name);
   // From here on the store may contain the record, even if the commit fails.
   tables.handovers_.Put(name, HandoverRow::Builder(RowOf(name, tables))
                                   .recorded(true)
--- a/src/systems/scheduler/load_stored_state.cc
+++ b/src/systems/scheduler/load_stored_state.cc
@@ -8,6 +8,7 @@
 #include "systems/scheduler/call_kvs.h"
 #include "systems/scheduler/hand_over_workers.h"
 #include "systems/scheduler/observe_handovers.h"
+#include "systems/scheduler/split_progress.h"
 #include "systems/scheduler/track_jobs.h"
 #include "systems/scheduler/track_members.h"
 
@@ -54,13 +55,15 @@
 }
 
 void RestoreJobs(SchedulerTables& tables, Instant now) {
-  std::map<std::uint64_t, JobProgress> progress;
+  std::map<std::uint64_t, std::map<std::size_t, JobProgress>> parts;
   for (const KvsItem& item : tables.loaded_items_) {
-    const auto job = ParseJobId(StripPrefix(item.key(), kProgressPrefix));
+    const auto part = ParseProgressKey(item.key());
     const auto* stored =
         item.record() ? std::get_if<JobProgress>(&*item.record()) : nullptr;
-    if (job && stored != nullptr) progress[*job] = *stored;
+    if (part && stored != nullptr) parts[part->job_][part->part_] = *stored;
   }
+  std::map<std::uint64_t, JobProgress> progress;
+  for (const auto& [job, stored] : parts) progress[job] = MergeProgress(stored);
   for (const KvsItem& item : tables.loaded_items_) {
     const auto job = ParseJobId(StripPrefix(item.key(), kJobPrefix));
     const auto* stored =
@@ -71,6 +74,13 @@
         known == progress.end() ? JobProgress() : known->second;
     if (IsFinalState(so_far.state())) continue;
     RestoreJob(*job, *stored, so_far, AcceptedAt(*stored, tables, now), tables);
+    const std::size_t count = CountProgressParts(*stored->definition());
+    if (count == 1) continue;
+    std::vector<JobProgress>& known_parts = tables.stored_progress_[*job];
+    known_parts.resize(count);
+    for (const auto& [number, part] : parts[*job]) {
+      if (number < count) known_parts[number] = part;
+    }
   }
   for (const auto& [job, stored] : progress) {
     if (IsFinalState(stored.state())) AddClosedJob(job, stored, now, tables);
--- a/src/systems/scheduler/track_jobs.cc
+++ b/src/systems/scheduler/track_jobs.cc
@@ -262,6 +262,9 @@
   });
   tables.jobs_.Erase(job);
   tables.dirty_jobs_.Erase(job);
+  tables.stored_progress_.erase(job);
+  tables.jobs_without_checkpoints_.erase(job);
+  tables.rejected_records_.Erase(JobRecordUnit::Builder().job(job).Build());
 }
 
 JobProgress ProgressOf(std::uint64_t job, const SchedulerTables& tables) {
--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -11,6 +11,7 @@
 #include "systems/scheduler/estimate_interference.h"
 #include "systems/scheduler/finish_job.h"
 #include "systems/scheduler/hand_over_workers.h"
+#include "systems/scheduler/isolate_rejected.h"
 #include "systems/scheduler/leader_election.h"
 #include "systems/scheduler/send_start.h"
 #include "systems/scheduler/track_crashes.h"
@@ -240,7 +241,7 @@
     EraseOrphanedRun(name, end.run(), tables);
     HandleRunEnd(name, end, tables, tick);
     const std::uint64_t job = end.run().task().job();
-    if (!tables.dirty_jobs_.Contains(job)) continue;
+    if (!HasUnstoredChanges(job, tables)) continue;
     tables.unacknowledged_completions_.push_back(
         UnacknowledgedCompletion::Builder()
             .worker(name)
--- a/src/tables/commit_batch.h
+++ b/src/tables/commit_batch.h
@@ -3,6 +3,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -10,6 +11,7 @@
 #include "core/task_key.h"
 #include "core/time.h"
 #include "messages/kvs_put.h"
+#include "records/job_progress.h"
 #include "tables/caller_waiting.h"
 #include "tables/suspect_row.h"
 #include "tables/unacknowledged_completion.h"
@@ -24,6 +26,10 @@
   std::vector<std::string> removals_;
   /// Jobs whose records the commit contains.
   std::vector<std::uint64_t> jobs_;
+  /// The progress of those that have several parts.
+  std::map<std::uint64_t, std::vector<JobProgress>> progress_;
+  /// True if the commit contains rejected records and no others, or nothing.
+  bool isolated_ = false;
   /// Closed jobs whose state is no longer reported; their progress records are
   /// removed.
   std::vector<std::uint64_t> expired_;
@@ -33,6 +39,8 @@
   std::vector<MemberName> lost_workers_;
   /// Workers that no longer count as confirmed lost once the commit is stored.
   std::vector<MemberName> recovered_workers_;
+  /// Workers whose handover records the commit writes.
+  std::vector<MemberName> handed_over_workers_;
   /// Workers whose handover records the commit removes.
   std::vector<MemberName> returned_workers_;
   /// Suspects whose evidence the commit contains.
--- a/src/tables/rejected_record.h
+++ b/src/tables/rejected_record.h
@@ -2,6 +2,7 @@
 #define QUETZALLINE_TABLES_REJECTED_RECORD_H_
 
 #include <compare>
+#include <cstdint>
 #include <optional>
 #include <string_view>
 #include <utility>
@@ -12,13 +13,16 @@
 namespace quetzalline {
 
 /// Records that the store has rejected, or that were in a rejected commit. They
-/// are committed alone, so that they hold up no others.
+/// are committed apart from others, so that they hold up none.
 class RejectedRecord {
  public:
   class Builder;
 
   static constexpr std::string_view kName = "rejected-record";
 
+  /// Records of the same group are committed together. Groups are halved until
+  /// the records at fault are alone.
+  std::int64_t group() const { return group_; }
   /// Number of times that the store has rejected them alone.
   int rejections() const { return rejections_; }
   /// Earliest time of the next commit of them.
@@ -39,9 +43,11 @@
                           const RejectedRecord&) = default;
 
  private:
-  QUETZALLINE_VALUE(RejectedRecord, rejections_, retry_at_, others_stored_,
-                    uncertain_, job_finished_, lost_change_, handover_change_)
+  QUETZALLINE_VALUE(RejectedRecord, group_, rejections_, retry_at_,
+                    others_stored_, uncertain_, job_finished_, lost_change_,
+                    handover_change_)
 
+  std::int64_t group_ = 0;
   int rejections_ = 0;
   Instant retry_at_ = Instant{};
   bool others_stored_ = false;
@@ -56,6 +62,7 @@
  public:
   using ValueBuilder::ValueBuilder;
 
+  Builder& group(std::int64_t value) { return Set(value_.group_, value); }
   Builder& rejections(int value) { return Set(value_.rejections_, value); }
   Builder& retry_at(Instant value) { return Set(value_.retry_at_, value); }
   Builder& others_stored(bool value) {
--- a/src/tables/scheduler_tables.h
+++ b/src/tables/scheduler_tables.h
@@ -14,6 +14,7 @@
 #include "core/scheduler_configuration.h"
 #include "core/table.h"
 #include "messages/kvs_item.h"
+#include "records/job_progress.h"
 #include "tables/caller_waiting.h"
 #include "tables/commit_batch.h"
 #include "tables/crash_row.h"
@@ -30,6 +31,8 @@
 #include "tables/kvs_pending.h"
 #include "tables/member_row.h"
 #include "tables/observed_handover.h"
+#include "tables/record_unit.h"
+#include "tables/rejected_record.h"
 #include "tables/scheduler_policy.h"
 #include "tables/serving_tail.h"
 #include "tables/step_row.h"
@@ -115,6 +118,19 @@
   std::map<MemberName, std::set<RunKey>> orphaned_runs_;
   /// Jobs whose stored record is outdated.
   DirtyJobs dirty_jobs_;
+  /// Records that the store has rejected, and those that were in a rejected
+  /// commit. The rows contain their changes; the sets of changes do not.
+  Table<RecordUnit, RejectedRecord> rejected_records_;
+  /// Jobs whose checkpoints are not stored, because the store has rejected
+  /// their progress.
+  std::set<std::uint64_t> jobs_without_checkpoints_;
+  std::int64_t last_rejected_group_ = 0;
+  /// New jobs that the store has rejected; they are refused at once.
+  std::set<std::uint64_t> unstorable_jobs_;
+  /// True if the last commit contained only such records.
+  bool isolated_last_ = false;
+  /// The parts of the progress of jobs of several parts, as they are stored.
+  std::map<std::uint64_t, std::vector<JobProgress>> stored_progress_;
   /// Completions that are acknowledged once their effect is stored.
   std::vector<UnacknowledgedCompletion> unacknowledged_completions_;
   /// Callers that wait for a commit.
--- a/test/platform/kv_store_test.cc
+++ b/test/platform/kv_store_test.cc
@@ -38,6 +38,17 @@
     return items == nullptr ? std::nullopt : std::optional(*items);
   }
 
+  // Returns the result of a commit that the store answers with this status.
+  KvsResult Commit(int status) {
+    status_ = status;
+    std::optional<KvsResult> result;
+    KvsStore store(io_, {kAnyPort.address(), server_.port()},
+                   [&](const KvsAnswer& answer) { result = answer.result(); });
+    store.Perform(KvsCommit::Builder().ticket(1).Build());
+    while (!result) io_.run_one();
+    return *result;
+  }
+
   const std::vector<std::string>& targets() const { return targets_; }
   int malformed() const { return malformed_; }
 
@@ -50,13 +61,14 @@
       bodies_.pop_front();
     }
     exchange.Respond(
-        HttpResponse::Builder().status(200).body(Body(body)).Build());
+        HttpResponse::Builder().status(status_).body(Body(body)).Build());
   }
 
   boost::asio::io_context io_{1};
   std::deque<std::string> bodies_;
   std::vector<std::string> targets_;
   int malformed_ = 0;
+  int status_ = 200;
   HttpServer server_;
 };
 
@@ -110,6 +122,22 @@
   BOOST_TEST(!same.List("members/").has_value());
 }
 
+// A commit whose content the store refuses was taken for one with an unknown
+// outcome, and repeated for ever.
+BOOST_AUTO_TEST_CASE(a_refused_content_is_told_from_an_unknown_outcome) {
+  ScriptedStore store({});
+  for (const int status : {400, 403, 413, 422}) {
+    BOOST_TEST(std::holds_alternative<KvsRejected>(store.Commit(status)),
+               "status " << status);
+  }
+  for (const int status : {408, 425, 429, 500, 502, 503, 504}) {
+    BOOST_TEST(std::holds_alternative<KvsFailed>(store.Commit(status)),
+               "status " << status);
+  }
+  BOOST_TEST(std::holds_alternative<KvsConflict>(store.Commit(412)));
+  BOOST_TEST(std::holds_alternative<KvsLeaseNotFound>(store.Commit(404)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace quetzalline
--- a/test/support/virtual_kv.cc
+++ b/test/support/virtual_kv.cc
@@ -195,6 +195,9 @@
         found == items_.end() ? 0 : found->second.revision_;
     if (revision != expectation.revision()) return KvsConflict();
   }
+  for (const KvsPut& put : call.puts()) {
+    if (rejected_records_ && rejected_records_(put)) return KvsRejected();
+  }
   for (const KvsPut& put : call.puts()) {
     if (put.lease() != 0 && leases_.count(put.lease()) == 0) {
       return KvsLeaseNotFound();
--- a/test/support/virtual_kv.h
+++ b/test/support/virtual_kv.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/tick.h"
@@ -53,6 +54,10 @@
   /// Sets the percentage of commits whose response is lost. Half of them are
   /// applied up to four seconds late, if their preconditions still hold.
   void SetLostResponsePercent(int percent) { lost_response_percent_ = percent; }
+  /// Rejects each commit that writes such a record, for its content.
+  void RejectRecords(std::function<bool(const KvsPut&)> rejected) {
+    rejected_records_ = std::move(rejected);
+  }
   /// Removes a key as if its lease had expired.
   void Revoke(const std::string& key);
   /// Writes a record. As with the store's adapter, readers get no record if it
@@ -101,6 +106,7 @@
   std::uint64_t last_lease_ = 0;
   std::int64_t revision_ = 1;
   std::set<std::string> rejected_callers_;
+  std::function<bool(const KvsPut&)> rejected_records_;
   bool unavailable_ = false;
   int lost_response_percent_ = 0;
   std::int64_t calls_ = 0;
