Let a pending accept outlive its HTTP server

Cause: the destructor of HttpServer cancels its accept, whose handler runs later and read the destroyed server.

Change: the handler holds a weak reference that expires with the server. The test also waits for the client's spare connections until nothing happens any more, instead of for 50 ms.

--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -48,9 +48,10 @@
 }
 
 void HttpServer::Accept() {
-  acceptor_.async_accept([this](const boost::system::error_code& error,
-                                boost::asio::ip::tcp::socket socket) {
-    if (!acceptor_.is_open()) return;
+  acceptor_.async_accept([this, self = std::weak_ptr<HttpServer*>(self_)](
+                             const boost::system::error_code& error,
+                             boost::asio::ip::tcp::socket socket) {
+    if (self.expired() || !acceptor_.is_open()) return;
     if (!error && sessions_.size() < limits_.connections_) {
       auto session = std::make_shared<HttpSession>(std::move(socket), *this);
       sessions_.insert(session);
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -84,6 +84,9 @@
   Handler handler_;
   OnBadInput on_bad_input_;
   std::set<std::shared_ptr<HttpSession>> sessions_;
+  /// Expires with the server, which a connection that is being accepted may
+  /// outlive.
+  std::shared_ptr<HttpServer*> self_ = std::make_shared<HttpServer*>(this);
 };
 
 }  // namespace quetzalline
--- a/test/platform/worker_client_test.cc
+++ b/test/platform/worker_client_test.cc
@@ -82,8 +82,14 @@
     return AnswerOf(call);
   }
 
-  // Lets the client open its spare connections.
-  void Settle() { io_.run_for(milliseconds(50)); }
+  // Lets the client open its spare connections: runs until nothing has happened
+  // for twenty turns.
+  void Settle() {
+    constexpr int kQuietTurns = 20;
+    for (int quiet = 0; quiet < kQuietTurns;) {
+      quiet = io_.run_one_for(milliseconds(5)) == 0 ? quiet + 1 : 0;
+    }
+  }
 
   // Returns the calls that a life received with a lease.
   std::vector<Received> Leased(std::int64_t born_ms) const {
