Read the cell's lease after a rejected write, whatever the watch says

The holder was killed, and the other entry took over 62 s after its own start.

Cause: its first watch of the lease got no answer. Writes by the lease as it had been read before were rejected, and a rejected write was followed by a read only without a watch. So a lost watch kept the entry from taking over until it timed out after 60 s.

Change: a rejected write shows that the lease has changed, so the entry reads it at once. A failed try is repeated no sooner than a renewal would be; it was repeated in every tick.

Evidence: cell_leases/an_entry_whose_watch_is_lost_takes_over_in_time fails without the read ("other != entry") and passes with it.

--- a/src/systems/entry/maintain_cell_lease.cc
+++ b/src/systems/entry/maintain_cell_lease.cc
@@ -1,5 +1,6 @@
 #include "systems/entry/maintain_cell_lease.h"
 
+#include <algorithm>
 #include <optional>
 #include <vector>
 
@@ -143,12 +144,15 @@
   ReadStore(JournalPrefix(tables.policy_.cell()), JournalRead(), tables, tick);
 }
 
-// Reads the lease back, because the write may or may not have taken effect.
+// Reads the lease back, because the write may or may not have taken effect, or
+// because the lease has changed unseen. The watch may be lost without a sign
+// until it times out, so it is not relied on.
 void ReadBackLease(EntryTables& tables, EntryTick& tick) {
   if (std::holds_alternative<TakingLease>(tables.cell_.stage())) {
     tables.cell_ = EditCell(tables).stage(NotHolding()).Build();
   }
-  if (!tables.cell_.watching()) ReadLease(tables, tick);
+  if (!tables.cell_.watching()) return ReadLease(tables, tick);
+  ReadStore(LeaseKey(tables.policy_.cell()), LeaseRead(), tables, tick);
 }
 
 void HandleLeaseWriteResult(const LeaseWrite& write, const StoreResult& result,
@@ -187,6 +191,10 @@
   if (std::holds_alternative<LeaseWatch>(completed.purpose_)) {
     HandleLeaseWatchResult(completed.result_, tables, tick);
   }
+  const auto* values = std::get_if<StoreValues>(&completed.result_);
+  if (std::holds_alternative<LeaseRead>(completed.purpose_) && values) {
+    HandleLeaseValues(*values, tables, tick);
+  }
   if (const auto* write = std::get_if<LeaseWrite>(&completed.purpose_)) {
     HandleLeaseWriteResult(*write, completed.result_, tables, tick);
   }
@@ -196,13 +204,14 @@
 }
 
 // Returns the time from which this process may try to acquire the lease, judged
-// by the lease as it was last read.
+// by the lease as it was last read, and some time after a failed try.
 Instant LeaseAvailableAt(const EntryTables& tables) {
   const CellHolding& cell = tables.cell_;
   const bool is_available = !cell.lease() || cell.lease()->released() ||
                             IsOwn(*cell.lease(), tables.policy_);
   if (is_available) return cell.next_renewal();
-  return cell.lease_changed() + tables.policy_.cell_lease();
+  return std::max(cell.lease_changed() + tables.policy_.cell_lease(),
+                  cell.next_renewal());
 }
 
 void TryToAcquire(EntryTables& tables, EntryTick& tick) {
@@ -233,6 +242,7 @@
   return std::visit(Overloaded{[](const ConfigurationWatch&) { return false; },
                                [](const PublicationWrite&) { return false; },
                                [](const PublicationCheck&) { return false; },
+                               [](const LeaseRead&) { return false; },
                                [](const LeaseWatch&) { return false; },
                                [](const LeaseWrite&) { return true; },
                                [](const JournalRead&) { return true; },
--- a/src/tables/store_purpose.h
+++ b/src/tables/store_purpose.h
@@ -9,6 +9,7 @@
 #include "tables/journal_write.h"
 #include "tables/key_bucket_read.h"
 #include "tables/key_bucket_write.h"
+#include "tables/lease_read.h"
 #include "tables/lease_watch.h"
 #include "tables/lease_write.h"
 #include "tables/publication_check.h"
@@ -20,7 +21,7 @@
 /// Purpose of an unanswered store call.
 using StorePurpose =
     std::variant<ConfigurationWatch, PublicationWrite, PublicationCheck,
-                 LeaseWatch, LeaseWrite, JournalRead, JournalWrite,
+                 LeaseRead, LeaseWatch, LeaseWrite, JournalRead, JournalWrite,
                  JournalCheck, SnapshotWrite, KeyBucketRead, KeyBucketWrite>;
 
 }  // namespace quetzalline
