--- a/src/messages/worker_report.h
+++ b/src/messages/worker_report.h
@@ -61,13 +61,16 @@
   const std::vector<WorkerCrash>& crashes() const { return crashes_; }
   /// Time since the worker last answered, in milliseconds; -1 if it has not.
   std::int64_t heard_ms() const { return heard_ms_; }
+  /// Time for which runs on the worker may go on under a lease that was meant
+  /// for another incarnation, in milliseconds; 0 if there can be none.
+  std::int64_t foreign_lease_ms() const { return foreign_lease_ms_; }
 
   friend auto operator<=>(const WorkerReport&, const WorkerReport&) = default;
 
  private:
   QUETZALLINE_VALUE(WorkerReport, session_, number_, whole_, more_ends_, facts_,
                     worker_left_, running_, ends_, refused_, neighbours_,
-                    silent_, fill_pace_, crashes_, heard_ms_)
+                    silent_, fill_pace_, crashes_, heard_ms_, foreign_lease_ms_)
 
   std::int64_t session_ = 0;
   std::int64_t number_ = 0;
@@ -83,6 +86,7 @@
   std::int32_t fill_pace_ = 100;
   std::vector<WorkerCrash> crashes_;
   std::int64_t heard_ms_ = -1;
+  std::int64_t foreign_lease_ms_ = 0;
 };
 
 /// Builds a WorkerReport; fields that are not set keep their defaults.
@@ -118,6 +122,9 @@
     return Set(value_.crashes_, std::move(value));
   }
   Builder& heard_ms(std::int64_t value) { return Set(value_.heard_ms_, value); }
+  Builder& foreign_lease_ms(std::int64_t value) {
+    return Set(value_.foreign_lease_ms_, value);
+  }
 };
 
 }  // namespace quetzalline
--- a/src/systems/runner/detect_unresponsive_worker.cc
+++ b/src/systems/runner/detect_unresponsive_worker.cc
@@ -1,9 +1,12 @@
 #include "systems/runner/detect_unresponsive_worker.h"
 
+#include <algorithm>
+
 #include "messages/worker_left.h"
 #include "systems/cell/log_fields.h"
 #include "systems/cell/max_lease_duration.h"
 #include "systems/runner/record_crash.h"
+#include "systems/runner/track_foreign_leases.h"
 #include "systems/runner/watch_worker.h"
 
 namespace quetzalline {
@@ -27,8 +30,10 @@
   if (!silent) {
     return tick.WakeAt(tables.worker_answered_at_ + kTimeout + Duration(1));
   }
-  const Instant leases_end = tables.worker_answered_at_ + kTimeout +
-                             MaxLeaseDuration(tables.policy_.task_lease());
+  const Instant leases_end =
+      std::max(tables.worker_answered_at_ + kTimeout +
+                   MaxLeaseDuration(tables.policy_.task_lease()),
+               ForeignLeaseEnd(tables));
   if (tick.now() < leases_end) return tick.WakeAt(leases_end);
   LogLine(tick, "worker-unresponsive", 0,
           {Field("worker", tables.facts_->worker()),
--- a/src/systems/runner/execute_run_commands.cc
+++ b/src/systems/runner/execute_run_commands.cc
@@ -2,6 +2,7 @@
 
 #include "systems/cell/log_fields.h"
 #include "systems/runner/record_crash.h"
+#include "systems/runner/track_foreign_leases.h"
 
 namespace quetzalline {
 namespace {
@@ -29,7 +30,7 @@
                 .run(run)
                 .spec(held.order().spec())
                 .checkpoint(held.order().checkpoint())
-                .lease_end_ms(tables.lease_end_ms_)
+                .lease_end_ms(LeaseEndToSend(tables, tick.now()))
                 .fence(fence)
                 .Build());
 }
@@ -104,13 +105,19 @@
 
 std::uint64_t RegisterWorkerCall(const WorkerCallKind& kind,
                                  RunnerTables& tables, Instant now) {
-  const std::uint64_t call = ++tables.last_call_;
-  tables.calls_[call] = WorkerCall::Builder()
-                            .kind(kind)
-                            .fence(CurrentFencingToken(tables))
-                            .sent_at(now)
-                            .Build();
-  return call;
+  const std::uint64_t number = ++tables.last_call_;
+  const bool extends_lease = std::holds_alternative<StartCall>(kind) ||
+                             std::holds_alternative<StatusPollCall>(kind);
+  const WorkerCall call =
+      WorkerCall::Builder()
+          .kind(kind)
+          .fence(CurrentFencingToken(tables))
+          .sent_at(now)
+          .leased(extends_lease && LeaseEndToSend(tables, now) > 0)
+          .Build();
+  RecordLeaseCall(call, tables, now);
+  tables.calls_[number] = call;
+  return number;
 }
 
 void RefuseRun(const RunKey& run, Reason reason, RunnerTables& tables,
--- a/src/systems/runner/manage_holder_session.cc
+++ b/src/systems/runner/manage_holder_session.cc
@@ -6,6 +6,7 @@
 #include "systems/cell/log_fields.h"
 #include "systems/runner/detect_unresponsive_worker.h"
 #include "systems/runner/record_crash.h"
+#include "systems/runner/track_foreign_leases.h"
 
 namespace quetzalline {
 namespace {
@@ -29,6 +30,15 @@
       .count();
 }
 
+// Returns the longest time that a foreign lease may still last, in
+// milliseconds; 0 if there can be none.
+std::int64_t RemainingForeignLease(const RunnerTables& tables, Instant now) {
+  const Duration remaining = ForeignLeaseEnd(tables) - now;
+  return std::chrono::ceil<std::chrono::milliseconds>(
+             std::max(remaining, Duration()))
+      .count();
+}
+
 std::vector<RunProgress> CollectProgress(bool whole, RunnerTables& tables) {
   std::vector<RunProgress> progress;
   std::vector<std::pair<TaskKey, TrackedRun>> reported;
@@ -83,7 +93,8 @@
       .silent(IsWorkerUnresponsive(tables, tick.now()))
       .fill_pace(tables.fill_pace_)
       .crashes(CollectCrashes(tables, tick.now()))
-      .heard_ms(TimeSinceAnswer(tables, tick.now()));
+      .heard_ms(TimeSinceAnswer(tables, tick.now()))
+      .foreign_lease_ms(RemainingForeignLease(tables, tick.now()));
   tables.reported_unresponsive_ = IsWorkerUnresponsive(tables, tick.now());
   if (whole || tables.facts_due_) report.facts(tables.facts_);
   tables.facts_due_ = false;
--- a/src/systems/runner/runner_node.cc
+++ b/src/systems/runner/runner_node.cc
@@ -10,6 +10,7 @@
 #include "systems/runner/manage_holder_session.h"
 #include "systems/runner/record_crash.h"
 #include "systems/runner/throttle_best_effort_tasks.h"
+#include "systems/runner/track_foreign_leases.h"
 #include "systems/runner/watch_worker.h"
 
 namespace quetzalline {
@@ -28,6 +29,9 @@
   if (found == tables.calls_.end()) return;
   const WorkerCall call = found->second;
   tables.calls_.erase(found);
+  if (answer.verdict() == WorkerCallOutcome::kLost) {
+    RecordLeaseCall(call, tables, tick.now());
+  }
   const auto* start = std::get_if<StartCall>(&call.kind());
   if (start != nullptr && answer.verdict() == WorkerCallOutcome::kNotSent) {
     // The run must not count as lost with an incarnation that never had it.
--- a/src/systems/runner/watch_worker.cc
+++ b/src/systems/runner/watch_worker.cc
@@ -6,6 +6,7 @@
 #include "systems/runner/execute_run_commands.h"
 #include "systems/runner/record_crash.h"
 #include "systems/runner/throttle_best_effort_tasks.h"
+#include "systems/runner/track_foreign_leases.h"
 
 namespace quetzalline {
 namespace {
@@ -16,6 +17,7 @@
 void ResetWorkerState(RunnerTables& tables) {
   tables.clock_.reset();
   tables.lease_end_ms_ = 0;
+  tables.lease_called_at_ = Instant();
   tables.runs_ = Table<TaskKey, TrackedRun>();
   tables.ends_.clear();
   tables.more_ends_ = false;
@@ -70,7 +72,7 @@
           .call(RegisterWorkerCall(poll, tables, tick.now()))
           .worker(tables.facts_->worker())
           .born_ms(tables.facts_->born_ms())
-          .lease_end_ms(tables.lease_end_ms_)
+          .lease_end_ms(LeaseEndToSend(tables, tick.now()))
           .last_seen(tables.incarnation_confirmed_ ? tables.ends_noted_ : 0)
           .fence(CurrentFencingToken(tables))
           .wait(wait)
@@ -96,17 +98,6 @@
   if (!checks.empty()) tick.WakeAt(*checks.begin());
 }
 
-bool HasUnresolvedRuns(const RunnerTables& tables) {
-  for (const auto& [key, run] : tables.runs_) {
-    if (run.stage() == TrackedRunStage::kUnresolved) return true;
-    const bool never_confirmed = run.confirmed_at() == Instant();
-    if (run.stage() == TrackedRunStage::kStopping && never_confirmed) {
-      return true;
-    }
-  }
-  return false;
-}
-
 // Updates the runs that the worker lists as running. Adopts no unknown run from
 // an answer that was overtaken, since the run may have ended.
 void UpdateListedRuns(const WorkerAnswer& answer, bool overtaken,
@@ -196,6 +187,9 @@
     if (same && seen.sequence() <= tables.facts_sequence_) return;
     if (!same) {
       RecordCrash(tables, tick);
+      // Another id rejects the calls to this one.
+      const bool same_id = facts.worker() == tables.facts_->worker();
+      if (same_id) KeepForeignLease(tables, tick.now());
       ResetWorkerState(tables);
     }
     if (same && facts == *tables.facts_) {
@@ -219,6 +213,7 @@
   if (!tables.facts_ || tables.facts_->worker() != left.worker()) return;
   LogLine(tick, "worker-left", 0, {Field("worker", left.worker())});
   ResetWorkerState(tables);
+  tables.foreign_lease_end_ = Instant();
   tables.facts_.reset();
   tables.worker_left_ = true;
   tables.full_report_due_ = true;
@@ -263,6 +258,7 @@
                                       .Build();
   tables.replaced_ = tables.facts_;
   RecordCrash(tables, tick);
+  KeepForeignLease(tables, tick.now());
   ResetWorkerState(tables);
   tables.facts_ = facts;
   tables.worker_answered_at_ = tick.now();
--- a/src/systems/scheduler/hand_over_workers.cc
+++ b/src/systems/scheduler/hand_over_workers.cc
@@ -9,6 +9,7 @@
 #include "systems/scheduler/call_kvs.h"
 #include "systems/scheduler/confirm_epoch.h"
 #include "systems/scheduler/leader_election.h"
+#include "systems/scheduler/lease_end.h"
 #include "systems/scheduler/track_workers.h"
 
 namespace quetzalline {
@@ -165,9 +166,7 @@
   const std::optional<Instant> earlier = EarlierLeasesEnd(name, tables);
   const WorkerRow* worker = tables.workers_.Find(name);
   if (!earlier || worker == nullptr) return std::nullopt;
-  if (worker->granted_at() == Instant()) return earlier;
-  return std::max(*earlier, worker->granted_at() +
-                                MaxLeaseDuration(tables.policy_.task_lease()));
+  return std::max(*earlier, LeaseEnd(*worker, tables.policy_.task_lease()));
 }
 
 std::optional<std::set<TaskKey>> PossibleTasks(const MemberName& name,
--- a/src/systems/scheduler/reconcile_tasks.cc
+++ b/src/systems/scheduler/reconcile_tasks.cc
@@ -3,9 +3,9 @@
 #include <algorithm>
 
 #include "systems/cell/log_fields.h"
-#include "systems/cell/max_lease_duration.h"
 #include "systems/scheduler/confirm_epoch.h"
 #include "systems/scheduler/hand_over_workers.h"
+#include "systems/scheduler/lease_end.h"
 #include "systems/scheduler/runner_majority.h"
 #include "systems/scheduler/track_jobs.h"
 #include "systems/scheduler/track_lost_workers.h"
@@ -45,10 +45,8 @@
                           member != nullptr && member->connection();
   const Instant without_majority =
       acting_since + (answer_due ? 2 * kMaxReconcileTime : kMaxReconcileTime);
-  if (worker.granted_at() == Instant()) return without_majority;
-  return std::max(
-      without_majority,
-      worker.granted_at() + MaxLeaseDuration(tables.policy_.task_lease()));
+  return std::max(without_majority,
+                  LeaseEnd(worker, tables.policy_.task_lease()));
 }
 
 // Records that nothing runs on the workers of which this holder has heard
--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -13,6 +13,7 @@
 #include "systems/scheduler/hand_over_workers.h"
 #include "systems/scheduler/isolate_rejected.h"
 #include "systems/scheduler/leader_election.h"
+#include "systems/scheduler/lease_end.h"
 #include "systems/scheduler/send_start.h"
 #include "systems/scheduler/track_crashes.h"
 #include "systems/scheduler/track_idle_jobs.h"
@@ -80,6 +81,7 @@
                 .listing(RunListing::kNoWorker)
                 .granted_at(tick.now() -
                             MaxLeaseDuration(tables.policy_.task_lease()))
+                .foreign_lease_end(Instant())
                 .Build());
 }
 
@@ -106,6 +108,19 @@
            FieldMs("since_grant_ms", tick.now() - worker.granted_at())});
 }
 
+// Keeps the end of foreign leases that the runner knows of, also in reports
+// that are ignored otherwise.
+void RecordForeignLease(const MemberName& name, const WorkerReport& report,
+                        SchedulerTables& tables, Instant now) {
+  if (report.foreign_lease_ms() <= 0) return;
+  const WorkerRow worker = *tables.workers_.Find(name);
+  const Instant end =
+      now + std::chrono::milliseconds(report.foreign_lease_ms());
+  if (end <= worker.foreign_lease_end()) return;
+  tables.workers_.Put(
+      name, WorkerRow::Builder(worker).foreign_lease_end(end).Build());
+}
+
 void HandleFacts(const MemberName& name, const WorkerDescription& facts,
                  SchedulerTables& tables, SchedulerTick& tick) {
   const WorkerRow worker = *tables.workers_.Find(name);
@@ -346,8 +361,7 @@
   std::vector<MemberName> expired;
   for (const auto& [name, worker] : tables.workers_) {
     if (!NeedsLeaseCheck(name, worker, tables)) continue;
-    const Instant expires_at =
-        worker.granted_at() + MaxLeaseDuration(tables.policy_.task_lease());
+    const Instant expires_at = LeaseEnd(worker, tables.policy_.task_lease());
     if (tick.now() < expires_at) {
       tick.WakeAt(expires_at);
     } else if (tables.term_.confirmed_at() < expires_at) {
@@ -397,6 +411,7 @@
   const WorkerRow* known = tables.workers_.Find(name);
   if (known == nullptr) return;
   RecordMemberContact(connection, tables, tick.now());
+  RecordForeignLease(name, report, tables, tick.now());
   tables.grants_due_[connection] = report.number();
   if (!report.whole() && !known->reported()) return;
   HandleCrashes(name, report, tables, tick);
--- a/src/tables/runner_policy.h
+++ b/src/tables/runner_policy.h
@@ -28,6 +28,8 @@
   const std::string& address() const { return address_; }
   /// Time for which tasks keep running without contact to the holder.
   Duration task_lease() const { return task_lease_; }
+  /// Longest lease that a worker accepts; it shortens a longer one.
+  Duration max_lease() const { return max_lease_; }
   /// Maximum time between two reports to the holder.
   Duration report_interval() const { return report_interval_; }
   /// Replaces hold_wait() while best-effort tasks run next to services, so that
@@ -53,7 +55,7 @@
 
  private:
   QUETZALLINE_VALUE(RunnerPolicy, member_, incarnation_, address_, task_lease_,
-                    report_interval_, mixed_hold_wait_, hold_wait_,
+                    max_lease_, report_interval_, mixed_hold_wait_, hold_wait_,
                     holder_silence_, call_retry_, noting_pause_, hold_pause_,
                     pace_interval_)
 
@@ -61,6 +63,7 @@
   std::uint64_t incarnation_ = 0;
   std::string address_;
   Duration task_lease_ = std::chrono::milliseconds(5000);
+  Duration max_lease_ = std::chrono::milliseconds(6000);
   Duration report_interval_ = std::chrono::milliseconds(400);
   Duration mixed_hold_wait_ = std::chrono::milliseconds(350);
   Duration hold_wait_ = std::chrono::milliseconds(700);
@@ -86,6 +89,7 @@
     return Set(value_.address_, std::move(value));
   }
   Builder& task_lease(Duration value) { return Set(value_.task_lease_, value); }
+  Builder& max_lease(Duration value) { return Set(value_.max_lease_, value); }
   Builder& report_interval(Duration value) {
     return Set(value_.report_interval_, value);
   }
--- a/src/tables/runner_tables.h
+++ b/src/tables/runner_tables.h
@@ -81,6 +81,12 @@
   /// End of the worker's lease in milliseconds of the worker's clock, when
   /// everything on it stops; 0 before the first lease.
   std::int64_t lease_end_ms_ = 0;
+  /// Latest time at which a call with a lease by the clock of this incarnation
+  /// may have been executed; unset before the first.
+  Instant lease_called_at_;
+  /// Time by which leases by the clocks of earlier incarnations have certainly
+  /// expired on the one of facts_; unset if there are none.
+  Instant foreign_lease_end_;
   /// Amount by which the fencing token was raised in this session.
   std::int64_t fence_raises_ = 0;
   std::map<std::uint64_t, WorkerCall> calls_;
--- a/src/tables/worker_call.h
+++ b/src/tables/worker_call.h
@@ -23,15 +23,18 @@
   /// Fencing token of the call.
   std::int64_t fence() const { return fence_; }
   Instant sent_at() const { return sent_at_; }
+  /// True if the call extends the worker's lease.
+  bool leased() const { return leased_; }
 
   friend auto operator<=>(const WorkerCall&, const WorkerCall&) = default;
 
  private:
-  QUETZALLINE_VALUE(WorkerCall, kind_, fence_, sent_at_)
+  QUETZALLINE_VALUE(WorkerCall, kind_, fence_, sent_at_, leased_)
 
   WorkerCallKind kind_;
   std::int64_t fence_ = 0;
   Instant sent_at_ = Instant{};
+  bool leased_ = false;
 };
 
 /// Builds a WorkerCall; fields that are not set keep their defaults.
@@ -44,6 +47,7 @@
   }
   Builder& fence(std::int64_t value) { return Set(value_.fence_, value); }
   Builder& sent_at(Instant value) { return Set(value_.sent_at_, value); }
+  Builder& leased(bool value) { return Set(value_.leased_, value); }
 };
 
 }  // namespace quetzalline
--- a/src/tables/worker_row.h
+++ b/src/tables/worker_row.h
@@ -43,6 +43,9 @@
   /// Returns true once a lease was granted in this session, so that a start
   /// finds one.
   bool leased() const { return leased_; }
+  /// Time by which the leases of the worker that were meant for another
+  /// incarnation have certainly expired; unset if there can be none.
+  Instant foreign_lease_end() const { return foreign_lease_end_; }
   /// Highest number of an end that was processed.
   std::int64_t ends_seen() const { return ends_seen_; }
   /// Highest number of an end that was acknowledged, so that the runner may
@@ -66,7 +69,7 @@
   QUETZALLINE_VALUE(WorkerRow, facts_, listing_, granted_at_, grant_sent_at_,
                     ends_seen_, ends_noted_, failures_, rests_until_, silent_,
                     clear_until_, fill_pace_, reconciled_, last_report_,
-                    leased_)
+                    leased_, foreign_lease_end_)
 
   std::optional<WorkerDescription> facts_;
   RunListing listing_ = RunListing::kNone;
@@ -82,6 +85,7 @@
   bool reconciled_ = false;
   std::int64_t last_report_ = 0;
   bool leased_ = false;
+  Instant foreign_lease_end_ = Instant{};
 };
 
 /// Builds a WorkerRow; fields that are not set keep their defaults.
@@ -102,6 +106,9 @@
     return Set(value_.last_report_, value);
   }
   Builder& leased(bool value) { return Set(value_.leased_, value); }
+  Builder& foreign_lease_end(Instant value) {
+    return Set(value_.foreign_lease_end_, value);
+  }
   Builder& ends_seen(std::int64_t value) {
     return Set(value_.ends_seen_, value);
   }
--- a/test/support/virtual_worker.cc
+++ b/test/support/virtual_worker.cc
@@ -120,23 +120,7 @@
   });
 }
 
-// The worker's client sends a call with a lease only to the incarnation that
-// the call names. Otherwise it reports which one has answered.
-template <typename LeasedCall>
-bool VirtualWorker::AnswersForAnother(const LeasedCall& call,
-                                      const Answer& answer) {
-  const bool other = alive_ && call.worker() == name_ &&
-                     call.lease_end_ms() > 0 && call.born_ms() != born_ms_;
-  if (!other) return false;
-  const bool fenced = call.fence() < fence_;
-  fence_ = std::max(fence_, call.fence());
-  Reply(answer, MakeListing(call.call(), fenced ? WorkerCallOutcome::kFenced
-                                                : WorkerCallOutcome::kNotSent));
-  return true;
-}
-
 void VirtualWorker::Perform(const WorkerStart& call, Answer answer) {
-  if (AnswersForAnother(call, answer)) return;
   ExecuteCommand(call.call(), call.worker(), call.fence(), std::move(answer),
                  [this, call](bool late) { return ApplyStart(call, late); });
 }
@@ -159,7 +143,6 @@
     if (!alive_) {
       return send(MakeListing(call.call(), WorkerCallOutcome::kLost));
     }
-    if (AnswersForAnother(call, answer)) return;
     if (call.worker() != name_) {
       // A worker that another one was expected to be lists nothing of itself.
       return send(WorkerAnswer::Builder()
--- a/test/support/virtual_worker.h
+++ b/test/support/virtual_worker.h
@@ -92,8 +92,6 @@
   void ExecuteCommand(std::uint64_t call, const std::string& worker,
                       std::int64_t call_fence, Answer answer,
                       std::function<WorkerCallOutcome(bool late)> work);
-  template <typename LeasedCall>
-  bool AnswersForAnother(const LeasedCall& call, const Answer& answer);
   WorkerCallOutcome ApplyStart(const WorkerStart& call, bool late);
   WorkerCallOutcome ApplyStop(const WorkerStop& call);
   bool IsOverCapacity() const;
