--- a/src/systems/scheduler/commit_progress.cc
+++ b/src/systems/scheduler/commit_progress.cc
@@ -31,6 +31,9 @@
 // which its records are isolated. Those of an isolated commit are put off after
 // each try, so that the others go on.
 constexpr int kMaxUnstoredTries = 2;
+// Number of times in a row that the store refuses a commit as if it was
+// unavailable, after which a commit without records shows whether it is.
+constexpr int kMaxRefusedTries = 3;
 // Callers wait this long for a commit with an unknown outcome. Less than half
 // of the longest timeout of a caller, which leaves time for a second request.
 constexpr Duration kCallerTimeout = std::chrono::milliseconds(900);
@@ -45,18 +48,24 @@
                                   .sequence(sequence)
                                   .instance(HolderIdentity(tables.policy_))
                                   .Build();
-  std::vector<KvsPut> puts = batch.puts_;
+  std::vector<KvsPut> puts;
+  std::vector<std::string> removals;
+  if (!batch.probes_store_) {
+    puts = batch.puts_;
+    removals = batch.removals_;
+    batch.sequences_.push_back(sequence);
+  }
   puts.push_back(MakePut(std::string(kEpochKey), record));
   if (term.restore_holder()) {
     puts.push_back(MakePut(std::string(kHolderKey), record, term.lease()));
   }
-  batch.sequences_.push_back(sequence);
   batch.in_flight_ = true;
   CommitKeys({KvsPrecondition::Builder()
                   .key(std::string(kEpochKey))
                   .revision(term.revision())
                   .Build()},
-             std::move(puts), batch.removals_, CommittingBatch(), tables, tick);
+             std::move(puts), std::move(removals), CommittingBatch(), tables,
+             tick);
   tick.counters().Add(Counter::kJournalWrites);
   tick.counters().Add(Counter::kJournalRecords,
                       static_cast<std::int64_t>(batch.jobs_.size()));
@@ -176,6 +185,37 @@
   }
 }
 
+// Handles the result of a commit without the records of the batch. If the store
+// accepts it, it refuses the records and not everything.
+void HandleStoreProbe(const KvsResult& result, SchedulerTables& tables,
+                      SchedulerTick& tick) {
+  CommitBatch& batch = *tables.commit_;
+  batch.probes_store_ = false;
+  batch.refused_tries_ = 0;
+  if (const auto* done = std::get_if<KvsCommitted>(&result)) {
+    tables.term_ = HolderTerm::Builder(tables.term_)
+                       .revision(done->revision())
+                       .restore_holder(false)
+                       .Build();
+    tables.store_failing_since_.reset();
+    return HandleRefusedCommit(tables, tick);
+  }
+  const auto* failed = std::get_if<KvsFailed>(&result);
+  const bool not_done = std::holds_alternative<KvsRejected>(result) ||
+                        (failed != nullptr && failed->not_done());
+  RetryCommit(!not_done, tables, tick);
+}
+
+// Handles a commit that the store has certainly not done, without a word on its
+// content: usually it is unavailable or has too many calls.
+void HandleNotDone(SchedulerTables& tables, SchedulerTick& tick) {
+  CommitBatch& batch = *tables.commit_;
+  batch.sequences_.clear();
+  if (batch.isolated_) return HandleRefusedCommit(tables, tick);
+  RetryCommit(false, tables, tick);
+  batch.probes_store_ = ++batch.refused_tries_ >= kMaxRefusedTries;
+}
+
 // Selects closed jobs whose final state has been available for the configured
 // time; the next commits remove them.
 void CollectExpiredJobs(SchedulerTables& tables, SchedulerTick& tick) {
@@ -321,6 +361,9 @@
 void HandleCommit(const KvsResult& result, SchedulerTables& tables,
                   SchedulerTick& tick) {
   if (!IsActing(tables) || !tables.commit_) return;
+  if (tables.commit_->probes_store_) {
+    return HandleStoreProbe(result, tables, tick);
+  }
   if (const auto* done = std::get_if<KvsCommitted>(&result)) {
     return FinishCommit(done->revision(), tables, tick);
   }
@@ -338,8 +381,9 @@
   // A retry that certainly failed does not settle the outcome of the tries
   // before it.
   const bool first_try = tables.commit_->sequences_.size() == 1;
-  RetryCommit(!(not_done && first_try), tables, tick);
-  if (not_done && first_try) tables.commit_->sequences_.clear();
+  if (not_done && first_try) return HandleNotDone(tables, tick);
+  tables.commit_->refused_tries_ = 0;
+  RetryCommit(true, tables, tick);
   const bool conflict = std::holds_alternative<KvsConflict>(result);
   if (conflict) tables.commit_->next_try_ = tick.now();
 }
--- a/src/systems/scheduler/isolate_rejected.cc
+++ b/src/systems/scheduler/isolate_rejected.cc
@@ -27,7 +27,7 @@
 constexpr int kUnstoredBeforeFailure = 6;
 
 // Why a commit is abandoned.
-enum class Abandoned : std::uint8_t { kRejected, kUnstored };
+enum class Abandoned : std::uint8_t { kRejected, kRefused, kUnstored };
 
 // Number of refused jobs that are remembered.
 constexpr std::size_t kMaxUnstorableJobs = 1000;
@@ -97,7 +97,9 @@
   const JobRow* row = tables.jobs_.Find(job);
   if (row == nullptr) return;
   if (!row->stored() && !record.uncertain()) {
-    return RefuseJob(job, record.others_stored(), tables, tick);
+    const bool at_fault =
+        cause == Abandoned::kRejected && record.others_stored();
+    return RefuseJob(job, at_fault, tables, tick);
   }
   for (const CallerWaiting& caller : TakeCallers(job, tables)) {
     ReplyOutcomeUnknown(caller, tick);
@@ -105,8 +107,8 @@
   tables.jobs_without_checkpoints_.insert(job);
   const int limit = cause == Abandoned::kRejected ? kRejectionsBeforeFailure
                                                   : kUnstoredBeforeFailure;
-  const bool fails =
-      row->stored() && record.others_stored() && record.rejections() >= limit;
+  const bool fails = cause != Abandoned::kRefused && row->stored() &&
+                     record.others_stored() && record.rejections() >= limit;
   if (fails) {
     FinishJob(job, JobState::kFailed, Reason::kRecordRejected, tables, tick);
   }
@@ -117,6 +119,14 @@
                              SchedulerTables& tables, SchedulerTick& tick) {
   const RejectedRecord* known = tables.rejected_records_.Find(unit);
   const RejectedRecord before = known == nullptr ? RejectedRecord() : *known;
+  if (cause == Abandoned::kRefused && !before.others_stored()) {
+    // The store may refuse everything at the moment.
+    tables.rejected_records_.Put(unit,
+                                 RejectedRecord::Builder(before)
+                                     .retry_at(tick.now() + kFirstRetryDelay)
+                                     .Build());
+    return;
+  }
   const RejectedRecord record =
       RejectedRecord::Builder(before)
           .rejections(before.rejections() + 1)
@@ -125,7 +135,7 @@
           .Build();
   LogLine(tick, "record-rejected", 0,
           {Field("record", UnitName(unit)),
-           Field("answered", cause == Abandoned::kRejected ? 1 : 0),
+           Field("answered", cause == Abandoned::kUnstored ? 0 : 1),
            Field("rejections", record.rejections()),
            Field("others_stored", record.others_stored() ? 1 : 0)});
   tables.rejected_records_.Put(
@@ -221,7 +231,7 @@
   LogLine(tick, "commit-rejected", 0,
           {Field("epoch", tables.term_.epoch()),
            Field("sequence", tables.term_.sequence()),
-           Field("answered", cause == Abandoned::kRejected ? 1 : 0),
+           Field("answered", cause == Abandoned::kUnstored ? 0 : 1),
            Field("records", units.size()),
            Field("isolated", batch.isolated_ ? 1 : 0)});
   tables.callers_.insert(tables.callers_.end(), batch.callers_.begin(),
@@ -318,6 +328,12 @@
   AbandonCommit(Abandoned::kRejected, tables, tick);
 }
 
+void HandleRefusedCommit(SchedulerTables& tables, SchedulerTick& tick) {
+  AbandonCommit(Abandoned::kRefused, tables, tick);
+  // The others are committed first.
+  tables.isolated_last_ = true;
+}
+
 void HandleUnstoredCommit(SchedulerTables& tables, SchedulerTick& tick) {
   AbandonCommit(Abandoned::kUnstored, tables, tick);
   // The store answers reads. The others are committed first.
--- a/src/systems/scheduler/isolate_rejected.h
+++ b/src/systems/scheduler/isolate_rejected.h
@@ -41,6 +41,11 @@
 /// while others are stored.
 void HandleRejectedCommit(SchedulerTables& tables, SchedulerTick& tick);
 
+/// Handles a commit that the store refuses as if it was unavailable, while it
+/// accepts others. Its records are isolated as those of a rejected commit, but
+/// no accepted job fails, since the store may accept them later.
+void HandleRefusedCommit(SchedulerTables& tables, SchedulerTick& tick);
+
 /// Handles a commit without an answer that the store, when it was read, has not
 /// stored again and again. Its records are isolated as those of a rejected
 /// commit, but no job is refused, since the store may still apply an attempt.
--- a/src/tables/commit_batch.h
+++ b/src/tables/commit_batch.h
@@ -58,6 +58,12 @@
   /// Number of attempts with an unknown outcome that the store showed, when it
   /// was read, not to have been applied.
   int unstored_tries_ = 0;
+  /// Number of attempts in a row that the store refused without a word on their
+  /// content.
+  int refused_tries_ = 0;
+  /// True while the next attempt, or the one in flight, contains none of the
+  /// records, to find out whether the store refuses other commits as well.
+  bool probes_store_ = false;
   /// Earliest time of the next attempt.
   Instant next_try_;
 
--- a/test/cell/rejected_commit_test.cc
+++ b/test/cell/rejected_commit_test.cc
@@ -287,6 +287,34 @@
   BOOST_TEST(ready.UnacknowledgedCompletions() == 0U);
 }
 
+// The store may also refuse a record as if it was unavailable, which says that
+// nothing was done, but not that the record is at fault.
+BOOST_AUTO_TEST_CASE(a_record_refused_as_unavailable_holds_up_no_other) {
+  RejectingCell ready;
+  VirtualCell& cell = ready.cell_;
+  const std::uint64_t refused = cell.Submit(TwoStepJob(20, 100, seconds(90)));
+  const std::uint64_t cancelled = cell.Submit(LongJob());
+  cell.kv().RefuseRecords(
+      [refused](const KvsPut& put) { return IsProgressOf({refused}, put); });
+  std::vector<std::uint64_t> others;
+  for (int i = 0; i < 10; ++i) {
+    others.push_back(cell.Submit(SmallJob()));
+    cell.RunFor(milliseconds(300));
+  }
+  cell.Cancel(cancelled);
+  cell.RunFor(kAcknowledgementTime);
+  for (const std::uint64_t other : others) {
+    BOOST_TEST((ready.StateOf(other) == JobState::kCompleted));
+  }
+  BOOST_TEST((ready.StateOf(cancelled) == JobState::kCancelled));
+  BOOST_TEST((ready.StateOf(refused) == JobState::kRunning));
+  // The store accepts the record later.
+  cell.kv().RefuseRecords({});
+  cell.RunFor(seconds(35));
+  BOOST_TEST((ready.StateOf(refused) == JobState::kRunning));
+  BOOST_TEST(ready.UnacknowledgedCompletions() == 0U);
+}
+
 // Commits that are abandoned may still be applied, seconds later.
 BOOST_AUTO_TEST_CASE(late_commits_violate_no_invariant) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
--- a/test/support/virtual_kv.cc
+++ b/test/support/virtual_kv.cc
@@ -198,6 +198,7 @@
   }
   for (const KvsPut& put : call.puts()) {
     if (rejected_records_ && rejected_records_(put)) return KvsRejected();
+    if (refused_records_ && refused_records_(put)) return Failed(true);
   }
   for (const KvsPut& put : call.puts()) {
     if (put.lease() != 0 && leases_.count(put.lease()) == 0) {
--- a/test/support/virtual_kv.h
+++ b/test/support/virtual_kv.h
@@ -58,6 +58,11 @@
   void RejectRecords(std::function<bool(const KvsPut&)> rejected) {
     rejected_records_ = std::move(rejected);
   }
+  /// Refuses each commit that writes such a record as if the store was
+  /// unavailable.
+  void RefuseRecords(std::function<bool(const KvsPut&)> refused) {
+    refused_records_ = std::move(refused);
+  }
   /// Neither applies nor answers a commit that writes such a record.
   void DropRecords(std::function<bool(const KvsPut&)> dropped) {
     dropped_records_ = std::move(dropped);
@@ -111,6 +116,7 @@
   std::int64_t revision_ = 1;
   std::set<std::string> rejected_callers_;
   std::function<bool(const KvsPut&)> rejected_records_;
+  std::function<bool(const KvsPut&)> refused_records_;
   std::function<bool(const KvsPut&)> dropped_records_;
   bool unavailable_ = false;
   int lost_response_percent_ = 0;
