--- a/src/systems/runner/watch_worker.cc
+++ b/src/systems/runner/watch_worker.cc
@@ -211,6 +211,13 @@
 void HandleWorkerLeft(const WorkerLeft& left, RunnerTables& tables,
                       RunnerTick& tick) {
   if (!tables.facts_ || tables.facts_->worker() != left.worker()) return;
+  // The announcement of an earlier incarnation may arrive late.
+  if (left.born_ms() != 0 && left.born_ms() != tables.facts_->born_ms()) {
+    LogLine(tick, "departure-ignored", 0,
+            {Field("worker", left.worker()), Field("born_ms", left.born_ms()),
+             Field("known_born_ms", tables.facts_->born_ms())});
+    return;
+  }
   LogLine(tick, "worker-left", 0, {Field("worker", left.worker())});
   ResetWorkerState(tables);
   tables.foreign_lease_end_ = Instant();
--- a/src/systems/runner/watch_worker.h
+++ b/src/systems/runner/watch_worker.h
@@ -15,7 +15,8 @@
 void HandleWorkerAnnounced(const WorkerAnnounced& seen, RunnerTables& tables,
                            RunnerTick& tick);
 /// Handles the departure of the worker: its state is discarded, and the next
-/// full report names it as left.
+/// full report names it as left. Ignores that of another incarnation than the
+/// known one.
 void HandleWorkerLeft(const WorkerLeft& left, RunnerTables& tables,
                       RunnerTick& tick);
 
--- a/test/cell/worker_report_test.cc
+++ b/test/cell/worker_report_test.cc
@@ -145,6 +145,32 @@
 
 BOOST_AUTO_TEST_SUITE(worker_reports)
 
+// The announcement with which an earlier incarnation shut down may arrive late.
+// It must not end the next one under the same id, whose tasks would start
+// elsewhere while they run.
+BOOST_AUTO_TEST_CASE(a_late_departure_ends_no_later_incarnation) {
+  TwoCoreRunner runner;
+  const auto leave = [&](std::int64_t born_ms) {
+    RunnerTick tick(kFleetNow, runner.random_, runner.tables_.counters_);
+    HandleWorkerLeft(
+        WorkerLeft::Builder().worker("worker").born_ms(born_ms).Build(),
+        runner.tables_, tick);
+    return !runner.tables_.facts_;
+  };
+  runner.Announce("worker", 2);
+  BOOST_TEST(!leave(1));
+  BOOST_TEST(runner.Knows("worker", 2));
+  BOOST_TEST(!runner.tables_.worker_left_);
+  BOOST_TEST(leave(2));
+  BOOST_TEST(runner.tables_.worker_left_);
+  // One that names no incarnation counts for the known one.
+  TwoCoreRunner other;
+  RunnerTick tick(kFleetNow, other.random_, other.tables_.counters_);
+  HandleWorkerLeft(WorkerLeft::Builder().worker("worker").Build(),
+                   other.tables_, tick);
+  BOOST_TEST(!other.tables_.facts_);
+}
+
 // A start whose worker could not be reached for certain has not run. Its task
 // must not wait until the leases of the worker have expired.
 BOOST_AUTO_TEST_CASE(a_start_that_was_not_sent_is_refused_at_once) {
--- a/test/platform/codec_test.cc
+++ b/test/platform/codec_test.cc
@@ -208,6 +208,15 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(a_departure_names_its_incarnation) {
+  const WorkerLeft left = ParseDeparture("i-1", R"({"born":5,"seq":4})");
+  BOOST_TEST(left.worker() == "i-1");
+  BOOST_TEST(left.born_ms() == 5);
+  for (const char* odd : {"", "{}", "\xff\xfe", R"({"born":"5"})", "[5]"}) {
+    BOOST_TEST(ParseDeparture("i-1", odd).born_ms() == 0);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(malformed_announcements_are_rejected) {
   const std::string good =
       R"({"service":"s","zone":"z","state":"ready","born":5,"seq":4,)"
