Refuse waiting jobs at once when the store refuses everything; log foreign leases

Cause: read again after, a new job whose isolated record the store refused with 429 or 503 while it took no other record either was only tried again, so its caller waited for a time-out.

Change: such a job is refused like any other that was never stored. An accepted job keeps its checkpoints in that case. foreign-lease-reported tells why tasks of a worker wait longer than usual.

--- a/src/systems/scheduler/isolate_rejected.cc
+++ b/src/systems/scheduler/isolate_rejected.cc
@@ -104,7 +104,7 @@
   for (const CallerWaiting& caller : TakeCallers(job, tables)) {
     ReplyOutcomeUnknown(caller, tick);
   }
-  tables.jobs_without_checkpoints_.insert(job);
+  if (record.rejections() > 0) tables.jobs_without_checkpoints_.insert(job);
   const int limit = cause == Abandoned::kRejected ? kRejectionsBeforeFailure
                                                   : kUnstoredBeforeFailure;
   const bool fails = cause != Abandoned::kRefused && row->stored() &&
@@ -119,19 +119,14 @@
                              SchedulerTables& tables, SchedulerTick& tick) {
   const RejectedRecord* known = tables.rejected_records_.Find(unit);
   const RejectedRecord before = known == nullptr ? RejectedRecord() : *known;
-  if (cause == Abandoned::kRefused && !before.others_stored()) {
-    // The store may refuse everything at the moment.
-    tables.rejected_records_.Put(unit,
-                                 RejectedRecord::Builder(before)
-                                     .retry_at(tick.now() + kFirstRetryDelay)
-                                     .Build());
-    return;
-  }
+  const bool everything =
+      cause == Abandoned::kRefused && !before.others_stored();
+  const int rejections = before.rejections() + (everything ? 0 : 1);
   const RejectedRecord record =
       RejectedRecord::Builder(before)
-          .rejections(before.rejections() + 1)
+          .rejections(rejections)
           .uncertain(before.uncertain() || cause == Abandoned::kUnstored)
-          .retry_at(tick.now() + RetryDelay(before.rejections() + 1))
+          .retry_at(tick.now() + RetryDelay(rejections))
           .Build();
   LogLine(tick, "record-rejected", 0,
           {Field("record", UnitName(unit)),
--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -111,12 +111,18 @@
 // Keeps the end of foreign leases that the runner knows of, also in reports
 // that are ignored otherwise.
 void RecordForeignLease(const MemberName& name, const WorkerReport& report,
-                        SchedulerTables& tables, Instant now) {
+                        SchedulerTables& tables, SchedulerTick& tick) {
   if (report.foreign_lease_ms() <= 0) return;
   const WorkerRow worker = *tables.workers_.Find(name);
+  const Instant now = tick.now();
   const Instant end =
       now + std::chrono::milliseconds(report.foreign_lease_ms());
   if (end <= worker.foreign_lease_end()) return;
+  if (worker.foreign_lease_end() < now) {
+    LogLine(tick, "foreign-lease-reported", 0,
+            {Field("member", name.value()), FieldMs("remaining_ms", end - now),
+             FieldMs("since_grant_ms", now - worker.granted_at())});
+  }
   tables.workers_.Put(
       name, WorkerRow::Builder(worker).foreign_lease_end(end).Build());
 }
@@ -411,7 +417,7 @@
   const WorkerRow* known = tables.workers_.Find(name);
   if (known == nullptr) return;
   RecordMemberContact(connection, tables, tick.now());
-  RecordForeignLease(name, report, tables, tick.now());
+  RecordForeignLease(name, report, tables, tick);
   tables.grants_due_[connection] = report.number();
   if (!report.whole() && !known->reported()) return;
   HandleCrashes(name, report, tables, tick);
