--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -108,25 +108,6 @@
            FieldMs("since_grant_ms", tick.now() - worker.granted_at())});
 }
 
-// Keeps the end of foreign leases that the runner knows of, also in reports
-// that are ignored otherwise.
-void RecordForeignLease(const MemberName& name, const WorkerReport& report,
-                        SchedulerTables& tables, SchedulerTick& tick) {
-  if (report.foreign_lease_ms() <= 0) return;
-  const WorkerRow worker = *tables.workers_.Find(name);
-  const Instant now = tick.now();
-  const Instant end =
-      now + std::chrono::milliseconds(report.foreign_lease_ms());
-  if (end <= worker.foreign_lease_end()) return;
-  if (worker.foreign_lease_end() < now) {
-    LogLine(tick, "foreign-lease-reported", 0,
-            {Field("member", name.value()), FieldMs("remaining_ms", end - now),
-             FieldMs("since_grant_ms", now - worker.granted_at())});
-  }
-  tables.workers_.Put(
-      name, WorkerRow::Builder(worker).foreign_lease_end(end).Build());
-}
-
 void HandleFacts(const MemberName& name, const WorkerDescription& facts,
                  SchedulerTables& tables, SchedulerTick& tick) {
   const WorkerRow worker = *tables.workers_.Find(name);
