--- a/review/standins-2/fleet.cc
+++ b/review/standins-2/fleet.cc
@@ -471,7 +471,8 @@
   }
   Extend(body);
   const std::size_t span =
-      spans_.Begin({task, run, settings_.id_, Now(), -1, ""});
+      spans_.Begin({task, run, settings_.id_, Now(), -1, "", false, born_ms_,
+                    settings_.labels_.empty() ? "" : settings_.labels_[0]});
   running_[task] = {run,   span, Clock::now(), WorkMs(Text(body, "spec")),
                     false, {}};
   log("200");
--- a/review/standins-2/fleet.h
+++ b/review/standins-2/fleet.h
@@ -126,6 +126,9 @@
   std::string how_;
   // True if its end was taken note of, while the lease had not lapsed.
   bool noted_ = false;
+  // The executor's start and its first label, which names its kind.
+  std::int64_t born_ms_ = 0;
+  std::string kind_;
 };
 
 // The runs of all executors.
