--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -1,7 +1,8 @@
-// An executor leaves while the agent beside it stands still. See claim.txt.
+// A job is cancelled while the entry that has its request stands still. See
+// claim.txt.
 //   case-6 FOLDER
-// Exits with 1 if a task ran twice at the same time, with 0 if none did, and
-// with 2 if the case couldn't run.
+// Exits with 1 if a task started or ran too late after the acknowledged
+// cancelling, with 0 if none did, and with 2 if the case couldn't run.
 #include <signal.h>
 
 #include <cstdlib>
@@ -11,66 +12,77 @@
 
 namespace {
 
+using review::Now;
 using review::Pause;
 
-constexpr int kAgents = 8;
-constexpr int kTasks = 24;
-constexpr int kWorkMs = 30000;
-constexpr int kFreezeMs = 2500;
-// Of the freeze, before the executor says that it leaves.
-constexpr int kFrozenBeforeMs = 300;
+constexpr int kAgents = 4;
+constexpr int kFreezeMs = 600;
+// Half the objective of the shortest kind of request.
+constexpr int kLeavesAfterMs = 300;
+constexpr int kCancelMs = 3000;
+// Where the platform's bound for a stop is exceeded by less, it is the test.
+constexpr int kSlackMs = 200;
+
+// Three steps, one after the other, of two tasks each.
+std::string Steps() {
+  review::json::array steps;
+  for (int number = 0; number < 3; ++number) {
+    review::json::object step{
+        {"count", 2}, {"cpu", 1000}, {"mem_mb", 1000}, {"estimate_ms", 2000}};
+    if (number > 0) step["after"] = review::json::array{number - 1};
+    steps.push_back(step);
+  }
+  return review::json::serialize(
+      review::json::object{{"spec", "ms=2000"}, {"steps", steps}});
+}
 
 int Run(const std::string& folder) {
   review::Record& record = *new review::Record("review/6/record.txt");
-  // Threads of the stand-ins use it until the program ends.
-  review::Fleet& fleet = *new review::Fleet(1, kAgents, folder, record);
+  review::Fleet& fleet = *new review::Fleet(2, kAgents, folder, record);
   if (!fleet.Start()) {
     record.Write("the deployment does not start");
     return 2;
   }
   const std::string job = "00000000000000a6";
-  if (fleet.Submit(0, job, review::OneStep(kTasks, kWorkMs, 2000)) != 200) {
-    return 2;
-  }
-  Pause(3000);
-  // Not beside the holder, so that only the agent of one machine stands still.
-  const int holder = fleet.Holder();
-  int leaving = -1;
-  for (int i = 0; i < kAgents; ++i) {
-    const bool runs = !fleet.executor(i).Running().empty();
-    if (i != holder && runs && leaving < 0) leaving = i;
-  }
-  if (leaving < 0) {
-    record.Write("no executor to leave");
-    return 2;
-  }
-  record.Write("holder: side-" + std::to_string(holder) + ", leaving: i-" +
-               std::to_string(leaving));
   std::thread wake;
-  fleet.executor(leaving).Leave(1000, 4000, [&] {
-    if (!review::HasTrouble()) return;
-    record.Write("trouble: the agent side-" + std::to_string(leaving) +
-                 " is stopped");
-    fleet.agent(leaving).Signal(SIGSTOP);
+  if (review::HasTrouble()) {
+    record.Write("trouble: front-0 is stopped");
+    fleet.entry(0).Signal(SIGSTOP);
     wake = std::thread([&] {
       Pause(kFreezeMs);
-      record.Write("trouble: the agent goes on");
-      fleet.agent(leaving).Signal(SIGCONT);
+      record.Write("trouble: front-0 goes on");
+      fleet.entry(0).Signal(SIGCONT);
     });
-    Pause(kFrozenBeforeMs);
-  });
+    Pause(20);
+  }
+  // The client waits for as long as its deadline says, and leaves.
+  fleet.Submit(0, job, Steps(), kLeavesAfterMs);
+  // Then it cancels what it may have handed in, at the other entry.
+  int status = 0;
+  for (int tries = 0; tries < 5 && status != 200 && status != 410; ++tries) {
+    status = fleet.Cancel(1, job);
+  }
+  const double cancelled = Now();
+  if (status != 200 && status != 410) return 2;
   if (wake.joinable()) wake.join();
-  Pause(6000);
-  const auto twice = review::Overlaps(fleet.spans().All());
-  for (const auto& [first, second] : twice) {
-    record.Write("TWICE: " + first.task_ + " run " +
-                 std::to_string(first.run_) + " on " + first.executor_ +
-                 " and run " + std::to_string(second.run_) + " on " +
-                 second.executor_ + " from " + std::to_string(second.from_) +
-                 " ms");
+  Pause(12000);
+  fleet.State(1, job);
+  int late = 0;
+  for (const review::Span& span : fleet.spans().All()) {
+    const double started = span.from_ - cancelled;
+    const double ended = (span.to_ < 0 ? Now() : span.to_) - cancelled;
+    const bool too_late = started > kCancelMs ||
+                          ended > kCancelMs + review::kStopGraceMs + kSlackMs;
+    if (!too_late) continue;
+    ++late;
+    record.Write("UNASKED: " + span.task_ + " started " +
+                 std::to_string(started) +
+                 " ms after the acknowledgement of "
+                 "the cancelling, and ran until " +
+                 std::to_string(ended) + " ms after it");
   }
-  record.Write(std::to_string(twice.size()) + " tasks ran twice at a time");
-  return twice.empty() ? 0 : 1;
+  record.Write(std::to_string(late) + " tasks started or ran too late");
+  return late == 0 ? 0 : 1;
 }
 
 }  // namespace
--- a/review/7/case.cc
+++ b/review/7/case.cc
@@ -1,11 +1,13 @@
-// A job is cancelled while the entry that has its request stands still. See
-// claim.txt.
+// Jobs are cancelled while one of their executors leaves all orders unanswered.
+// See claim.txt.
 //   case-7 FOLDER
-// Exits with 1 if a task started or ran too late after the acknowledged
-// cancelling, with 0 if none did, and with 2 if the case couldn't run.
-#include <signal.h>
-
+// Exits with 1 if a task started too late after the acknowledged cancelling,
+// with 0 if none did, and with 2 if the case couldn't run.
+#include <atomic>
 #include <cstdlib>
+#include <functional>
+#include <map>
+#include <mutex>
 #include <thread>
 
 #include "fleet.h"
@@ -15,25 +17,28 @@
 using review::Now;
 using review::Pause;
 
-constexpr int kAgents = 4;
-constexpr int kFreezeMs = 600;
-// Half the objective of the shortest kind of request.
-constexpr int kLeavesAfterMs = 300;
+constexpr int kAgents = 8;
+constexpr int kJobs = 10;
+constexpr int kTasks = 32;
+constexpr int kHangMs = 4300;
 constexpr int kCancelMs = 3000;
-// Where the platform's bound for a stop is exceeded by less, it is the test.
-constexpr int kSlackMs = 200;
 
-// Three steps, one after the other, of two tasks each.
-std::string Steps() {
-  review::json::array steps;
-  for (int number = 0; number < 3; ++number) {
-    review::json::object step{
-        {"count", 2}, {"cpu", 1000}, {"mem_mb", 1000}, {"estimate_ms", 2000}};
-    if (number > 0) step["after"] = review::json::array{number - 1};
-    steps.push_back(step);
-  }
-  return review::json::serialize(
-      review::json::object{{"spec", "ms=2000"}, {"steps", steps}});
+// Lets the executor stall everything until the given time: the requests that
+// arrive before are neither answered nor carried out, and their connections
+// stay open until the agent closes them.
+void Hang(review::Executor& executor, double until) {
+  executor.SetHook(
+      [until](const review::Request&) -> std::optional<review::Response> {
+        if (Now() >= until) return std::nullopt;
+        Pause(kHangMs + 2000);
+        review::Response none;
+        none.drop_ = true;
+        return none;
+      });
+}
+
+std::string JobId(int number) {
+  return "00000000000a7" + std::to_string(100 + number);
 }
 
 int Run(const std::string& folder) {
@@ -43,45 +48,54 @@
     record.Write("the deployment does not start");
     return 2;
   }
-  const std::string job = "00000000000000a7";
-  std::thread wake;
+  const int holder = fleet.Holder();
+  const int hanging = holder == 0 ? 1 : 0;
   if (review::HasTrouble()) {
-    record.Write("trouble: front-0 is stopped");
-    fleet.entry(0).Signal(SIGSTOP);
-    wake = std::thread([&] {
-      Pause(kFreezeMs);
-      record.Write("trouble: front-0 goes on");
-      fleet.entry(0).Signal(SIGCONT);
-    });
-    Pause(20);
-  }
-  // The client waits for as long as its deadline says, and leaves.
-  fleet.Submit(0, job, Steps(), kLeavesAfterMs);
-  // Then it cancels what it may have handed in, at the other entry.
-  int status = 0;
-  for (int tries = 0; tries < 5 && status != 200 && status != 410; ++tries) {
-    status = fleet.Cancel(1, job);
+    record.Write("trouble: i-" + std::to_string(hanging) + " hangs for " +
+                 std::to_string(kHangMs) + " ms");
+    Hang(fleet.executor(hanging), Now() + kHangMs);
   }
-  const double cancelled = Now();
-  if (status != 200 && status != 410) return 2;
-  if (wake.joinable()) wake.join();
-  Pause(12000);
-  fleet.State(1, job);
+  // All are handed in at once, and cancelled at once.
+  const auto at_once = [&](const std::function<bool(int)>& call) {
+    std::vector<std::thread> threads;
+    std::atomic<int> done = 0;
+    for (int number = 0; number < kJobs; ++number) {
+      threads.emplace_back([&, number] { done += call(number) ? 1 : 0; });
+    }
+    for (std::thread& thread : threads) thread.join();
+    return done == kJobs;
+  };
+  const std::string steps = review::OneStep(kTasks, 20000, 1000);
+  const bool accepted = at_once([&](int number) {
+    return fleet.Submit(number % 2, JobId(number), steps) == 200;
+  });
+  if (!accepted) return 2;
+  Pause(200);
+  std::mutex mutex;
+  std::map<std::string, double> cancelled;
+  const bool all_cancelled = at_once([&](int number) {
+    const std::string job = JobId(number);
+    for (int tries = 0; tries < 5; ++tries) {
+      if (fleet.Cancel(number % 2, job) != 200) continue;
+      const std::lock_guard lock(mutex);
+      cancelled[job] = Now();
+      return true;
+    }
+    return false;
+  });
+  if (!all_cancelled) return 2;
+  Pause(8000);
   int late = 0;
   for (const review::Span& span : fleet.spans().All()) {
-    const double started = span.from_ - cancelled;
-    const double ended = (span.to_ < 0 ? Now() : span.to_) - cancelled;
-    const bool too_late = started > kCancelMs ||
-                          ended > kCancelMs + review::kStopGraceMs + kSlackMs;
-    if (!too_late) continue;
+    const double started = span.from_ - cancelled.at(span.task_.substr(0, 16));
+    if (started <= kCancelMs) continue;
     ++late;
-    record.Write("UNASKED: " + span.task_ + " started " +
-                 std::to_string(started) +
-                 " ms after the acknowledgement of "
-                 "the cancelling, and ran until " +
-                 std::to_string(ended) + " ms after it");
+    record.Write("UNASKED: " + span.task_ + " run " +
+                 std::to_string(span.run_) + " started on " + span.executor_ +
+                 " " + std::to_string(started) +
+                 " ms after the acknowledgement of the cancelling");
   }
-  record.Write(std::to_string(late) + " tasks started or ran too late");
+  record.Write(std::to_string(late) + " tasks started too late");
   return late == 0 ? 0 : 1;
 }
 
