--- a/src/messages/start_run.h
+++ b/src/messages/start_run.h
@@ -49,13 +49,16 @@
   std::int32_t first_pace() const { return first_pace_; }
   /// True for a suspect, which has to be seen to survive its start.
   bool isolated() const { return isolated_; }
+  /// Number of the last WorkerReport that the holder had received when it
+  /// decided on the run; 0 in commands of earlier releases.
+  std::int64_t report() const { return report_; }
 
   friend auto operator<=>(const StartRun&, const StartRun&) = default;
 
  private:
   QUETZALLINE_VALUE(StartRun, run_, spec_, checkpoint_, target_, fills_,
                     born_ms_, image_, cpu_, memory_mb_, gpu_, first_pace_,
-                    isolated_)
+                    isolated_, report_)
 
   RunKey run_;
   Shared<std::string> spec_;
@@ -69,6 +72,7 @@
   std::int64_t gpu_ = 0;
   std::int32_t first_pace_ = 100;
   bool isolated_ = false;
+  std::int64_t report_ = 0;
 };
 
 /// Builds a StartRun; fields that are not set keep their defaults.
@@ -98,6 +102,7 @@
     return Set(value_.first_pace_, value);
   }
   Builder& isolated(bool value) { return Set(value_.isolated_, value); }
+  Builder& report(std::int64_t value) { return Set(value_.report_, value); }
 };
 
 }  // namespace quetzalline
--- a/src/systems/runner/execute_run_commands.cc
+++ b/src/systems/runner/execute_run_commands.cc
@@ -1,57 +1,11 @@
 #include "systems/runner/execute_run_commands.h"
 
 #include "systems/cell/log_fields.h"
-#include "systems/runner/record_crash.h"
-#include "systems/runner/track_foreign_leases.h"
+#include "systems/runner/send_commands.h"
 
 namespace quetzalline {
 namespace {
 
-// Number of sessions per epoch, and of raises per session, that a fencing token
-// distinguishes.
-constexpr std::int64_t kSessionsPerEpoch = std::int64_t{1} << 20;
-constexpr std::int64_t kRaisesPerSession = std::int64_t{1} << 10;
-
-void SendStart(const TaskKey& key, RunnerTables& tables, RunnerTick& tick) {
-  const TrackedRun held = *tables.runs_.Find(key);
-  const std::int64_t fence = CurrentFencingToken(tables);
-  const RunKey run = held.order().run();
-  tables.runs_.Put(key, TrackedRun::Builder(held)
-                            .stage(TrackedRunStage::kStarting)
-                            .fence(fence)
-                            .called_at(tick.now())
-                            .started_at(tick.now())
-                            .Build());
-  tick.Emit(WorkerStart::Builder()
-                .call(RegisterWorkerCall(StartCall::Builder().run(run).Build(),
-                                         tables, tick.now()))
-                .worker(tables.facts_->worker())
-                .born_ms(tables.facts_->born_ms())
-                .run(run)
-                .spec(held.order().spec())
-                .checkpoint(held.order().checkpoint())
-                .lease_end_ms(LeaseEndToSend(tables, tick.now()))
-                .fence(fence)
-                .Build());
-}
-
-void SendStop(const TaskKey& key, RunnerTables& tables, RunnerTick& tick) {
-  const TrackedRun held = *tables.runs_.Find(key);
-  const RunKey run = RunKey::Builder().task(key).run(held.run()).Build();
-  tables.runs_.Put(key, TrackedRun::Builder(held)
-                            .stage(TrackedRunStage::kStopping)
-                            .called_at(tick.now())
-                            .Build());
-  if (!tables.facts_) return;
-  tick.Emit(WorkerStop::Builder()
-                .call(RegisterWorkerCall(StopCall::Builder().run(run).Build(),
-                                         tables, tick.now()))
-                .worker(tables.facts_->worker())
-                .run(run)
-                .fence(CurrentFencingToken(tables))
-                .Build());
-}
-
 Reason RefusalReason(WorkerCallOutcome verdict) {
   switch (verdict) {
     case WorkerCallOutcome::kOld:
@@ -94,42 +48,19 @@
          gpu <= facts.gpu();
 }
 
-}  // namespace
-
-std::int64_t CurrentFencingToken(const RunnerTables& tables) {
-  const HolderSession& session = tables.session_;
-  return (session.epoch() * kSessionsPerEpoch + session.session()) *
-             kRaisesPerSession +
-         tables.fence_raises_;
+// Returns the latest time at which the run may start. The holder decided on it
+// after it had received the report that the command names, and may have revoked
+// it since. Returns nothing if that report is too old to be known.
+std::optional<Instant> LatestStart(const StartRun& command,
+                                   const RunnerTables& tables, Instant now) {
+  // Holders of earlier releases name no report.
+  if (command.report() == 0) return now + tables.policy_.start_validity();
+  const auto sent = tables.report_times_.find(command.report());
+  if (sent == tables.report_times_.end()) return std::nullopt;
+  return sent->second + tables.policy_.start_validity();
 }
 
-std::uint64_t RegisterWorkerCall(const WorkerCallKind& kind,
-                                 RunnerTables& tables, Instant now) {
-  const std::uint64_t number = ++tables.last_call_;
-  const bool extends_lease = std::holds_alternative<StartCall>(kind) ||
-                             std::holds_alternative<StatusPollCall>(kind);
-  const WorkerCall call =
-      WorkerCall::Builder()
-          .kind(kind)
-          .fence(CurrentFencingToken(tables))
-          .sent_at(now)
-          .leased(extends_lease && LeaseEndToSend(tables, now) > 0)
-          .Build();
-  RecordLeaseCall(call, tables, now);
-  tables.calls_[number] = call;
-  return number;
-}
-
-void RefuseRun(const RunKey& run, Reason reason, RunnerTables& tables,
-               RunnerTick& tick) {
-  tick.counters().Add(Counter::kTasksRefused, reason);
-  LogLine(tick, "run-refused", run.task().job(),
-          {Field("step", run.task().step()), Field("index", run.task().index()),
-           Field("run", run.run()), Field("reason", reason)});
-  tables.refusals_.push_back(
-      RunRefused::Builder().run(run).reason(reason).Build());
-  tables.report_due_ = true;
-}
+}  // namespace
 
 void HandleStartRun(const StartRun& command, RunnerTables& tables,
                     RunnerTick& tick) {
@@ -150,6 +81,14 @@
   if (tick.now() < tables.commands_stale_until_) {
     return RefuseRun(command.run(), Reason::kHeartbeatMissed, tables, tick);
   }
+  const std::optional<Instant> start_by =
+      LatestStart(command, tables, tick.now());
+  if (!start_by || tick.now() >= *start_by) {
+    return RefuseRun(command.run(), Reason::kHeartbeatMissed, tables, tick);
+  }
+  if (tables.facts_->draining()) {
+    return RefuseRun(command.run(), Reason::kDrain, tables, tick);
+  }
   if (!HasFreeCapacity(command, tables)) {
     return RefuseRun(command.run(), Reason::kDoesNotFit, tables, tick);
   }
@@ -159,10 +98,10 @@
                             .known(true)
                             .checkpoint(command.checkpoint())
                             .pace_limit(command.first_pace())
+                            .start_by(*start_by)
                             .Build());
   tick.counters().Add(Counter::kTasksStarted);
-  SendStart(key, tables, tick);
-  if (command.isolated()) ScheduleSurvivalChecks(tables, tick.now());
+  QueueStart(key, tables);
 }
 
 void HandleStopRun(const StopRun& command, RunnerTables& tables,
@@ -170,7 +109,11 @@
   const TrackedRun* held = tables.runs_.Find(command.run().task());
   if (held == nullptr || held->run() != command.run().run()) return;
   tick.counters().Add(Counter::kTasksStopped);
-  SendStop(command.run().task(), tables, tick);
+  const TaskKey& key = command.run().task();
+  if (held->stage() == TrackedRunStage::kQueued) {
+    return WithdrawStart(key, Reason::kCancelled, tables, tick);
+  }
+  QueueStop(key, tables, tick);
 }
 
 void HandleStartAnswer(const RunKey& run, std::int64_t fence,
@@ -204,7 +147,7 @@
   }
   const bool raised = fence < CurrentFencingToken(tables);
   if (answer.verdict() == WorkerCallOutcome::kFenced && raised) {
-    return SendStart(key, tables, tick);
+    return QueueStart(key, tables);
   }
   tables.runs_.Erase(key);
   RefuseRun(run, RefusalReason(answer.verdict()), tables, tick);
@@ -217,7 +160,7 @@
   if (held == nullptr || held->run() != run.run()) return;
   const bool raised = fence < CurrentFencingToken(tables);
   if (answer.verdict() == WorkerCallOutcome::kFenced && raised) {
-    SendStop(run.task(), tables, tick);
+    QueueStop(run.task(), tables, tick);
   }
 }
 
@@ -232,7 +175,7 @@
       due.push_back(key);
     }
   }
-  for (const TaskKey& key : due) SendStop(key, tables, tick);
+  for (const TaskKey& key : due) QueueStop(key, tables, tick);
 }
 
 }  // namespace quetzalline
--- a/src/systems/runner/manage_holder_session.cc
+++ b/src/systems/runner/manage_holder_session.cc
@@ -6,13 +6,16 @@
 #include "systems/cell/log_fields.h"
 #include "systems/runner/detect_unresponsive_worker.h"
 #include "systems/runner/record_crash.h"
+#include "systems/runner/send_commands.h"
 #include "systems/runner/track_foreign_leases.h"
+#include "systems/runner/worker_time.h"
 
 namespace quetzalline {
 namespace {
 
-// Number of latest reports whose send times are stored; a lease grant refers to
-// one of them.
+// Number of latest reports whose send times are stored at least; a lease grant
+// refers to one of them. Those to which a start may still refer are stored,
+// too.
 constexpr std::size_t kMaxReportTimes = 32;
 // Progress is reported once it has advanced by this many percentage points.
 constexpr std::int32_t kProgressStepPercent = 20;
@@ -77,8 +80,11 @@
 void SendReport(bool whole, RunnerTables& tables, RunnerTick& tick) {
   const std::int64_t number = ++tables.last_report_;
   tables.report_times_[number] = tick.now();
-  while (tables.report_times_.size() > kMaxReportTimes) {
-    tables.report_times_.erase(tables.report_times_.begin());
+  auto& times = tables.report_times_;
+  while (times.size() > kMaxReportTimes &&
+         times.begin()->second + tables.policy_.start_validity() <=
+             tick.now()) {
+    times.erase(times.begin());
   }
   WorkerReport::Builder report;
   report.session(tables.session_.session())
@@ -157,6 +163,7 @@
   tables.holder_heard_at_ = tick.now();
   tables.fence_raises_ = 0;
   tables.report_times_.clear();
+  WithdrawStarts(Reason::kStaleEpoch, tables, tick);
   tables.refusals_.clear();
   MarkStartsUnresolved(tables);
   // Without a known worker there is nothing to poll before the full report.
@@ -175,7 +182,7 @@
   const ConnectionId connection = *session.connection();
   RejectHolder(connection, seen.epoch(), tick);
   HandleHolderDisconnected(
-      ConnectionClosed::Builder().connection(connection).Build(), tables);
+      ConnectionClosed::Builder().connection(connection).Build(), tables, tick);
 }
 
 void HandleLeaseGrant(const GrantLease& grant, RunnerTables& tables,
@@ -184,18 +191,10 @@
   const auto sent = tables.report_times_.find(grant.report());
   if (sent == tables.report_times_.end() || !tables.clock_) return;
   if (IsWorkerUnresponsive(tables, tick.now())) return;
-  // The worker's clock may be slow, so that less time has passed on it than
-  // here.
-  constexpr std::int64_t kMinClockRatePerMille = 970;
-  const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
-      sent->second - tables.clock_->read_at());
-  const std::int64_t worker_elapsed =
-      elapsed.count() > 0 ? elapsed.count() * kMinClockRatePerMille / 1000
-                          : elapsed.count();
   const auto lease = std::chrono::duration_cast<std::chrono::milliseconds>(
       tables.policy_.task_lease());
   const std::int64_t lease_end =
-      tables.clock_->clock_ms() + worker_elapsed + lease.count();
+      EarliestWorkerTime(sent->second, *tables.clock_) + lease.count();
   tables.lease_end_ms_ = std::max(tables.lease_end_ms_, lease_end);
 }
 
@@ -209,8 +208,10 @@
 }
 
 void HandleHolderDisconnected(const ConnectionClosed& closed,
-                              RunnerTables& tables) {
+                              RunnerTables& tables, RunnerTick& tick) {
   if (tables.session_.connection() != closed.connection()) return;
+  // The holder can't revoke them any more.
+  WithdrawStarts(Reason::kConnectionLost, tables, tick);
   tables.session_ =
       HolderSession::Builder(tables.session_).connection(std::nullopt).Build();
 }
@@ -225,7 +226,7 @@
   const ConnectionId connection = *tables.session_.connection();
   tick.Emit(CloseConnection::Builder().connection(connection).Build());
   HandleHolderDisconnected(
-      ConnectionClosed::Builder().connection(connection).Build(), tables);
+      ConnectionClosed::Builder().connection(connection).Build(), tables, tick);
 }
 
 void SendDueReport(RunnerTables& tables, RunnerTick& tick) {
--- a/src/systems/runner/manage_holder_session.h
+++ b/src/systems/runner/manage_holder_session.h
@@ -33,10 +33,10 @@
 void HandleAcknowledgedCompletions(const AcknowledgeRunEnds& noted,
                                    RunnerTables& tables);
 
-/// Stops using the holder's connection if it is the one that was closed. Its
-/// epoch and session remain known.
+/// Stops using the holder's connection if it is the one that was closed, and
+/// withdraws its starts that were not sent. Its epoch and session remain known.
 void HandleHolderDisconnected(const ConnectionClosed& closed,
-                              RunnerTables& tables);
+                              RunnerTables& tables, RunnerTick& tick);
 
 /// Closes the connection to the holder if it has sent no lease grant for the
 /// policy's `holder_silence`.
--- a/src/systems/runner/runner_node.cc
+++ b/src/systems/runner/runner_node.cc
@@ -9,6 +9,7 @@
 #include "systems/runner/execute_run_commands.h"
 #include "systems/runner/manage_holder_session.h"
 #include "systems/runner/record_crash.h"
+#include "systems/runner/send_commands.h"
 #include "systems/runner/throttle_best_effort_tasks.h"
 #include "systems/runner/track_foreign_leases.h"
 #include "systems/runner/watch_worker.h"
@@ -121,6 +122,7 @@
   // The worker was not polled during the stall.
   tables.worker_answered_at_ = tick.now();
   tables.commands_stale_until_ = tick.now() + kStaleCommandTime;
+  WithdrawStarts(Reason::kHeartbeatMissed, tables, tick);
 }
 
 }  // namespace
@@ -134,7 +136,7 @@
         Overloaded{
             [](const ConnectionOpened&) {},
             [&](const ConnectionClosed& i) {
-              HandleHolderDisconnected(i, tables_);
+              HandleHolderDisconnected(i, tables_, tick);
             },
             [&](const RunnerMessageReceived& i) {
               HandleRunnerMessage(i, tables_, tick);
@@ -168,6 +170,7 @@
   ExpireUnresponsiveWorker(tables_, tick);
   RetryStops(tables_, tick);
   ThrottleBestEffortTasks(tables_, tick);
+  SendCommands(tables_, tick);
   SendWorkerPolls(tables_, tick);
   SendDueReport(tables_, tick);
   wake_at_ = tick.wake_at();
--- a/src/systems/runner/throttle_best_effort_tasks.cc
+++ b/src/systems/runner/throttle_best_effort_tasks.cc
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "systems/cell/log_fields.h"
-#include "systems/runner/execute_run_commands.h"
+#include "systems/runner/send_commands.h"
 
 namespace quetzalline {
 namespace {
@@ -84,15 +84,7 @@
   tables.runs_.Put(
       key,
       TrackedRun::Builder(held).pace(rate).steady_since(tick.now()).Build());
-  tick.Emit(WorkerThrottle::Builder()
-                .call(RegisterWorkerCall(
-                    ThrottleCall::Builder().run(run).percent(rate).Build(),
-                    tables, tick.now()))
-                .worker(tables.facts_->worker())
-                .run(run)
-                .percent(rate)
-                .fence(CurrentFencingToken(tables))
-                .Build());
+  QueueThrottle(run, rate, tables);
 }
 
 }  // namespace
--- a/src/systems/runner/watch_worker.cc
+++ b/src/systems/runner/watch_worker.cc
@@ -3,8 +3,8 @@
 #include <set>
 
 #include "systems/cell/log_fields.h"
-#include "systems/runner/execute_run_commands.h"
 #include "systems/runner/record_crash.h"
+#include "systems/runner/send_commands.h"
 #include "systems/runner/throttle_best_effort_tasks.h"
 #include "systems/runner/track_foreign_leases.h"
 
@@ -24,6 +24,7 @@
   tables.last_reported_end_ = 0;
   tables.ends_noted_ = 0;
   tables.refusals_.clear();
+  tables.queued_commands_.clear();
   tables.calls_.clear();
   tables.poll_in_flight_ = false;
   tables.fence_poll_in_flight_ = false;
@@ -155,6 +156,8 @@
   std::vector<Reason> reasons;
   for (const auto& [key, run] : tables.runs_) {
     if (listed.count(key) > 0) continue;
+    // The worker can't know a run whose start was not sent.
+    if (run.stage() == TrackedRunStage::kQueued) continue;
     const bool pending = run.stage() == TrackedRunStage::kStarting ||
                          run.stage() == TrackedRunStage::kUnresolved;
     const bool invalidated = pending && fenced && run.fence() < call.fence();
@@ -203,6 +206,7 @@
            Field("draining", facts.draining() ? 1 : 0)});
   if (!same) tables.worker_answered_at_ = tick.now();
   tables.facts_ = facts;
+  if (facts.draining()) WithdrawStarts(Reason::kDrain, tables, tick);
   tables.facts_sequence_ = seen.sequence();
   tables.facts_due_ = true;
   tables.report_due_ = true;
--- a/src/systems/scheduler/send_start.cc
+++ b/src/systems/scheduler/send_start.cc
@@ -44,6 +44,7 @@
           .gpu(task->step()->gpu())
           .first_pace(InitialRateLimit(worker, *task->step(), tables))
           .isolated(tables.suspects_.Find(key) != nullptr)
+          .report(row->last_report())
           .Build();
   tick.Emit(SendToRunner::Builder()
                 .connection(*member->connection())
--- a/src/systems/scheduler/track_workers.cc
+++ b/src/systems/scheduler/track_workers.cc
@@ -300,6 +300,8 @@
     ReturnRefusedTask(key, refused.reason(), tables, tick);
     StopIncompleteGang(key, refused.run().run(), refused.reason(), tables,
                        tick);
+    // A start that was withdrawn says nothing of the worker.
+    if (refused.reason() == Reason::kCancelled) continue;
     const WorkerRow worker = *tables.workers_.Find(name);
     tables.workers_.Put(name,
                         WorkerRow::Builder(worker)
--- a/src/tables/runner_policy.h
+++ b/src/tables/runner_policy.h
@@ -30,6 +30,11 @@
   Duration task_lease() const { return task_lease_; }
   /// Longest lease that a worker accepts; it shortens a longer one.
   Duration max_lease() const { return max_lease_; }
+  /// Time after a report within which a run may start that the holder decided
+  /// on when it had received that report. Shorter than the three seconds in
+  /// which tasks of a cancelled job, and tasks on a draining worker, may still
+  /// start.
+  Duration start_validity() const { return start_validity_; }
   /// Maximum time between two reports to the holder.
   Duration report_interval() const { return report_interval_; }
   /// Replaces hold_wait() while best-effort tasks run next to services, so that
@@ -55,15 +60,16 @@
 
  private:
   QUETZALLINE_VALUE(RunnerPolicy, member_, incarnation_, address_, task_lease_,
-                    max_lease_, report_interval_, mixed_hold_wait_, hold_wait_,
-                    holder_silence_, call_retry_, noting_pause_, hold_pause_,
-                    pace_interval_)
+                    max_lease_, start_validity_, report_interval_,
+                    mixed_hold_wait_, hold_wait_, holder_silence_, call_retry_,
+                    noting_pause_, hold_pause_, pace_interval_)
 
   MemberName member_;
   std::uint64_t incarnation_ = 0;
   std::string address_;
   Duration task_lease_ = std::chrono::milliseconds(5000);
   Duration max_lease_ = std::chrono::milliseconds(6000);
+  Duration start_validity_ = std::chrono::milliseconds(2000);
   Duration report_interval_ = std::chrono::milliseconds(400);
   Duration mixed_hold_wait_ = std::chrono::milliseconds(350);
   Duration hold_wait_ = std::chrono::milliseconds(700);
@@ -90,6 +96,9 @@
   }
   Builder& task_lease(Duration value) { return Set(value_.task_lease_, value); }
   Builder& max_lease(Duration value) { return Set(value_.max_lease_, value); }
+  Builder& start_validity(Duration value) {
+    return Set(value_.start_validity_, value);
+  }
   Builder& report_interval(Duration value) {
     return Set(value_.report_interval_, value);
   }
--- a/src/tables/runner_tables.h
+++ b/src/tables/runner_tables.h
@@ -2,6 +2,7 @@
 #define QUETZALLINE_TABLES_RUNNER_TABLES_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -16,6 +17,7 @@
 #include "messages/run_refused.h"
 #include "tables/holder_session.h"
 #include "tables/lost_incarnation.h"
+#include "tables/queued_command.h"
 #include "tables/registration.h"
 #include "tables/runner_policy.h"
 #include "tables/tracked_run.h"
@@ -89,6 +91,8 @@
   Instant foreign_lease_end_;
   /// Amount by which the fencing token was raised in this session.
   std::int64_t fence_raises_ = 0;
+  /// Commands that were not sent yet, in the order of the decisions.
+  std::deque<QueuedCommand> queued_commands_;
   std::map<std::uint64_t, WorkerCall> calls_;
   std::uint64_t last_call_ = 0;
   /// True while a status poll is in flight.
--- a/src/tables/tracked_run.h
+++ b/src/tables/tracked_run.h
@@ -54,6 +54,9 @@
   /// Time at which the worker was last called to start the run; unset for a run
   /// that is only known from the worker's list.
   Instant started_at() const { return started_at_; }
+  /// Time after which the worker must not start the run any more: the holder
+  /// may have decided otherwise without this process knowing.
+  Instant start_by() const { return start_by_; }
 
   friend auto operator<=>(const TrackedRun&, const TrackedRun&) = default;
 
@@ -61,7 +64,7 @@
   QUETZALLINE_VALUE(TrackedRun, run_, stage_, order_, known_, fence_,
                     confirmed_at_, called_at_, checkpoint_, percent_,
                     told_percent_, told_checkpoint_, figure_, pace_,
-                    pace_limit_, steady_since_, started_at_)
+                    pace_limit_, steady_since_, started_at_, start_by_)
 
   std::int64_t run_ = 0;
   TrackedRunStage stage_ = TrackedRunStage{};
@@ -79,6 +82,7 @@
   std::int32_t pace_limit_ = 100;
   Instant steady_since_ = Instant{};
   Instant started_at_ = Instant{};
+  Instant start_by_ = Instant{};
 };
 
 /// Builds a TrackedRun; fields that are not set keep their defaults.
@@ -116,6 +120,7 @@
     return Set(value_.steady_since_, value);
   }
   Builder& started_at(Instant value) { return Set(value_.started_at_, value); }
+  Builder& start_by(Instant value) { return Set(value_.start_by_, value); }
 };
 
 }  // namespace quetzalline
--- a/src/tables/tracked_run_stage.h
+++ b/src/tables/tracked_run_stage.h
@@ -6,16 +6,18 @@
 
 namespace quetzalline {
 
-/// State of a run at its worker. kUnresolved: the outcome of the start call is
-/// unknown, so the run may or may not exist.
+/// State of a run at its worker. kQueued: the start was not sent, so the run
+/// does not exist. kUnresolved: the outcome of the start call is unknown, so
+/// the run may or may not exist.
 enum class TrackedRunStage : std::uint8_t {
+  kQueued,
   kStarting,
   kUnresolved,
   kRunning,
   kStopping
 };
 
-BOOST_DESCRIBE_ENUM(TrackedRunStage, kStarting, kUnresolved, kRunning,
+BOOST_DESCRIBE_ENUM(TrackedRunStage, kQueued, kStarting, kUnresolved, kRunning,
                     kStopping)
 
 }  // namespace quetzalline
--- a/test/cell/changing_room_test.cc
+++ b/test/cell/changing_room_test.cc
@@ -5,6 +5,7 @@
 #include "support/placement_fleet.h"
 #include "support/virtual_cell.h"
 #include "systems/runner/execute_run_commands.h"
+#include "systems/runner/send_commands.h"
 #include "systems/runner/watch_worker.h"
 #include "systems/scheduler/reclaim_capacity.h"
 
@@ -80,6 +81,7 @@
                        .memory_mb(100)
                        .Build(),
                    tables_, tick);
+    SendCommands(tables_, tick);
     for (const RunnerEffect& effect : tick.TakeEffects()) {
       if (std::holds_alternative<WorkerStart>(effect)) return true;
     }
@@ -90,6 +92,7 @@
     RunnerTick tick(kFleetNow, random_, tables_.counters_);
     HandleStopRun(StopRun::Builder().run(FirstRunOf(job)).Build(), tables_,
                   tick);
+    SendCommands(tables_, tick);
   }
 
   // Handles an answer of an incarnation that has not announced itself.
--- a/test/cell/crashing_task_test.cc
+++ b/test/cell/crashing_task_test.cc
@@ -11,6 +11,7 @@
 #include "systems/runner/detect_unresponsive_worker.h"
 #include "systems/runner/execute_run_commands.h"
 #include "systems/runner/record_crash.h"
+#include "systems/runner/send_commands.h"
 #include "systems/runner/watch_worker.h"
 #include "systems/scheduler/commit_progress.h"
 #include "systems/scheduler/finish_job.h"
@@ -225,6 +226,7 @@
                        .isolated(isolated)
                        .Build(),
                    tables_, tick);
+    SendCommands(tables_, tick);
   }
   // Starts a run, which the worker confirms.
   void StartConfirmed(std::uint64_t job, bool isolated = false) {
--- a/test/cell/load_pattern_test.cc
+++ b/test/cell/load_pattern_test.cc
@@ -3,6 +3,7 @@
 #include <vector>
 
 #include "support/placement_fleet.h"
+#include "systems/runner/send_commands.h"
 #include "systems/runner/throttle_best_effort_tasks.h"
 #include "systems/scheduler/choose_worker.h"
 #include "systems/scheduler/reclaim_capacity.h"
@@ -72,6 +73,7 @@
   Random random(1);
   RunnerTick tick(now, random, tables.counters_);
   ThrottleBestEffortTasks(tables, tick);
+  SendCommands(tables, tick);
   std::vector<std::int32_t> cpu_limits;
   for (const RunnerEffect& effect : tick.TakeEffects()) {
     if (const auto* cpu_limit = std::get_if<WorkerThrottle>(&effect)) {
--- a/test/cell/worker_report_test.cc
+++ b/test/cell/worker_report_test.cc
@@ -5,6 +5,7 @@
 #include "support/placement_fleet.h"
 #include "systems/runner/execute_run_commands.h"
 #include "systems/runner/runner_node.h"
+#include "systems/runner/send_commands.h"
 #include "systems/runner/watch_worker.h"
 #include "systems/scheduler/commit_progress.h"
 
@@ -72,6 +73,7 @@
                          .Build();
     first_facts_ = tables_.facts_;
     tables_.session_ = HolderSession::Builder().epoch(1).synced(true).Build();
+    tables_.worker_answered_at_ = kFleetNow;
     Start(1, 1000);
   }
 
@@ -85,6 +87,7 @@
                        .memory_mb(100)
                        .Build(),
                    tables_, tick);
+    SendCommands(tables_, tick);
     for (const RunnerEffect& effect : tick.TakeEffects()) {
       if (std::holds_alternative<WorkerStart>(effect)) return true;
     }
@@ -95,6 +98,7 @@
     RunnerTick tick(kFleetNow, random_, tables_.counters_);
     HandleStopRun(StopRun::Builder().run(MakeRunKey(job, 0, 1)).Build(),
                   tables_, tick);
+    SendCommands(tables_, tick);
   }
 
   void Announce(const std::string& worker, std::int64_t born_ms) {
@@ -525,6 +529,7 @@
 // after a lost call.
 BOOST_AUTO_TEST_CASE(an_answer_of_an_unknown_incarnation_is_no_sign_of_life) {
   TwoCoreRunner runner;
+  runner.tables_.worker_answered_at_ = Instant();
   runner.CheckAnswer(WorkerCallOutcome::kLost, 0);
   runner.CheckAnswer(WorkerCallOutcome::kDone, 0);
   BOOST_TEST((runner.tables_.worker_answered_at_ == Instant()));
--- a/test/faults/cell_schedule_test.cc
+++ b/test/faults/cell_schedule_test.cc
@@ -134,6 +134,12 @@
   RunSeeds(ScheduleFaults::kLostEnds, 150);
 }
 
+// Guards against starts that wait for a worker which does not answer, and are
+// sent or executed after their job was cancelled.
+BOOST_AUTO_TEST_CASE(random_hanging_workers_violate_no_invariant) {
+  RunSeeds(ScheduleFaults::kHangingWorkers, 150);
+}
+
 BOOST_AUTO_TEST_CASE(regression_seeds_violate_no_invariant) {
   for (const std::uint64_t seed : kRegressionSeeds) RunSeed(seed);
   RunSeed(kCrashingTaskRegressionSeed, ScheduleFaults::kCrashingTasks);
--- a/test/support/cell_schedule.cc
+++ b/test/support/cell_schedule.cc
@@ -92,6 +92,8 @@
     cell_.RunFor(seconds(3));
     for (int round = 0; round < kRounds; ++round) {
       IssueCalls();
+      if (faults_ == ScheduleFaults::kHangingWorkers) IssueBurst();
+      if (faults_ == ScheduleFaults::kAbandonedCalls) AbandonSubmission();
       InjectFault();
       ContinueSeries();
       cell_.RunFor(kRoundDuration);
@@ -128,6 +130,56 @@
     if (choice > 1) cell_.QueryJob(job);
   }
 
+  // Submits several jobs at once, with more tasks than a worker is sent at
+  // once, and cancels some of them and some earlier ones after some time.
+  void IssueBurst() {
+    constexpr int kJobs = 6;
+    constexpr std::int64_t kMaxTasks = 8;
+    for (int i = 0; i < kJobs; ++i) {
+      SubmitJob(JobDefinition::Builder()
+                    .spec("spec")
+                    .steps({JobStep::Builder()
+                                .count(static_cast<std::int32_t>(
+                                    1 + UniformInt(random_, kMaxTasks - 1)))
+                                .cpu(100)
+                                .memory_mb(10)
+                                .estimate(seconds(2 + UniformInt(random_, 3)))
+                                .Build()})
+                    .Build());
+    }
+    cell_.RunFor(milliseconds(UniformInt(random_, 600)));
+    for (int i = 0; i < kJobs; ++i) {
+      if (UniformInt(random_, 1) == 0) continue;
+      const bool recent = UniformInt(random_, 3) > 0;
+      const std::uint64_t job =
+          recent ? jobs_[jobs_.size() - 1 - static_cast<std::size_t>(i)]
+                 : RandomJobNumber();
+      cell_.Cancel(job);
+      cancelled_jobs_.insert(job);
+    }
+  }
+
+  // Stalls an entry that has a submission, or is about to get it, and cancels
+  // the job at another one.
+  void AbandonSubmission() {
+    const auto entry =
+        static_cast<std::size_t>(UniformInt(random_, kEntries - 1));
+    const bool stalls = UniformInt(random_, 3) > 0;
+    if (stalls) {
+      cell_.StallEntry(entry, milliseconds(100 + UniformInt(random_, 1500)));
+    }
+    const std::uint64_t job = cell_.SubmitAt(RandomJob(random_), entry);
+    jobs_.push_back(job);
+    cancelled_jobs_.insert(job);
+    cell_.RunFor(milliseconds(UniformInt(random_, 400)));
+    cell_.CancelAt(job, (entry + 1) % kEntries);
+  }
+
+  std::uint64_t RandomJobNumber() {
+    const auto last = static_cast<std::int64_t>(jobs_.size()) - 1;
+    return jobs_[static_cast<std::size_t>(UniformInt(random_, last))];
+  }
+
   static bool IsLongRunning(const JobDefinition& job) {
     return job.steps().front().long_running();
   }
@@ -161,7 +213,8 @@
     const std::int64_t further_faults =
         faults_ == ScheduleFaults::kChangingRooms ||
                 faults_ == ScheduleFaults::kCrashingTasks ||
-                faults_ == ScheduleFaults::kLateProcesses
+                faults_ == ScheduleFaults::kLateProcesses ||
+                faults_ == ScheduleFaults::kHangingWorkers
             ? 9
             : 3;
     const std::size_t agent = RandomAgent();
@@ -178,6 +231,13 @@
     if (further && faults_ == ScheduleFaults::kLateProcesses) {
       return InjectLateness(agent);
     }
+    if (further && faults_ == ScheduleFaults::kHangingWorkers) {
+      return cell_.worker(agent).SetHung(UniformInt(random_, 2) > 0);
+    }
+    if (further && faults_ == ScheduleFaults::kAbandonedCalls) {
+      return cell_.StallAgent(agent,
+                              milliseconds(200 + UniformInt(random_, 1500)));
+    }
     if (further && faults_ == ScheduleFaults::kLostAnswers) {
       return InjectLostAnswers(agent);
     }
@@ -411,6 +471,7 @@
       cell_.worker(i).SetLatePercent(0);
       cell_.worker(i).SetFailPercent(0);
       cell_.worker(i).SetMute(false);
+      cell_.worker(i).SetHung(false);
       cell_.worker(i).SetForgetful(false);
       cell_.worker(i).SetRoom(WorkerRoom());
     }
--- a/test/support/cell_schedule.h
+++ b/test/support/cell_schedule.h
@@ -18,7 +18,10 @@
 /// kCrashingTasks: the same, and tasks that crash their workers.
 /// kLateProcesses: transient faults, processes whose ticks take long, alone or
 /// together, and bursts of jobs. kLostEnds: transient faults, and workers that
-/// lose the ends of runs that are stopped.
+/// lose the ends of runs that are stopped. kHangingWorkers: transient faults,
+/// workers that hang, and bursts of jobs that are cancelled soon.
+/// kAbandonedCalls: transient faults, entries that stall, and callers that
+/// cancel a job while its submission has no answer.
 enum class ScheduleFaults : std::uint8_t {
   kTransient,
   kDepartures,
@@ -27,7 +30,9 @@
   kChangingRooms,
   kCrashingTasks,
   kLateProcesses,
-  kLostEnds
+  kLostEnds,
+  kHangingWorkers,
+  kAbandonedCalls
 };
 
 /// Runs a cell under random jobs and random faults, all drawn from the seed,
--- a/test/support/job_invariant_log.h
+++ b/test/support/job_invariant_log.h
@@ -71,6 +71,10 @@
 
   const std::vector<std::string>& violations() const { return violations_; }
   bool IsDone(const TaskKey& task) const { return done_.count(task) > 0; }
+  /// Returns true if a cancellation of the job was acknowledged.
+  bool IsCancelled(std::uint64_t job) const {
+    return cancelled_.count(job) > 0;
+  }
   /// Returns true if a task of the job has failed as often as it may.
   bool HasExhaustedTask(std::uint64_t job) const;
   /// Returns true if a task of the job crashes workers and so many have crashed
--- a/test/support/virtual_cell.cc
+++ b/test/support/virtual_cell.cc
@@ -464,7 +464,18 @@
   Send({job, SubmitCall::Builder().definition(jobs_[job]).Build(), 1}, entry);
 }
 
-void VirtualCell::Cancel(std::uint64_t job) { Send({job, CancelCall(), 4}, 0); }
+std::uint64_t VirtualCell::SubmitAt(const JobDefinition& definition,
+                                    std::size_t entry) {
+  const std::uint64_t job = kFirstJob + ++last_job_;
+  jobs_[job] = definition;
+  log_.Submitted(job, definition);
+  Resubmit(job, entry);
+  return job;
+}
+
+void VirtualCell::CancelAt(std::uint64_t job, std::size_t entry) {
+  Send({job, CancelCall(), 4}, entry);
+}
 
 void VirtualCell::QueryJob(std::uint64_t job) { Send({job, ReadCall(), 3}, 0); }
 
--- a/test/support/virtual_cell.h
+++ b/test/support/virtual_cell.h
@@ -39,7 +39,10 @@
   /// Lets the runs of a task crash their workers. Call it before the task's
   /// first start.
   void SetTaskCrash(const TaskKey& task, const TaskCrash& crash);
-  void Cancel(std::uint64_t job);
+  void Cancel(std::uint64_t job) { CancelAt(job, 0); }
+  /// Submits a job through an entry, once: its caller does not try again.
+  std::uint64_t SubmitAt(const JobDefinition& definition, std::size_t entry);
+  void CancelAt(std::uint64_t job, std::size_t entry);
   /// Requests the state of a job.
   void QueryJob(std::uint64_t job);
 
@@ -84,6 +87,10 @@
   void StallAgent(std::size_t agent, Duration time);
   void KillEntry(std::size_t entry);
   void StartEntry(std::size_t entry);
+  /// Stalls the entry's process.
+  void StallEntry(std::size_t entry, Duration time) {
+    entries_[entry]->StallUntil(events_.now() + time);
+  }
   /// Sets the one-way latency of messages to and from an agent on another
   /// instance.
   void SetLatency(std::size_t agent, Duration latency) {
--- a/test/support/virtual_worker.cc
+++ b/test/support/virtual_worker.cc
@@ -83,6 +83,23 @@
   events_.After(kOneWayLatency, [answer, result] { answer(result); });
 }
 
+// Keeps a call until the worker goes on. The caller's connection times out.
+void VirtualWorker::Hold(std::uint64_t call, const Answer& answer,
+                         Duration timeout, std::function<void()> execute) {
+  held_.push_back(std::move(execute));
+  const WorkerAnswer lost = WorkerAnswer::Builder()
+                                .call(call)
+                                .verdict(WorkerCallOutcome::kLost)
+                                .Build();
+  events_.After(timeout, [answer, lost] { answer(lost); });
+}
+
+void VirtualWorker::SetHung(bool hung) {
+  hung_ = hung;
+  if (hung) return;
+  for (const auto& execute : std::exchange(held_, {})) execute();
+}
+
 // A late command times out and is executed seconds later, unless the worker has
 // restarted: a new incarnation does not know the commands of an earlier one.
 void VirtualWorker::ExecuteCommand(
@@ -110,6 +127,9 @@
     return;
   }
   events_.After(kOneWayLatency, [this, call, answer, execute] {
+    if (hung_ && alive_) {
+      return Hold(call, answer, kCommandTimeout, [execute] { execute(); });
+    }
     const WorkerCallOutcome verdict = execute();
     Reply(answer, WorkerAnswer::Builder()
                       .call(call)
@@ -143,6 +163,15 @@
     if (!alive_) {
       return send(MakeListing(call.call(), WorkerCallOutcome::kLost));
     }
+    if (hung_) {
+      return Hold(call.call(), answer, call.wait() + kCommandTimeout,
+                  [this, call, incarnation = incarnation_] {
+                    const bool same = incarnation == incarnation_;
+                    if (!same || call.fence() < fence_) return;
+                    fence_ = call.fence();
+                    ExtendLease(call.lease_end_ms());
+                  });
+    }
     if (call.worker() != name_) {
       // A worker that another one was expected to be lists nothing of itself.
       return send(WorkerAnswer::Builder()
@@ -355,6 +384,7 @@
     log_.Ended(key, name_, RunOutcome::kLapsed, events_.now());
   }
   runs_.clear();
+  held_.clear();
   ends_.clear();
   last_runs_.clear();
   for (const auto& [number, poll] : std::exchange(pending_polls_, {})) {
--- a/test/support/virtual_worker.h
+++ b/test/support/virtual_worker.h
@@ -65,6 +65,9 @@
   void SetLatePercent(int percent) { late_percent_ = percent; }
   /// Loses the answers to all calls, which are executed, or sends them again.
   void SetMute(bool mute) { mute_ = mute; }
+  /// Lets the worker hang: it neither executes nor answers calls. Those that
+  /// arrive are executed, unless they are void by then, when it goes on.
+  void SetHung(bool hung);
   /// Sets the percentage of runs that fail.
   void SetFailPercent(int percent) { fail_percent_ = percent; }
   /// Loses the ends of runs that are stopped from now on, as a worker that
@@ -89,6 +92,8 @@
   };
 
   void Reply(const Answer& answer, const WorkerAnswer& result);
+  void Hold(std::uint64_t call, const Answer& answer, Duration timeout,
+            std::function<void()> execute);
   void ExecuteCommand(std::uint64_t call, const std::string& worker,
                       std::int64_t call_fence, Answer answer,
                       std::function<WorkerCallOutcome(bool late)> work);
@@ -134,6 +139,9 @@
   bool draining_ = false;
   AvailabilityZone zone_;
   bool mute_ = false;
+  bool hung_ = false;
+  /// Calls that arrived while the worker hung.
+  std::vector<std::function<void()>> held_;
   int late_percent_ = 0;
   int fail_percent_ = 0;
   bool forgetful_ = false;
