--- a/src/core/job_state.h
+++ b/src/core/job_state.h
@@ -6,17 +6,20 @@
 
 namespace quetzalline {
 
-/// State of a job as reported to its caller.
+/// State of a job as reported to its caller. kWithdrawn: it was cancelled
+/// before a submission of it was accepted, so for its callers there is no such
+/// job. New states are appended: the stored encoding holds the number.
 enum class JobState : std::uint8_t {
   kQueued,
   kRunning,
   kCompleted,
   kFailed,
-  kCancelled
+  kCancelled,
+  kWithdrawn
 };
 
 BOOST_DESCRIBE_ENUM(JobState, kQueued, kRunning, kCompleted, kFailed,
-                    kCancelled)
+                    kCancelled, kWithdrawn)
 
 }  // namespace quetzalline
 
--- a/src/systems/gateway/handle_job_calls.cc
+++ b/src/systems/gateway/handle_job_calls.cc
@@ -192,6 +192,10 @@
                       tick);
   }
   if (const auto* submit = std::get_if<SubmitCall>(&call.kind())) {
+    if (tick.now() < tables.submissions_stale_until_) {
+      return RefuseCall(call, job.value_or(0), Reason::kDeadlinePassed, tables,
+                        tick);
+    }
     const std::optional<std::string> error = ValidateJob(*submit);
     if (error) {
       tick.counters().Add(Counter::kBadInputs);
--- a/src/systems/scheduler/admit_jobs.cc
+++ b/src/systems/scheduler/admit_jobs.cc
@@ -33,6 +33,12 @@
          now - tables.commit_->since_ > kStoreTimeout;
 }
 
+// Returns true if no submission of the job was accepted, as far as this holder
+// knows.
+bool IsUnknown(const JobRow* row) {
+  return row == nullptr || row->state() == JobState::kWithdrawn;
+}
+
 // Reads the epoch on behalf of a caller whose job is unknown. The holder loads
 // all stored jobs at the start of its term, so a job that it does not know does
 // not exist, provided that the store still shows its epoch.
@@ -56,25 +62,40 @@
                tick);
 }
 
-}  // namespace
-
-void RefuseStoreUnavailable(ConnectionId connection, std::uint64_t ticket,
-                            std::uint64_t job, SchedulerTick& tick) {
+void RefuseJob(ConnectionId connection, std::uint64_t ticket, std::uint64_t job,
+               Reason reason, SchedulerTick& tick) {
   const Duration retry_after =
       kRetryAfterBase +
       Duration(UniformInt(tick.random(), kRetryAfterBase.count()));
   LogLine(tick, "job-refused", job,
-          {Field("reason", Reason::kStoreFailed),
-           FieldMs("retry_after_ms", retry_after)});
+          {Field("reason", reason), FieldMs("retry_after_ms", retry_after)});
   ReplyToEntry(connection,
                JobRefused::Builder()
                    .ticket(ticket)
-                   .reason(Reason::kStoreFailed)
+                   .reason(reason)
                    .retry_after(retry_after)
                    .Build(),
                tick);
 }
 
+}  // namespace
+
+void RefuseStoreUnavailable(ConnectionId connection, std::uint64_t ticket,
+                            std::uint64_t job, SchedulerTick& tick) {
+  RefuseJob(connection, ticket, job, Reason::kStoreFailed, tick);
+}
+
+void ReplyCancelled(ConnectionId connection, std::uint64_t ticket,
+                    std::uint64_t job, const SchedulerTables& tables,
+                    SchedulerTick& tick) {
+  if (IsUnknown(tables.jobs_.Find(job))) {
+    return ReplyToEntry(connection,
+                        JobNotFound::Builder().ticket(ticket).Build(), tick);
+  }
+  ReplyToEntry(connection, CancelJobReply::Builder().ticket(ticket).Build(),
+               tick);
+}
+
 void ReplyToEntry(ConnectionId connection, const GatewayMessage& message,
                   SchedulerTick& tick) {
   tick.Emit(
@@ -85,6 +106,10 @@
                SchedulerTables& tables, SchedulerTick& tick) {
   if (!IsActing(tables)) return;
   const JobRow* known = tables.jobs_.Find(message.job());
+  if (known != nullptr && IsUnknown(known)) {
+    return RefuseJob(connection, message.ticket(), message.job(),
+                     Reason::kCancelled, tick);
+  }
   if (known != nullptr && known->stored()) {
     return ReplyToEntry(connection,
                         JobStored::Builder().ticket(message.ticket()).Build(),
@@ -115,13 +140,14 @@
   const CallerWaiting caller =
       MakeWaitingCaller(connection, message, true, tick.now());
   const JobRow* known = tables.jobs_.Find(message.job());
-  if (known == nullptr) return ProbeEpoch(caller, tables, tick);
-  if (known->closed()) {
-    return ReplyToEntry(
-        connection, CancelJobReply::Builder().ticket(message.ticket()).Build(),
-        tick);
+  if (known != nullptr && known->closed()) {
+    return ReplyCancelled(connection, message.ticket(), message.job(), tables,
+                          tick);
   }
-  if (!IsFinalState(known->state())) {
+  if (known == nullptr) {
+    LogLine(tick, "job-withdrawn", message.job(), {});
+    AddWithdrawnJob(message.job(), tick.now(), tables);
+  } else if (!IsFinalState(known->state())) {
     FinishJob(message.job(), JobState::kCancelled, Reason::kCancelled, tables,
               tick);
   }
@@ -132,7 +158,7 @@
                    SchedulerTables& tables, SchedulerTick& tick) {
   if (!IsActing(tables)) return;
   const JobRow* known = tables.jobs_.Find(message.job());
-  if (known == nullptr) {
+  if (IsUnknown(known)) {
     return ProbeEpoch(MakeWaitingCaller(connection, message, false, tick.now()),
                       tables, tick);
   }
@@ -174,7 +200,7 @@
   const JobRow* known = tables.jobs_.Find(caller.job());
   const HolderRecord* stored =
       read == nullptr ? nullptr : HolderRecordIn(*read);
-  if (stored == nullptr || known != nullptr) {
+  if (stored == nullptr || !IsUnknown(known)) {
     return ReplyToEntry(
         caller.connection(),
         JobOutcomeUnknown::Builder().ticket(caller.ticket()).Build(), tick);
--- a/src/systems/scheduler/admit_jobs.h
+++ b/src/systems/scheduler/admit_jobs.h
@@ -14,12 +14,15 @@
 /// Accepts a submitted job. The next commit stores it, and the entry receives
 /// JobStored after that commit. Submitting a job that is known already has no
 /// further effect; the entry receives JobStored once the job is stored. Answers
-/// JobRefused while the store is failing.
+/// JobRefused while the store is failing, and for a job that was cancelled
+/// before.
 void AcceptJob(ConnectionId connection, const SubmitJobRequest& message,
                SchedulerTables& tables, SchedulerTick& tick);
 
 /// Cancels a job. Its tasks are stopped at once; the entry receives
-/// CancelJobReply after the cancellation is stored.
+/// CancelJobReply after the cancellation is stored. That of an unknown job is
+/// stored, too, before the entry receives JobNotFound: a submission that was on
+/// its way, or that waits in an entry, is refused when it arrives.
 void CancelAcceptedJob(ConnectionId connection, const CancelJobRequest& message,
                        SchedulerTables& tables, SchedulerTick& tick);
 
@@ -48,6 +51,11 @@
 void RefuseStoreUnavailable(ConnectionId connection, std::uint64_t ticket,
                             std::uint64_t job, SchedulerTick& tick);
 
+/// Replies to a cancellation that is stored.
+void ReplyCancelled(ConnectionId connection, std::uint64_t ticket,
+                    std::uint64_t job, const SchedulerTables& tables,
+                    SchedulerTick& tick);
+
 /// Sends a reply to an entry.
 void ReplyToEntry(ConnectionId connection, const GatewayMessage& message,
                   SchedulerTick& tick);
--- a/src/systems/scheduler/commit_progress.cc
+++ b/src/systems/scheduler/commit_progress.cc
@@ -95,14 +95,13 @@
 }
 
 void AnswerCallers(const std::vector<CallerWaiting>& callers,
-                   SchedulerTick& tick) {
+                   const SchedulerTables& tables, SchedulerTick& tick) {
   for (const CallerWaiting& caller : callers) {
     LogLine(tick, caller.withdraws() ? "job-cancel-stored" : "job-stored",
             caller.job(), {FieldMs("wait_ms", tick.now() - caller.since())});
     if (caller.withdraws()) {
-      ReplyToEntry(caller.connection(),
-                   CancelJobReply::Builder().ticket(caller.ticket()).Build(),
-                   tick);
+      ReplyCancelled(caller.connection(), caller.ticket(), caller.job(), tables,
+                     tick);
     } else {
       ReplyToEntry(caller.connection(),
                    JobStored::Builder().ticket(caller.ticket()).Build(), tick);
@@ -123,7 +122,7 @@
   const auto stored = std::stable_partition(
       tables.callers_.begin(), tables.callers_.end(),
       [&](const CallerWaiting& caller) { return !IsStored(caller, tables); });
-  AnswerCallers({stored, tables.callers_.end()}, tick);
+  AnswerCallers({stored, tables.callers_.end()}, tables, tick);
   tables.callers_.erase(stored, tables.callers_.end());
 }
 
@@ -164,7 +163,7 @@
   ApplyLostWorkerChanges(batch, tables);
   ApplyHandovers(batch, tables);
   MarkSuspectsStored(batch.suspects_, tables);
-  AnswerCallers(batch.callers_, tick);
+  AnswerCallers(batch.callers_, tables, tick);
   AnswerLateCallers(tables, tick);
   std::set<MemberName> workers;
   for (const UnacknowledgedCompletion& end : batch.completions_) {
--- a/src/systems/scheduler/track_jobs.cc
+++ b/src/systems/scheduler/track_jobs.cc
@@ -169,7 +169,7 @@
 
 bool IsFinalState(JobState state) {
   return state == JobState::kCompleted || state == JobState::kFailed ||
-         state == JobState::kCancelled;
+         state == JobState::kCancelled || state == JobState::kWithdrawn;
 }
 
 void MarkBegan(std::uint64_t job, SchedulerTables& tables,
@@ -192,6 +192,13 @@
   tables.jobs_.Put(job, AddTasks(job, row, {}, TaskStage::kBlocked, tables));
 }
 
+void AddWithdrawnJob(std::uint64_t job, Instant now, SchedulerTables& tables) {
+  tables.jobs_.Put(
+      job,
+      JobRow::Builder().accepted_at(now).state(JobState::kWithdrawn).Build());
+  tables.dirty_jobs_.Add(job, DirtyKind::kAwaited, now);
+}
+
 void RestoreJob(std::uint64_t job, const JobRecord& record,
                 const JobProgress& progress, Instant accepted_at,
                 SchedulerTables& tables) {
--- a/src/systems/scheduler/track_jobs.h
+++ b/src/systems/scheduler/track_jobs.h
@@ -21,6 +21,10 @@
 void AddSubmittedJob(std::uint64_t job, const JobRecord& record, Instant now,
                      SchedulerTables& tables);
 
+/// Adds a job that is cancelled although it is unknown: a submission of it may
+/// still be on its way, or wait in an entry. The next commit stores it.
+void AddWithdrawnJob(std::uint64_t job, Instant now, SchedulerTables& tables);
+
 /// Adds a stored job of an earlier term. The state of its unfinished tasks is
 /// unknown, since they may still be running on a worker.
 void RestoreJob(std::uint64_t job, const JobRecord& record,
--- a/src/tables/gateway_tables.h
+++ b/src/tables/gateway_tables.h
@@ -32,6 +32,11 @@
   Table<std::uint64_t, GatewayCall> calls_;
   TimeIndex<std::uint64_t> expiries_;
   bool stopping_ = false;
+  /// Time at which a tick was due even without input; empty if none was.
+  std::optional<Instant> next_tick_;
+  /// Submissions are refused before this time, since they may have waited while
+  /// the process was stalled.
+  Instant submissions_stale_until_;
 };
 
 }  // namespace quetzalline
--- a/test/faults/cell_schedule_test.cc
+++ b/test/faults/cell_schedule_test.cc
@@ -140,6 +140,12 @@
   RunSeeds(ScheduleFaults::kHangingWorkers, 150);
 }
 
+// Guards against submissions that wait in an entry, or on their way to the
+// holder, and are accepted after their job was cancelled as unknown.
+BOOST_AUTO_TEST_CASE(random_abandoned_calls_violate_no_invariant) {
+  RunSeeds(ScheduleFaults::kAbandonedCalls, 150);
+}
+
 BOOST_AUTO_TEST_CASE(regression_seeds_violate_no_invariant) {
   for (const std::uint64_t seed : kRegressionSeeds) RunSeed(seed);
   RunSeed(kCrashingTaskRegressionSeed, ScheduleFaults::kCrashingTasks);
--- a/test/support/virtual_cell.cc
+++ b/test/support/virtual_cell.cc
@@ -485,6 +485,7 @@
   const Call call = found->second;
   calls_.erase(found);
   const bool submits = std::holds_alternative<SubmitCall>(call.kind_);
+  const bool cancels = std::holds_alternative<CancelCall>(call.kind_);
   std::visit(Overloaded{
                  [&](const JobStored&) {
                    accepted_.insert(call.job_);
@@ -502,6 +503,8 @@
                    log_.Cancelled(call.job_, events_.now());
                  },
                  [&](const JobNotFound&) {
+                   // The job must not run from now on, either.
+                   if (cancels) log_.Cancelled(call.job_, events_.now());
                    not_found_.insert(call.job_);
                    if (call.accepted_) accepted_not_found_.insert(call.job_);
                  },
