--- a/src/systems/scheduler/build_commit.cc
+++ b/src/systems/scheduler/build_commit.cc
@@ -61,7 +61,9 @@
   if (new_job && !job_finished) {
     entries.puts_.push_back(MakePut(JobKey(job), *row.record()));
   }
-  if (job_finished && !new_job) {
+  if (job_finished) {
+    // The record of a job that does not count as stored may be there, too: a
+    // commit whose outcome was not known may have been applied late.
     entries.removals_.push_back(JobKey(job));
     const std::size_t parts = CountProgressParts(*row.record()->definition());
     for (std::size_t part = 1; part < parts; ++part) {
--- a/test/cell/withdrawn_job_test.cc
+++ b/test/cell/withdrawn_job_test.cc
@@ -7,6 +7,9 @@
 #include "support/virtual_cell.h"
 #include "systems/cell/cell_keys.h"
 #include "systems/gateway/gateway_node.h"
+#include "systems/scheduler/build_commit.h"
+#include "systems/scheduler/finish_job.h"
+#include "systems/scheduler/track_jobs.h"
 
 namespace quetzalline {
 namespace {
@@ -214,6 +217,23 @@
   BOOST_TEST(cell.log().StartsOf(job) == 0);
 }
 
+// A commit whose outcome is unknown may have stored the record of a job that
+// does not count as stored. Left behind, the record would bring the job back
+// once its final state has expired.
+BOOST_AUTO_TEST_CASE(a_final_state_removes_the_record_of_an_unstored_job) {
+  PlacementFleet fleet(1);
+  SchedulerTables& tables = fleet.tables();
+  constexpr std::uint64_t kJob = 7;
+  AddSubmittedJob(kJob, JobRecord::Builder().definition(TwoSteps()).Build(),
+                  kFleetNow, tables);
+  Random random(1);
+  SchedulerTick tick(kFleetNow, random, tables.counters_);
+  FinishJob(kJob, JobState::kCancelled, Reason::kCancelled, tables, tick);
+  const CommitBatch batch = BuildCommit(tables, kFleetNow);
+  BOOST_TEST(std::count(batch.removals_.begin(), batch.removals_.end(),
+                        JobKey(kJob)) == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace quetzalline
