--- a/src/systems/scheduler/track_lost_workers.cc
+++ b/src/systems/scheduler/track_lost_workers.cc
@@ -6,6 +6,17 @@
 #include "systems/scheduler/hand_over_workers.h"
 
 namespace quetzalline {
+namespace {
+
+// Returns true if a rejected commit has left a record of the worker that is
+// still to be written.
+bool IsRecordHeldBack(const MemberName& name, const SchedulerTables& tables) {
+  const RejectedRecord* held = tables.rejected_records_.Find(
+      MemberRecordUnit::Builder().member(name).Build());
+  return held != nullptr && held->lost_change() == true;
+}
+
+}  // namespace
 
 void MarkConfirmedLost(const MemberName& name, SchedulerTables& tables,
                        SchedulerTick& tick) {
@@ -19,7 +30,8 @@
 }
 
 void RetractConfirmedLost(const MemberName& name, SchedulerTables& tables) {
-  if (tables.confirmed_lost_.count(name) > 0) {
+  if (tables.confirmed_lost_.count(name) > 0 ||
+      IsRecordHeldBack(name, tables)) {
     tables.confirmed_lost_changes_[name] = false;
   } else {
     tables.confirmed_lost_changes_.erase(name);
--- a/test/cell/rejected_commit_test.cc
+++ b/test/cell/rejected_commit_test.cc
@@ -5,10 +5,13 @@
 #include <variant>
 #include <vector>
 
+#include "support/placement_fleet.h"
 #include "support/virtual_cell.h"
 #include "systems/cell/cell_keys.h"
 #include "systems/cell/validate_record.h"
+#include "systems/scheduler/isolate_rejected.h"
 #include "systems/scheduler/split_progress.h"
+#include "systems/scheduler/track_lost_workers.h"
 #include "wire/kvs_record_codec.h"
 
 namespace quetzalline {
@@ -234,6 +237,22 @@
   BOOST_TEST((ready.StateOf(before) == JobState::kCompleted));
 }
 
+// A worker returns while the record that it is lost waits to be written alone.
+// Written all the same, the record would keep work from the worker for good.
+BOOST_AUTO_TEST_CASE(a_record_that_waits_is_dropped_once_its_worker_returns) {
+  PlacementFleet fleet(1);
+  SchedulerTables& tables = fleet.tables();
+  const RecordUnit unit =
+      MemberRecordUnit::Builder().member(PlacementFleet::Name(0)).Build();
+  tables.rejected_records_.Put(
+      unit, RejectedRecord::Builder().lost_change(true).Build());
+  RetractConfirmedLost(PlacementFleet::Name(0), tables);
+  Random random(1);
+  SchedulerTick tick(kFleetNow, random, tables.counters_);
+  HoldBackRejected(tables, tick);
+  BOOST_TEST((tables.rejected_records_.Find(unit)->lost_change() == false));
+}
+
 // A store that rejects everything for a while says nothing about a job.
 BOOST_AUTO_TEST_CASE(no_job_fails_while_the_store_rejects_every_commit) {
   RejectingCell ready;
--- a/test/faults/cell_schedule_test.cc
+++ b/test/faults/cell_schedule_test.cc
@@ -60,6 +60,11 @@
 constexpr std::uint64_t kCrashingTaskRegressionSeed = 37;
 constexpr std::uint64_t kChangingRoomRegressionSeed = 510039;
 
+// A worker that was back got no work: the record that it was lost had been
+// rejected, and was written alone after its return.
+constexpr std::uint64_t kHeldBackLossSeed = 4101823;
+constexpr std::uint64_t kHangingWorkerHeldBackLossSeed = 276;
+
 void RunSeed(std::uint64_t seed,
              ScheduleFaults faults = ScheduleFaults::kTransient) {
   for (const std::string& violation : RunCellSchedule(seed, faults)) {
@@ -111,6 +116,7 @@
 BOOST_AUTO_TEST_CASE(random_changes_of_capacity_violate_no_invariant) {
   RunSeeds(ScheduleFaults::kChangingRooms, 150);
   RunSeed(kChangingRoomRegressionSeed, ScheduleFaults::kChangingRooms);
+  RunSeed(kHeldBackLossSeed, ScheduleFaults::kChangingRooms);
 }
 
 // Guards against tasks that each new holder holds back anew, and against work
@@ -138,6 +144,7 @@
 // sent or executed after their job was cancelled.
 BOOST_AUTO_TEST_CASE(random_hanging_workers_violate_no_invariant) {
   RunSeeds(ScheduleFaults::kHangingWorkers, 150);
+  RunSeed(kHangingWorkerHeldBackLossSeed, ScheduleFaults::kHangingWorkers);
 }
 
 // Guards against submissions that wait in an entry, or on their way to the
