--- a/src/systems/scheduler/commit_progress.cc
+++ b/src/systems/scheduler/commit_progress.cc
@@ -1,6 +1,7 @@
 #include "systems/scheduler/commit_progress.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "systems/cell/cell_keys.h"
@@ -126,6 +127,28 @@
   tables.callers_.erase(stored, tables.callers_.end());
 }
 
+// Removes the completions that a commit has stored: those of the batch, and
+// those that came while it was in flight and changed nothing more. Returns the
+// workers that listed them.
+std::set<MemberName> TakeStoredCompletions(const CommitBatch& batch,
+                                           SchedulerTables& tables) {
+  std::set<MemberName> workers;
+  for (const UnacknowledgedCompletion& end : batch.completions_) {
+    workers.insert(end.worker());
+  }
+  std::erase_if(
+      tables.unacknowledged_completions_,
+      [&](const UnacknowledgedCompletion& end) {
+        const bool in_batch =
+            std::find(batch.completions_.begin(), batch.completions_.end(),
+                      end) != batch.completions_.end();
+        const bool stored = in_batch || !HasUnstoredChanges(end.job(), tables);
+        if (stored) workers.insert(end.worker());
+        return stored;
+      });
+  return workers;
+}
+
 void FinishCommit(std::int64_t revision, SchedulerTables& tables,
                   SchedulerTick& tick) {
   const CommitBatch batch = std::move(*tables.commit_);
@@ -151,24 +174,12 @@
     tables.expired_jobs_.erase(job);
     tables.jobs_.Erase(job);
   }
-  auto& unacknowledged = tables.unacknowledged_completions_;
-  unacknowledged.erase(
-      std::remove_if(unacknowledged.begin(), unacknowledged.end(),
-                     [&](const UnacknowledgedCompletion& end) {
-                       return std::find(batch.completions_.begin(),
-                                        batch.completions_.end(),
-                                        end) != batch.completions_.end();
-                     }),
-      unacknowledged.end());
+  const std::set<MemberName> workers = TakeStoredCompletions(batch, tables);
   ApplyLostWorkerChanges(batch, tables);
   ApplyHandovers(batch, tables);
   MarkSuspectsStored(batch.suspects_, tables);
   AnswerCallers(batch.callers_, tables, tick);
   AnswerLateCallers(tables, tick);
-  std::set<MemberName> workers;
-  for (const UnacknowledgedCompletion& end : batch.completions_) {
-    workers.insert(end.worker());
-  }
   AcknowledgeCompletions(workers, tables, tick);
 }
 
--- a/src/systems/scheduler/isolate_rejected.cc
+++ b/src/systems/scheduler/isolate_rejected.cc
@@ -256,8 +256,11 @@
 }
 
 bool HasUnstoredChanges(std::uint64_t job, const SchedulerTables& tables) {
-  return tables.dirty_jobs_.Contains(job) ||
-         tables.rejected_records_.Find(JobUnit(job)) != nullptr;
+  if (tables.dirty_jobs_.Contains(job)) return true;
+  if (tables.rejected_records_.Find(JobUnit(job)) != nullptr) return true;
+  if (!tables.commit_) return false;
+  const std::vector<std::uint64_t>& jobs = tables.commit_->jobs_;
+  return std::find(jobs.begin(), jobs.end(), job) != jobs.end();
 }
 
 void HoldBackRejected(SchedulerTables& tables, SchedulerTick& tick) {
--- a/src/systems/scheduler/isolate_rejected.h
+++ b/src/systems/scheduler/isolate_rejected.h
@@ -13,8 +13,8 @@
 /// store rejects it.
 std::vector<RecordUnit> UnitsOf(const CommitBatch& batch);
 
-/// Returns true if a change of the job's records is not stored yet and not part
-/// of a commit in flight.
+/// Returns true if a change of the job's records is not stored yet. It may be
+/// part of the commit in flight.
 bool HasUnstoredChanges(std::uint64_t job, const SchedulerTables& tables);
 
 /// Takes the changes of rejected records out of the sets from which commits are
--- a/test/cell/worker_report_test.cc
+++ b/test/cell/worker_report_test.cc
@@ -230,6 +230,37 @@
   BOOST_TEST(AcknowledgedNumbers(tick.TakeEffects()).empty());
 }
 
+// Two runs of a task have ended as done, the second while the commit that
+// stores the first is in flight. Acknowledged at once, it would be forgotten by
+// its worker, and if the commit failed, the next holder would start the task
+// again.
+BOOST_AUTO_TEST_CASE(a_second_end_awaits_the_commit_of_the_first) {
+  PlacementFleet fleet(2);
+  SchedulerTables& tables = fleet.tables();
+  const std::uint64_t job = fleet.AddRunning(BatchStep(2), 0);
+  fleet.Report(0, WorkerReport::Builder()
+                      .number(1)
+                      .ends({SuccessfulRunEnd(1, MakeRunKey(job, 0, 1))})
+                      .Build());
+  CommitBatch batch;
+  batch.jobs_ = {job};
+  batch.completions_ = tables.unacknowledged_completions_;
+  tables.commit_ = batch;
+  tables.dirty_jobs_.Clear();
+  const auto effects =
+      fleet.Report(1, WorkerReport::Builder()
+                          .number(1)
+                          .ends({SuccessfulRunEnd(1, MakeRunKey(job, 0, 2))})
+                          .Build());
+  BOOST_TEST(AcknowledgedNumbers(effects).empty());
+  Random random(1);
+  SchedulerTick tick(kFleetNow, random, tables.counters_);
+  HandleCommit(KvsCommitted::Builder().revision(7).Build(), tables, tick);
+  BOOST_TEST((AcknowledgedNumbers(tick.TakeEffects()) ==
+              std::vector<std::int64_t>{1, 1}));
+  BOOST_TEST(tables.unacknowledged_completions_.empty());
+}
+
 // A run is stopped because an earlier run of its task completed after all. It
 // occupies capacity until its own end is reported; counting it as free sooner
 // would overcommit the worker.
--- a/test/faults/cell_schedule_test.cc
+++ b/test/faults/cell_schedule_test.cc
@@ -47,7 +47,12 @@
 
 // The same for schedules with late processes: an agent started tasks that had
 // been ordered seconds before, and whose job had been cancelled since.
-constexpr std::uint64_t kLateProcessRegressionSeeds[] = {300147};
+constexpr std::uint64_t kLateProcessRegressionSeeds[] = {
+    300147,
+    // An end was acknowledged while the commit of another end of its task was
+    // in flight.
+    4101469,
+};
 
 // The same for schedules with departures of workers.
 constexpr std::uint64_t kDepartureRegressionSeeds[] = {
